Start the workspace: core types, documents, calls, contracts

Cause: the parts of the system are to be built side by side, so what they share has to stand first: ids and units with text forms, the three outcomes of a statement, the service document, the calls between entry and agent, the command line and numbered log events, and the contracts that a target and the platform meet.

Weighed: putting shared process code into the entry (the agent would then depend on the data path) against a small crate of its own; the latter.

--- /dev/null
+++ b/crates/mustardhinge-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control process of an instance: platform, peers, budgets, failover.
--- /dev/null
+++ b/crates/mustardhinge-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, faults, history checks and reports.
--- /dev/null
+++ b/crates/mustardhinge-config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings of the processes and documents of the services.
+
+pub mod document;
--- /dev/null
+++ b/crates/mustardhinge-core/src/ids/mod.rs
@@ -0,0 +1,10 @@
+//! Identifiers, each a type of its own with `Display` and `FromStr`.
+
+mod id_error;
+mod text_id;
+
+pub use id_error::IdError;
+pub use text_id::{
+    CustomerId, GroupId, InstanceId, OperationId, RequestId, RouteName, ServiceId, SessionId,
+    TargetId, ZoneId,
+};
--- /dev/null
+++ b/crates/mustardhinge-core/src/ids/text_id.rs
@@ -0,0 +1,108 @@
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use super::IdError;
+
+/// The greatest length of an identifier, in characters.
+const MAX_ID_CHARS: usize = 128;
+
+fn check_id(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty { max: MAX_ID_CHARS });
+    }
+    let length = text.chars().count();
+    if length > MAX_ID_CHARS {
+        return Err(IdError::TooLong {
+            max: MAX_ID_CHARS,
+            length,
+        });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(character) => Err(IdError::BadCharacter { character }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the identifier as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_id(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!(stringify!($name), "({})"), self.0)
+            }
+        }
+    };
+}
+
+text_id! {
+    /// Names one customer (tenant) of a service.
+    CustomerId
+}
+text_id! {
+    /// Names one database group: a primary and its replicas.
+    GroupId
+}
+text_id! {
+    /// Names one instance: a machine that runs an entry and an agent.
+    InstanceId
+}
+text_id! {
+    /// Names one conditional update, so that a lost answer can be settled.
+    OperationId
+}
+text_id! {
+    /// Names one request of a caller, so that a retry finds its recorded answer.
+    RequestId
+}
+text_id! {
+    /// Names one route of a service document.
+    RouteName
+}
+text_id! {
+    /// Names one service: a database group with its customers, keys, rates and routes.
+    ServiceId
+}
+text_id! {
+    /// Names one session of a caller; it may move between instances.
+    SessionId
+}
+text_id! {
+    /// Names one target: a database server of a group.
+    TargetId
+}
+text_id! {
+    /// Names one availability zone.
+    ZoneId
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of the database proxy, free of I/O, clocks and unseeded randomness.
+//!
+//! Every function that depends on the present time takes it as an argument, so
+//! that tests, trace replay and the processes run the same code.
+
+pub mod ids;
+pub mod key;
+pub mod outcome;
+pub mod prelude;
+pub mod units;
--- /dev/null
+++ b/crates/mustardhinge-core/src/outcome/mod.rs
@@ -0,0 +1,9 @@
+//! The three ways in which a statement can end for its caller.
+
+mod refusal_reason;
+mod retry_delay;
+mod statement_outcome;
+
+pub use refusal_reason::RefusalReason;
+pub use retry_delay::RetryDelay;
+pub use statement_outcome::StatementOutcome;
--- /dev/null
+++ b/crates/mustardhinge-core/src/outcome/retry_delay.rs
@@ -0,0 +1,26 @@
+use std::fmt;
+use std::time::Duration;
+
+/// The time after which a refused caller should come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RetryDelay(Duration);
+
+impl RetryDelay {
+    /// Makes a delay.
+    #[must_use]
+    pub const fn new(duration: Duration) -> Self {
+        Self(duration)
+    }
+
+    /// Returns the delay.
+    #[must_use]
+    pub const fn get(self) -> Duration {
+        self.0
+    }
+}
+
+impl fmt::Display for RetryDelay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0.as_millis())
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that nearly every module uses.
+
+pub use crate::ids::{
+    CustomerId, GroupId, InstanceId, OperationId, RequestId, RouteName, ServiceId, SessionId,
+    TargetId, ZoneId,
+};
+pub use crate::outcome::{RefusalReason, RetryDelay, StatementOutcome};
+pub use crate::units::{
+    DocumentVersion, LeaderTerm, LogPosition, MonotonicTime, RequestBurst, RequestRate,
+};
--- /dev/null
+++ b/crates/mustardhinge-core/src/units/mod.rs
@@ -0,0 +1,17 @@
+//! Numbers with a unit, each a type of its own.
+
+mod document_version;
+mod leader_term;
+mod log_position;
+mod monotonic_time;
+mod request_burst;
+mod request_rate;
+mod unit_error;
+
+pub use document_version::DocumentVersion;
+pub use leader_term::LeaderTerm;
+pub use log_position::LogPosition;
+pub use monotonic_time::MonotonicTime;
+pub use request_burst::RequestBurst;
+pub use request_rate::RequestRate;
+pub use unit_error::UnitError;
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions, by feature.
+
+mod units;
--- /dev/null
+++ b/crates/mustardhinge-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line for the operators of services.
--- /dev/null
+++ b/crates/mustardhinge-demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! The whole system in one process, in a few seconds.
--- /dev/null
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -0,0 +1,27 @@
+use log::Level;
+
+use super::LogEvent;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $title:literal;)*) => {
+        $(
+            #[doc = $title]
+            pub const $name: LogEvent = LogEvent {
+                number: $number,
+                level: Level::$level,
+                title: $title,
+            };
+        )*
+
+        /// Every event, in the order of the numbers.
+        pub const ALL_EVENTS: &[LogEvent] = &[$($name),*];
+    };
+}
+
+// 1000: all processes; 2000: entry; 3000: agent; 4000: failover; 5000: stand-ins.
+events! {
+    PROCESS_STARTED = 1001, Info, "process started";
+    PROCESS_STOPPING = 1002, Info, "process stopping";
+    PROCESS_STOPPED = 1003, Info, "process stopped";
+    PROCESS_FAILED = 1004, Error, "process failed";
+}
--- /dev/null
+++ b/crates/mustardhinge-process/src/lib.rs
@@ -0,0 +1,13 @@
+//! What all processes share: command line, numbered log events, metrics endpoint,
+//! clock and stop signal.
+
+pub mod args;
+pub mod event;
+
+mod metrics_endpoint;
+mod process_clock;
+mod stop_signal;
+
+pub use metrics_endpoint::serve_metrics;
+pub use process_clock::ProcessClock;
+pub use stop_signal::wait_for_stop;
--- /dev/null
+++ b/crates/mustardhinge-process/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of what all processes share, by feature.
+
+mod args;
+mod events;
--- /dev/null
+++ b/crates/mustardhinge-rpc/src/budget/mod.rs
@@ -0,0 +1,7 @@
+//! Requests that the agent lends to the entry out of a customer's rate and burst.
+
+mod budget_grant;
+mod budget_request;
+
+pub use budget_grant::BudgetGrant;
+pub use budget_request::BudgetRequest;
--- /dev/null
+++ b/crates/mustardhinge-rpc/src/lib.rs
@@ -0,0 +1,7 @@
+//! Typed calls between the entry, the agent and the agents of other instances.
+
+mod agent_api;
+pub mod budget;
+pub mod control;
+
+pub use agent_api::{AgentApiClient, AgentApiServer};
