Add the decisions about reads, acknowledgement, connections and retries

- replication: server reports, the group view, acknowledgement by a majority in the write's term, floor rounds and the history of floors.
- session and routing: read tokens, what a read requires, the choice of a target by position, age, load and zone.
- request and retry: the two states of a request, of which only the unsent one can be refused; retry budget, backoff and reasons.
- connection: bounded waits, proof before reuse, shares of a target's limits.

Weighed for the floor of a read without a token: the primary's last position once a majority has confirmed its term, or the least position that a majority of fresh reports shows to hold every acknowledged write. The second was taken: it needs no primary, so reads go on during a failover, and with all servers answering it lies at a position that a replica already holds.

--- /dev/null
+++ b/crates/mustardhinge-core/src/connection/health_settings.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+/// The bounds of the waits on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HealthSettings {
+    open_timeout: Duration,
+    proof_timeout: Duration,
+    answer_timeout: Duration,
+    idle_limit: Duration,
+}
+
+impl HealthSettings {
+    const DEFAULT_OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+    const DEFAULT_PROOF_TIMEOUT: Duration = Duration::from_millis(100);
+    const DEFAULT_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+    const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(500);
+
+    /// Makes the default bounds.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            open_timeout: Self::DEFAULT_OPEN_TIMEOUT,
+            proof_timeout: Self::DEFAULT_PROOF_TIMEOUT,
+            answer_timeout: Self::DEFAULT_ANSWER_TIMEOUT,
+            idle_limit: Self::DEFAULT_IDLE_LIMIT,
+        }
+    }
+
+    /// Sets the time in which a connection has to open.
+    #[must_use]
+    pub const fn open_timeout(mut self, timeout: Duration) -> Self {
+        self.open_timeout = timeout;
+        self
+    }
+
+    /// Sets the time in which a proof has to be answered.
+    #[must_use]
+    pub const fn proof_timeout(mut self, timeout: Duration) -> Self {
+        self.proof_timeout = timeout;
+        self
+    }
+
+    /// Sets the time in which a statement has to be answered if its own
+    /// deadline is not sooner.
+    #[must_use]
+    pub const fn answer_timeout(mut self, timeout: Duration) -> Self {
+        self.answer_timeout = timeout;
+        self
+    }
+
+    /// Sets the idle time after which a connection is proved before reuse.
+    #[must_use]
+    pub const fn idle_limit(mut self, limit: Duration) -> Self {
+        self.idle_limit = limit;
+        self
+    }
+
+    /// Returns the time in which a connection has to open.
+    #[must_use]
+    pub const fn get_open_timeout(&self) -> Duration {
+        self.open_timeout
+    }
+
+    /// Returns the time in which a proof has to be answered.
+    #[must_use]
+    pub const fn get_proof_timeout(&self) -> Duration {
+        self.proof_timeout
+    }
+
+    /// Returns the time in which a statement has to be answered.
+    #[must_use]
+    pub const fn get_answer_timeout(&self) -> Duration {
+        self.answer_timeout
+    }
+
+    /// Returns the idle time after which a connection is proved.
+    #[must_use]
+    pub const fn get_idle_limit(&self) -> Duration {
+        self.idle_limit
+    }
+}
+
+impl Default for HealthSettings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/connection/mod.rs
@@ -0,0 +1,19 @@
+//! Connections to targets: health, limits, opening ahead of need.
+
+mod answer_verdict;
+mod connection_health;
+mod health_settings;
+mod limit_error;
+mod pool_action;
+mod pool_demand;
+mod pool_limit;
+mod reuse_verdict;
+
+pub use answer_verdict::AnswerVerdict;
+pub use connection_health::ConnectionHealth;
+pub use health_settings::HealthSettings;
+pub use limit_error::LimitError;
+pub use pool_action::PoolAction;
+pub use pool_demand::PoolDemand;
+pub use pool_limit::PoolLimit;
+pub use reuse_verdict::ReuseVerdict;
--- /dev/null
+++ b/crates/mustardhinge-core/src/connection/pool_demand.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use crate::units::MonotonicTime;
+
+use super::{PoolAction, PoolLimit};
+
+/// How many connections a pool should hold: the greatest number used at once
+/// lately, and one spare that is opened before it is needed.
+#[derive(Clone, Debug)]
+pub struct PoolDemand {
+    limit: PoolLimit,
+    window: Duration,
+    peak: u32,
+    previous_peak: u32,
+    window_ends: MonotonicTime,
+}
+
+impl PoolDemand {
+    /// The connections held beyond those in use.
+    const SPARE_CONNECTIONS: u32 = 1;
+
+    /// Makes the demand of a pool whose peaks are kept for one to two windows.
+    #[must_use]
+    pub fn new(limit: PoolLimit, window: Duration, now: MonotonicTime) -> Self {
+        Self {
+            limit,
+            window,
+            peak: 0,
+            previous_peak: 0,
+            window_ends: now + window,
+        }
+    }
+
+    /// Notes that `used` connections are in use or waited for.
+    pub fn observe(&mut self, used: u32, now: MonotonicTime) {
+        if now >= self.window_ends {
+            self.previous_peak = self.peak;
+            self.peak = 0;
+            self.window_ends = now + self.window;
+        }
+        self.peak = self.peak.max(used);
+    }
+
+    /// Returns how a pool of `open` connections, those being opened included,
+    /// should change.
+    #[must_use]
+    pub fn action(&self, open: u32) -> PoolAction {
+        let peak = self.peak.max(self.previous_peak);
+        let wanted = (peak + Self::SPARE_CONNECTIONS).min(self.limit.connections());
+        match open {
+            open if open < wanted => PoolAction::Open(wanted - open),
+            open if open > wanted => PoolAction::CloseIdle(open - wanted),
+            _ => PoolAction::Keep,
+        }
+    }
+}
--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -3,8 +3,15 @@
 //! Every function that depends on the present time takes it as an argument, so
 //! that tests, trace replay and the processes run the same code.
 
+pub mod connection;
+pub mod failover;
 pub mod ids;
 pub mod key;
 pub mod outcome;
 pub mod prelude;
+pub mod replication;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod session;
 pub mod units;
--- /dev/null
+++ b/crates/mustardhinge-core/src/replication/ack_tracker.rs
@@ -0,0 +1,178 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::ids::TargetId;
+use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
+
+use super::{AckFailure, AckKey, AckOutcome, AckStart, GroupMembers, ServerReport, TermProgress};
+
+/// The writes of one group that wait until a majority holds them in their term.
+///
+/// Only a report made in the write's own term counts: a server that has granted
+/// a greater term may have done so before the write reached it.
+#[derive(Clone, Debug)]
+pub struct AckTracker {
+    members: GroupMembers,
+    timeout: Duration,
+    writes: SlotMap<AckKey, PendingWrite>,
+    terms: BTreeMap<LeaderTerm, TermProgress>,
+    server_terms: Vec<LeaderTerm>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingWrite {
+    position: LogPosition,
+    deadline: MonotonicTime,
+}
+
+impl AckTracker {
+    /// Makes a tracker whose writes wait for `timeout` at most.
+    #[must_use]
+    pub fn new(members: GroupMembers, timeout: Duration) -> Self {
+        let server_terms = vec![LeaderTerm::default(); members.count()];
+        Self {
+            members,
+            timeout,
+            writes: SlotMap::with_key(),
+            terms: BTreeMap::new(),
+            server_terms,
+        }
+    }
+
+    /// Starts the wait of a write that `primary` reported as committed.
+    pub fn begin(
+        &mut self,
+        primary: &TargetId,
+        position: LogPosition,
+        now: MonotonicTime,
+    ) -> AckStart {
+        if let Some(index) = self.members.index_of(primary) {
+            self.progress(position.term).advance(index, position.offset);
+        }
+        if let Some(outcome) = self.decide(position) {
+            return AckStart::Resolved(outcome);
+        }
+        let deadline = now + self.timeout;
+        let key = self.writes.insert(PendingWrite { position, deadline });
+        self.progress(position.term).wait(position.offset, key);
+        AckStart::Waiting(key)
+    }
+
+    /// Takes in a server's report and returns the writes that it decided.
+    pub fn observe(&mut self, report: &ServerReport) -> Vec<(AckKey, AckOutcome)> {
+        let Some(index) = self.members.index_of(&report.target) else {
+            return Vec::new();
+        };
+        self.server_terms[index] = self.server_terms[index].max(report.term);
+        if let Some(held) = report.held_in(report.term) {
+            self.progress(report.term).advance(index, held.offset);
+        }
+        self.resolve()
+    }
+
+    /// Ends the waits whose time is over.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<(AckKey, AckOutcome)> {
+        let overdue = self
+            .writes
+            .iter()
+            .filter(|(_, write)| write.deadline <= now);
+        let overdue: Vec<_> = overdue.map(|(key, write)| (key, write.position)).collect();
+        for (key, position) in &overdue {
+            self.writes.remove(*key);
+            self.progress(position.term).forget(position.offset, *key);
+        }
+        self.drop_old_terms();
+        let outcome = AckOutcome::Unknown(AckFailure::TimedOut);
+        overdue.into_iter().map(|(key, _)| (key, outcome)).collect()
+    }
+
+    /// Ends one wait, for instance since its caller has gone.
+    pub fn cancel(&mut self, key: AckKey) {
+        if let Some(write) = self.writes.remove(key) {
+            let position = write.position;
+            self.progress(position.term).forget(position.offset, key);
+        }
+    }
+
+    /// Returns the smallest position that a write waits for and that `target`
+    /// has not reported; what the next `group_wait` at it should name.
+    ///
+    /// Positions of a term that the server has left are passed over.
+    #[must_use]
+    pub fn next_wait(&self, target: &TargetId) -> Option<LogPosition> {
+        let index = self.members.index_of(target)?;
+        let reachable = self.terms.range(self.server_terms[index]..);
+        reachable.into_iter().find_map(|(term, progress)| {
+            let offset = progress.next_after(progress.held(index))?;
+            Some(LogPosition::new(*term, offset))
+        })
+    }
+
+    /// Returns the time at which the next wait ends, if any write waits.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        self.writes.values().map(|write| write.deadline).min()
+    }
+
+    /// Returns the number of writes that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.writes.len()
+    }
+
+    fn progress(&mut self, term: LeaderTerm) -> &mut TermProgress {
+        let servers = self.members.count();
+        self.terms
+            .entry(term)
+            .or_insert_with(|| TermProgress::new(servers))
+    }
+
+    /// Decides a write from the reports that have come in.
+    fn decide(&mut self, position: LogPosition) -> Option<AckOutcome> {
+        let majority = self.members.majority();
+        let left = self.servers_past(position.term);
+        let progress = self.progress(position.term);
+        if progress.majority_offset(majority) >= position.offset {
+            return Some(AckOutcome::Acknowledged);
+        }
+        let is_lost = progress.reachable_offset(majority, &left) < position.offset;
+        is_lost.then_some(AckOutcome::Unknown(AckFailure::TermSuperseded))
+    }
+
+    /// Tells of each server whether it has left `term` for a greater one.
+    fn servers_past(&self, term: LeaderTerm) -> Vec<bool> {
+        self.server_terms
+            .iter()
+            .map(|other| *other > term)
+            .collect()
+    }
+
+    fn resolve(&mut self) -> Vec<(AckKey, AckOutcome)> {
+        let majority = self.members.majority();
+        let mut resolved = Vec::new();
+        for (term, progress) in &mut self.terms {
+            let offset = progress.majority_offset(majority);
+            let held = progress.take_up_to(offset);
+            resolved.extend(held.into_iter().map(|key| (key, AckOutcome::Acknowledged)));
+            let left: Vec<_> = self.server_terms.iter().map(|other| other > term).collect();
+            let reachable = progress.reachable_offset(majority, &left);
+            let lost = progress.take_after(reachable);
+            let outcome = AckOutcome::Unknown(AckFailure::TermSuperseded);
+            resolved.extend(lost.into_iter().map(|key| (key, outcome)));
+        }
+        for (key, _) in &resolved {
+            self.writes.remove(*key);
+        }
+        self.drop_old_terms();
+        resolved
+    }
+
+    /// Drops terms before the newest in which no write waits.
+    fn drop_old_terms(&mut self) {
+        let newest = self.terms.keys().next_back().copied();
+        self.terms
+            .retain(|term, progress| Some(*term) == newest || !progress.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/replication/floor_round.rs
@@ -0,0 +1,41 @@
+use crate::units::{LogPosition, MonotonicTime};
+
+use super::{GroupMembers, RoundNumber, quorum_floor};
+
+/// One round of reports that is under way.
+#[derive(Clone, Debug)]
+pub(super) struct FloorRound {
+    pub(super) number: RoundNumber,
+    pub(super) started_at: MonotonicTime,
+    pub(super) majority_at: Option<MonotonicTime>,
+    lasts: Vec<Option<LogPosition>>,
+}
+
+impl FloorRound {
+    /// Makes a round without reports.
+    pub(super) fn new(number: RoundNumber, servers: usize, now: MonotonicTime) -> Self {
+        Self {
+            number,
+            started_at: now,
+            majority_at: None,
+            lasts: vec![None; servers],
+        }
+    }
+
+    /// Notes a server's last position.
+    pub(super) fn record(&mut self, index: usize, last: LogPosition) {
+        let slot = &mut self.lasts[index];
+        *slot = (*slot).max(Some(last));
+    }
+
+    /// Returns whether all servers have answered.
+    pub(super) fn is_complete(&self) -> bool {
+        self.lasts.iter().all(Option::is_some)
+    }
+
+    /// Returns the floor, once a majority has answered.
+    pub(super) fn floor(&self, members: &GroupMembers) -> Option<LogPosition> {
+        let lasts: Vec<_> = self.lasts.iter().flatten().copied().collect();
+        quorum_floor(members, &lasts)
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/replication/floor_tracker.rs
@@ -0,0 +1,118 @@
+use crate::units::{LogPosition, MonotonicTime};
+
+use super::{FloorAction, FloorRound, FloorSettings, GroupMembers, RoundNumber, ServerReport};
+
+/// The batched rounds that give reads without a token their floor.
+///
+/// A read joins the round after the one under way, so that all reports of its
+/// round were asked for after the read arrived.
+#[derive(Clone, Debug)]
+pub struct FloorTracker {
+    members: GroupMembers,
+    settings: FloorSettings,
+    last_number: RoundNumber,
+    running: Option<FloorRound>,
+    next_wanted: bool,
+}
+
+impl FloorTracker {
+    /// Makes a tracker without rounds.
+    #[must_use]
+    pub fn new(members: GroupMembers, settings: FloorSettings) -> Self {
+        Self {
+            members,
+            settings,
+            last_number: RoundNumber::default(),
+            running: None,
+            next_wanted: false,
+        }
+    }
+
+    /// Adds a read and returns the round that will give its floor, and what to
+    /// do now.
+    pub fn join(&mut self, now: MonotonicTime) -> (RoundNumber, Option<FloorAction>) {
+        if self.running.is_some() {
+            self.next_wanted = true;
+            return (self.last_number.next(), None);
+        }
+        let action = self.start(now);
+        (self.last_number, Some(action))
+    }
+
+    /// Takes in a report that was asked for at `requested_at`; it counts only
+    /// if that was not before the start of the round under way.
+    pub fn observe(
+        &mut self,
+        report: &ServerReport,
+        requested_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Vec<FloorAction> {
+        let Some(index) = self.members.index_of(&report.target) else {
+            return Vec::new();
+        };
+        let Some(round) = &mut self.running else {
+            return Vec::new();
+        };
+        if requested_at < round.started_at {
+            return Vec::new();
+        }
+        round.record(index, report.last);
+        self.advance(now)
+    }
+
+    /// Ends the round under way if its time is over.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<FloorAction> {
+        self.advance(now)
+    }
+
+    /// Returns the time at which `expire` has something to do.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        let round = self.running.as_ref()?;
+        let timeout = round.started_at + self.settings.get_timeout();
+        let straggler_wait = self.settings.get_straggler_wait();
+        Some(match round.majority_at {
+            Some(majority_at) => timeout.min(majority_at + straggler_wait),
+            None => timeout,
+        })
+    }
+
+    fn advance(&mut self, now: MonotonicTime) -> Vec<FloorAction> {
+        let Some(round) = &mut self.running else {
+            return Vec::new();
+        };
+        let floor = round.floor(&self.members);
+        if floor.is_some() && round.majority_at.is_none() {
+            round.majority_at = Some(now);
+        }
+        let number = round.number;
+        let is_complete = round.is_complete();
+        let is_due = self.next_deadline().is_some_and(|deadline| deadline <= now);
+        match floor {
+            _ if !is_complete && !is_due => Vec::new(),
+            Some(floor) => self.finish(yield_floor(number, floor), now),
+            None => self.finish(FloorAction::Fail(number), now),
+        }
+    }
+
+    fn finish(&mut self, action: FloorAction, now: MonotonicTime) -> Vec<FloorAction> {
+        self.running = None;
+        let mut actions = vec![action];
+        if self.next_wanted {
+            actions.push(self.start(now));
+        }
+        actions
+    }
+
+    fn start(&mut self, now: MonotonicTime) -> FloorAction {
+        self.next_wanted = false;
+        self.last_number = self.last_number.next();
+        let servers = self.members.count();
+        self.running = Some(FloorRound::new(self.last_number, servers, now));
+        FloorAction::RequestReports(self.last_number)
+    }
+}
+
+fn yield_floor(round: RoundNumber, floor: LogPosition) -> FloorAction {
+    FloorAction::Yield { round, floor }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/replication/group_view.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
+
+use super::{GroupMembers, ServerReport, ServerRole, TimedReport, quorum_floor};
+
+/// The newest report of each server of a group.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    members: GroupMembers,
+    reports: Vec<Option<TimedReport>>,
+}
+
+impl GroupView {
+    /// Makes a view without reports.
+    #[must_use]
+    pub fn new(members: GroupMembers) -> Self {
+        let reports = vec![None; members.count()];
+        Self { members, reports }
+    }
+
+    /// Takes in a report; one asked for before the report that is held, or of
+    /// a server outside the group, is dropped.
+    ///
+    /// Returns whether the report was taken in.
+    pub fn observe(
+        &mut self,
+        report: ServerReport,
+        requested_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(index) = self.members.index_of(&report.target) else {
+            return false;
+        };
+        let slot = &mut self.reports[index];
+        if slot
+            .as_ref()
+            .is_some_and(|held| held.is_newer_than(&report, requested_at))
+        {
+            return false;
+        }
+        *slot = Some(TimedReport {
+            report,
+            requested_at,
+            received_at: now,
+        });
+        true
+    }
+
+    /// Returns the servers of the group.
+    #[must_use]
+    pub fn members(&self) -> &GroupMembers {
+        &self.members
+    }
+
+    /// Returns the newest report of a server.
+    #[must_use]
+    pub fn report(&self, target: &TargetId) -> Option<&TimedReport> {
+        self.reports[self.members.index_of(target)?].as_ref()
+    }
+
+    /// Iterates over the newest reports.
+    pub fn reports(&self) -> impl Iterator<Item = &TimedReport> {
+        self.reports.iter().flatten()
+    }
+
+    /// Returns the greatest term that any server has reported.
+    #[must_use]
+    pub fn greatest_term(&self) -> LeaderTerm {
+        let terms = self.reports().map(|timed| timed.report.term);
+        terms.max().unwrap_or_default()
+    }
+
+    /// Returns the report of the current primary: of the servers that say they
+    /// are primary, the one with the greatest term.
+    #[must_use]
+    pub fn primary(&self) -> Option<&TimedReport> {
+        self.reports()
+            .filter(|timed| timed.report.role == ServerRole::Primary)
+            .max_by_key(|timed| timed.report.term)
+    }
+
+    /// Returns whether so many servers have left `term` for a greater one that
+    /// no majority can hold a new entry of it.
+    #[must_use]
+    pub fn is_superseded(&self, term: LeaderTerm) -> bool {
+        let ahead = self.reports().filter(|timed| timed.report.term > term);
+        self.members.count() - ahead.count() < self.members.majority()
+    }
+
+    /// Returns whether no report of the server came in within `limit`.
+    #[must_use]
+    pub fn is_silent(&self, target: &TargetId, now: MonotonicTime, limit: Duration) -> bool {
+        self.report(target)
+            .is_none_or(|timed| now.saturating_since(timed.received_at) > limit)
+    }
+
+    /// Returns a time and the floor of reads at that time, from the newest
+    /// reports of a majority: every write acknowledged before the time is at
+    /// or before the floor.
+    #[must_use]
+    pub fn floor(&self) -> Option<(MonotonicTime, LogPosition)> {
+        let mut reports: Vec<_> = self.reports().collect();
+        reports.sort_by_key(|timed| std::cmp::Reverse(timed.requested_at));
+        reports.truncate(self.members.majority());
+        let lasts: Vec<_> = reports.iter().map(|timed| timed.report.last).collect();
+        let floor = quorum_floor(&self.members, &lasts)?;
+        Some((reports.last()?.requested_at, floor))
+    }
+}
+
+impl TimedReport {
+    /// Returns whether this report says more than another one of its server.
+    fn is_newer_than(&self, other: &ServerReport, requested_at: MonotonicTime) -> bool {
+        let held = (self.report.term, self.requested_at);
+        held > (other.term, requested_at)
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/replication/term_progress.rs
@@ -0,0 +1,90 @@
+use std::collections::BTreeSet;
+
+use super::AckKey;
+
+/// How far each server got in one term, and the writes of it that wait.
+#[derive(Clone, Debug)]
+pub(super) struct TermProgress {
+    held: Vec<u64>,
+    waiting: BTreeSet<(u64, AckKey)>,
+}
+
+impl TermProgress {
+    /// Makes the progress of a term in which no server holds an entry.
+    pub(super) fn new(servers: usize) -> Self {
+        Self {
+            held: vec![0; servers],
+            waiting: BTreeSet::new(),
+        }
+    }
+
+    /// Notes that a server holds the term's entries up to `offset`.
+    pub(super) fn advance(&mut self, index: usize, offset: u64) {
+        self.held[index] = self.held[index].max(offset);
+    }
+
+    /// Returns the offset up to which a server holds the term's entries.
+    pub(super) fn held(&self, index: usize) -> u64 {
+        self.held[index]
+    }
+
+    /// Returns the offset that at least `majority` servers hold.
+    pub(super) fn majority_offset(&self, majority: usize) -> u64 {
+        let mut held = self.held.clone();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        held.get(majority - 1).copied().unwrap_or(0)
+    }
+
+    /// Adds a write that waits.
+    pub(super) fn wait(&mut self, offset: u64, key: AckKey) {
+        self.waiting.insert((offset, key));
+    }
+
+    /// Removes a write that waits no longer.
+    pub(super) fn forget(&mut self, offset: u64, key: AckKey) {
+        self.waiting.remove(&(offset, key));
+    }
+
+    /// Removes and returns the writes that wait, up to `offset`.
+    pub(super) fn take_up_to(&mut self, offset: u64) -> Vec<AckKey> {
+        let mut taken = Vec::new();
+        while let Some(&(first, key)) = self.waiting.first() {
+            if first > offset {
+                break;
+            }
+            self.waiting.pop_first();
+            taken.push(key);
+        }
+        taken
+    }
+
+    /// Returns the offset up to which a majority may yet hold the entries,
+    /// where `left` tells of each server whether it has left the term.
+    pub(super) fn reachable_offset(&self, majority: usize, left: &[bool]) -> u64 {
+        let offsets = self.held.iter().zip(left);
+        let offsets = offsets.map(|(&held, &left)| if left { held } else { u64::MAX });
+        let mut offsets: Vec<_> = offsets.collect();
+        offsets.sort_unstable_by(|a, b| b.cmp(a));
+        offsets.get(majority - 1).copied().unwrap_or(0)
+    }
+
+    /// Removes and returns the writes that wait past `offset`.
+    pub(super) fn take_after(&mut self, offset: u64) -> Vec<AckKey> {
+        let is_after = |&(waiting, _): &(u64, AckKey)| waiting > offset;
+        let keys = self.waiting.iter().filter(|entry| is_after(entry));
+        let keys: Vec<_> = keys.map(|&(_, key)| key).collect();
+        self.waiting.retain(|entry| !is_after(entry));
+        keys
+    }
+
+    /// Returns the smallest offset past `held` that a write waits for.
+    pub(super) fn next_after(&self, held: u64) -> Option<u64> {
+        let offsets = self.waiting.iter().map(|&(offset, _)| offset);
+        offsets.into_iter().find(|&offset| offset > held)
+    }
+
+    /// Returns whether no write waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/retry/mod.rs
@@ -0,0 +1,17 @@
+//! Whether, when and how often a statement is sent again.
+
+mod failed_attempt;
+mod retry_backoff;
+mod retry_budget;
+mod retry_decision;
+mod retry_policy;
+mod retry_reason;
+mod retry_refusal;
+
+pub use failed_attempt::FailedAttempt;
+pub use retry_backoff::RetryBackoff;
+pub use retry_budget::RetryBudget;
+pub use retry_decision::RetryDecision;
+pub use retry_policy::RetryPolicy;
+pub use retry_reason::RetryReason;
+pub use retry_refusal::RetryRefusal;
