Check settings and service documents whole

Settings and documents drive the whole fleet, so a text is read field by field and every finding is collected with its line, key path and advice. Weighed: serde with deny_unknown_fields stops at the first error and has no place for checks over several fields; it stays the form on the wire.

--- a/crates/mustardhinge-config/src/document/limit_entry.rs
+++ b/crates/mustardhinge-config/src/document/limit_entry.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::reader::TableReader;
+
 /// Limits of a service that hold over all instances together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -33,3 +35,41 @@
         }
     }
 }
+
+impl LimitEntry {
+    pub(crate) fn read(reader: &mut TableReader<'_>) -> Option<Self> {
+        let base = Self::default();
+        let mut number = |key, range, default| reader.number(key, range, default);
+        let limits = Self {
+            connections_per_target: number(
+                "connections_per_target",
+                1..=100_000,
+                base.connections_per_target,
+            ),
+            slots_per_target: number("slots_per_target", 1..=10_000, base.slots_per_target),
+            max_instances: number("max_instances", 1..=10_000, base.max_instances),
+            max_statement_bytes: number(
+                "max_statement_bytes",
+                1_024..=1 << 30,
+                base.max_statement_bytes,
+            ),
+            statement_deadline_ms: number(
+                "statement_deadline_ms",
+                10..=600_000,
+                base.statement_deadline_ms,
+            ),
+            key_proof_ms: number("key_proof_ms", 200..=3_000, base.key_proof_ms),
+            request_record_s: number("request_record_s", 10..=604_800, base.request_record_s),
+        };
+        limits.check(reader);
+        Some(limits)
+    }
+
+    fn check(&self, reader: &TableReader<'_>) {
+        let (slots, connections) = (self.slots_per_target, self.connections_per_target);
+        if slots > connections {
+            let problem = format!("{slots} slots, but {connections} connections");
+            reader.report("slots_per_target", problem, "give at most one a connection");
+        }
+    }
+}
--- a/crates/mustardhinge-config/src/document/mod.rs
+++ b/crates/mustardhinge-config/src/document/mod.rs
@@ -11,5 +11,5 @@
 pub use group_entry::GroupEntry;
 pub use limit_entry::LimitEntry;
 pub use route_entry::RouteEntry;
-pub use service_document::ServiceDocument;
+pub use service_document::{MAX_DOCUMENT_BYTES, ServiceDocument};
 pub use target_entry::TargetEntry;
--- a/crates/mustardhinge-config/src/document/route_entry.rs
+++ b/crates/mustardhinge-config/src/document/route_entry.rs
@@ -1,6 +1,11 @@
 use mustardhinge_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::reader::TableReader;
+
+/// The greatest age that a route may allow, in milliseconds: one day.
+const MAX_ROUTE_AGE_MS: u32 = 86_400_000;
+
 /// One route: how statements that name it are treated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,3 +22,18 @@
     #[serde(default)]
     pub repeatable: bool,
 }
+
+impl RouteEntry {
+    pub(crate) fn read(reader: &mut TableReader<'_>) -> Option<Self> {
+        let name = reader.text("name", "give the route's name");
+        let max_age_ms = reader.optional_number("max_age_ms", 0..=MAX_ROUTE_AGE_MS);
+        let open = reader.flag("open");
+        let repeatable = reader.flag("repeatable");
+        Some(Self {
+            name: name?,
+            max_age_ms,
+            open,
+            repeatable,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-config/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of settings and documents, by feature.
+
+mod document;
+mod samples;
+mod settings;
