Describe the operator API, and edit and compare documents

docs/OPERATOR-API.md with its typed messages in mustardhinge_rpc::operator, so that the operators' command line can be written against it. Withdrawing a key and draining a target edit the text in place, so that comments and layout of the owners' document stay; differences name key paths only and never show a digest.

--- a/crates/mustardhinge-config/src/document/mod.rs
+++ b/crates/mustardhinge-config/src/document/mod.rs
@@ -1,6 +1,8 @@
 //! The document that drives one service; its owners change it while traffic runs.
 
 mod customer_entry;
+mod difference;
+pub mod edit;
 mod group_entry;
 mod limit_entry;
 mod route_entry;
@@ -8,6 +10,7 @@
 mod target_entry;
 
 pub use customer_entry::CustomerEntry;
+pub use difference::{DifferenceKind, DocumentDifference, find_differences};
 pub use group_entry::GroupEntry;
 pub use limit_entry::LimitEntry;
 pub use route_entry::RouteEntry;
--- a/crates/mustardhinge-config/tests/suite/main.rs
+++ b/crates/mustardhinge-config/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of settings and documents, by feature.
 
 mod document;
+mod edit;
 mod samples;
 mod settings;
--- a/crates/mustardhinge-rpc/src/lib.rs
+++ b/crates/mustardhinge-rpc/src/lib.rs
@@ -3,5 +3,6 @@
 mod agent_api;
 pub mod budget;
 pub mod control;
+pub mod operator;
 
 pub use agent_api::{AgentApiClient, AgentApiServer};
