--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -4,12 +4,19 @@
 //! that tests, trace replay and the processes run the same code.
 
 pub mod budget;
+pub mod connection;
 pub mod document;
 pub mod drain;
+pub mod failover;
 pub mod ids;
 pub mod key;
 pub mod membership;
 pub mod outcome;
 pub mod prelude;
 pub mod queue;
+pub mod replication;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod session;
 pub mod units;
