--- /dev/null
+++ b/crates/mustardhinge-entry/src/budget/customer_budget.rs
@@ -0,0 +1,132 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mustardhinge_core::budget::{Admission, BudgetAsk, EntryAllowance};
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::ProcessClock;
+use mustardhinge_rpc::budget::BudgetRequest;
+use tokio::sync::Notify;
+
+use super::AgentClient;
+
+/// One customer's budget at this entry.
+#[derive(Debug)]
+pub struct CustomerBudget {
+    service: ServiceId,
+    customer: CustomerId,
+    clock: ProcessClock,
+    agent: AgentClient,
+    state: Mutex<BudgetState>,
+    answered: Notify,
+}
+
+#[derive(Debug)]
+struct BudgetState {
+    allowance: EntryAllowance,
+    waiting: u32,
+}
+
+impl CustomerBudget {
+    /// Makes a budget out of an allowance.
+    #[must_use]
+    pub fn new(
+        service: ServiceId,
+        customer: CustomerId,
+        allowance: EntryAllowance,
+        agent: AgentClient,
+        clock: ProcessClock,
+    ) -> Arc<Self> {
+        let waiting = 0;
+        Arc::new(Self {
+            service,
+            customer,
+            clock,
+            agent,
+            state: Mutex::new(BudgetState { allowance, waiting }),
+            answered: Notify::new(),
+        })
+    }
+
+    /// Admits one request, asking the ledgers first where that is called for.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time to come back if the budget is used up.
+    pub async fn admit(self: &Arc<Self>) -> Result<(), RetryDelay> {
+        let first = self.lock().allowance.try_admit(self.clock.now());
+        let admitted = match first {
+            Admission::Admitted => Ok(()),
+            Admission::Refused { retry_after } => Err(retry_after),
+            Admission::Ask => self.wait_for_budget().await,
+        };
+        self.ask_if_wanted();
+        admitted
+    }
+
+    async fn wait_for_budget(self: &Arc<Self>) -> Result<(), RetryDelay> {
+        let _waiting = WaitingRequest::new(self);
+        loop {
+            let answered = self.answered.notified();
+            tokio::pin!(answered);
+            answered.as_mut().enable();
+            let decision = self.lock().allowance.retry_admit(self.clock.now());
+            match decision {
+                Admission::Admitted => return Ok(()),
+                Admission::Refused { retry_after } => return Err(retry_after),
+                Admission::Ask => self.ask_if_wanted(),
+            }
+            answered.await;
+        }
+    }
+
+    /// Sends the message that is due, if any, and hands the answer on.
+    pub fn ask_if_wanted(self: &Arc<Self>) {
+        let wanted = {
+            let mut state = self.lock();
+            let waiting = state.waiting;
+            state.allowance.wants(waiting, self.clock.now())
+        };
+        if let Some((zone, ask)) = wanted {
+            tokio::spawn(Arc::clone(self).ask(zone, ask));
+        }
+    }
+
+    async fn ask(self: Arc<Self>, zone: ZoneId, ask: BudgetAsk) {
+        let sequence = ask.sequence;
+        let request = BudgetRequest {
+            service: self.service.clone(),
+            customer: self.customer.clone(),
+            ledger_zone: zone.clone(),
+            ask,
+        };
+        let answer = self.agent.ask_budget(request).await;
+        {
+            let now = self.clock.now();
+            let allowance = &mut self.lock().allowance;
+            match answer {
+                Some(answer) => allowance.on_answer(&zone, &answer, now),
+                None => allowance.on_failure(&zone, sequence, now),
+            }
+        }
+        self.answered.notify_waiters();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BudgetState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request counted as waiting until it is dropped.
+struct WaitingRequest<'a>(&'a CustomerBudget);
+
+impl<'a> WaitingRequest<'a> {
+    fn new(budget: &'a CustomerBudget) -> Self {
+        budget.lock().waiting += 1;
+        Self(budget)
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/control/control_link.rs
@@ -0,0 +1,151 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::{ProcessClock, event};
+use mustardhinge_rpc::AgentApiClient;
+use mustardhinge_rpc::control::{ControlRequest, ControlState, ServiceState};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::{ControlSnapshot, ServiceRuntime};
+
+/// How long the agent may hold back an unchanged answer.
+const WAIT_MS: u32 = 300;
+
+/// How long a call may take, the wait included.
+const CALL_BOUND: Duration = Duration::from_millis(1_000);
+
+/// The time between tries to reach the agent.
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+
+/// Follows the agent's control state and publishes snapshots.
+///
+/// It runs on the control thread. While the agent is away the last snapshot
+/// stays, and the proof in it grows old.
+#[derive(Debug)]
+pub struct ControlLink {
+    agent: SocketAddr,
+    zone: ZoneId,
+    clock: ProcessClock,
+    snapshot: watch::Sender<Arc<ControlSnapshot>>,
+    connection: watch::Sender<Option<Arc<WsClient>>>,
+    agent_incarnation: u64,
+    known_revision: u64,
+}
+
+impl ControlLink {
+    /// Makes a link to the agent at `agent`.
+    #[must_use]
+    pub fn new(
+        agent: SocketAddr,
+        zone: ZoneId,
+        clock: ProcessClock,
+        snapshot: watch::Sender<Arc<ControlSnapshot>>,
+        connection: watch::Sender<Option<Arc<WsClient>>>,
+    ) -> Self {
+        Self {
+            agent,
+            zone,
+            clock,
+            snapshot,
+            connection,
+            agent_incarnation: 0,
+            known_revision: 0,
+        }
+    }
+
+    /// Follows the agent until nobody takes snapshots any more.
+    pub async fn run(mut self) {
+        while !self.snapshot.is_closed() {
+            if let Err(error) = self.follow().await {
+                self.connection.send_replace(None);
+                event::AGENT_NOT_REACHED.log(format_args!(
+                    "agent={} error={:?}",
+                    self.agent,
+                    error.to_string()
+                ));
+            }
+            sleep(RECONNECT_DELAY).await;
+        }
+    }
+
+    async fn follow(&mut self) -> Result<(), ClientError> {
+        let client: WsClient = WsClientBuilder::default()
+            .request_timeout(CALL_BOUND)
+            .connection_timeout(CALL_BOUND)
+            .build(format!("ws://{}", self.agent))
+            .await?;
+        let client = Arc::new(client);
+        self.connection.send_replace(Some(Arc::clone(&client)));
+        while !self.snapshot.is_closed() {
+            let request = ControlRequest {
+                agent_incarnation: self.agent_incarnation,
+                known_revision: self.known_revision,
+                wait_ms: WAIT_MS,
+            };
+            let asked_at = self.clock.now();
+            let state = client.control_state(request).await?;
+            self.adopt(state, asked_at);
+        }
+        Ok(())
+    }
+
+    fn adopt(&mut self, state: ControlState, asked_at: MonotonicTime) {
+        let is_known = state.agent_incarnation == self.agent_incarnation
+            && state.revision == self.known_revision;
+        self.agent_incarnation = state.agent_incarnation;
+        self.known_revision = state.revision;
+        let age = state
+            .proof_age_ms
+            .map(|ms| Duration::from_millis(ms.into()));
+        let proven_at = age.map(|age| asked_at - age);
+        let old = Arc::clone(&self.snapshot.borrow());
+        let services = if is_known {
+            old.services.clone()
+        } else {
+            self.merge_services(&old, state.services)
+        };
+        self.snapshot.send_replace(Arc::new(ControlSnapshot {
+            proven_at: proven_at.max(old.proven_at),
+            is_draining: state.draining,
+            services,
+        }));
+    }
+
+    /// Takes over documents of greater versions; a service whose document is
+    /// not offered stays as it is.
+    fn merge_services(
+        &self,
+        old: &ControlSnapshot,
+        offered: Vec<ServiceState>,
+    ) -> BTreeMap<ServiceId, Arc<ServiceRuntime>> {
+        let mut services = old.services.clone();
+        for state in offered {
+            let service = state.document.service.clone();
+            let previous = services.get(&service);
+            if previous.is_some_and(|known| known.version() >= state.version) {
+                continue;
+            }
+            let prepared = ServiceRuntime::prepare(
+                state.version,
+                state.document,
+                previous,
+                &self.zone,
+                self.clock,
+            );
+            match prepared {
+                Ok(runtime) => drop(services.insert(service, Arc::new(runtime))),
+                Err(error) => event::DOCUMENT_NOT_SERVED.log(format_args!(
+                    "service={service} error={:?}",
+                    error.to_string()
+                )),
+            }
+        }
+        services
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/group/group_handle.rs
@@ -0,0 +1,102 @@
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::{AckFailure, AckOutcome};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use super::{GroupCommand, GroupSnapshot};
+
+/// The traffic threads' end of a group's watch.
+#[derive(Clone, Debug)]
+pub struct GroupHandle {
+    commands: mpsc::UnboundedSender<GroupCommand>,
+    snapshot: watch::Receiver<GroupSnapshot>,
+}
+
+impl GroupHandle {
+    /// Makes a handle.
+    #[must_use]
+    pub(super) fn new(
+        commands: mpsc::UnboundedSender<GroupCommand>,
+        snapshot: watch::Receiver<GroupSnapshot>,
+    ) -> Self {
+        Self { commands, snapshot }
+    }
+
+    /// Returns what is known now.
+    #[must_use]
+    pub fn snapshot(&self) -> GroupSnapshot {
+        self.snapshot.borrow().clone()
+    }
+
+    /// Waits until a majority holds the position of a commit, or can't.
+    pub async fn acknowledge(&self, primary: TargetId, position: LogPosition) -> AckOutcome {
+        let (reply, answer) = oneshot::channel();
+        let command = GroupCommand::Acknowledge {
+            primary,
+            position,
+            reply,
+        };
+        let lost = AckOutcome::Unknown(AckFailure::TimedOut);
+        if self.commands.send(command).is_err() {
+            return lost;
+        }
+        answer.await.unwrap_or(lost)
+    }
+
+    /// Waits for a floor that was read after this call began.
+    pub async fn floor(&self) -> Option<LogPosition> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(GroupCommand::Floor { reply }).ok()?;
+        answer.await.ok()?
+    }
+
+    /// Waits until the target has applied the position, at most for `bound`.
+    pub async fn await_applied(
+        &self,
+        target: &TargetId,
+        position: LogPosition,
+        until: MonotonicTime,
+        bound: Duration,
+    ) {
+        let command = GroupCommand::Await {
+            target: target.clone(),
+            position,
+            until,
+        };
+        if self.commands.send(command).is_err() {
+            return;
+        }
+        let has_applied = |snapshot: &GroupSnapshot| {
+            let report = snapshot.view.report(target);
+            report.is_some_and(|timed| timed.report.applied >= position)
+        };
+        let mut snapshot = self.snapshot.clone();
+        let _ = timeout(bound, snapshot.wait_for(has_applied)).await;
+    }
+
+    /// Waits until a writable primary is known, at most for `bound`.
+    pub async fn await_primary(&self, bound: Duration) -> Option<(TargetId, LeaderTerm)> {
+        let mut snapshot = self.snapshot.clone();
+        let has_primary = |snapshot: &GroupSnapshot| snapshot.writable_primary().is_some();
+        let found = timeout(bound, snapshot.wait_for(has_primary)).await;
+        found.ok()?.ok()?.writable_primary()
+    }
+
+    /// Waits until another primary than that of `term` is known, at most for
+    /// `bound`.
+    pub async fn await_other_primary(
+        &self,
+        term: LeaderTerm,
+        bound: Duration,
+    ) -> Option<(TargetId, LeaderTerm)> {
+        let mut snapshot = self.snapshot.clone();
+        let is_other = |snapshot: &GroupSnapshot| {
+            let primary = snapshot.writable_primary();
+            primary.is_some_and(|(_, other)| other > term)
+        };
+        let found = timeout(bound, snapshot.wait_for(is_other)).await;
+        found.ok()?.ok()?.writable_primary()
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/group/group_watch.rs
@@ -0,0 +1,222 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardhinge_config::document::GroupEntry;
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::{
+    AckKey, AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker,
+    GroupMembers, RoundNumber, ServerReport,
+};
+use mustardhinge_process::ProcessClock;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep;
+
+use super::{GroupCommand, GroupHandle, GroupSnapshot, TargetWatch, WatchDemand};
+
+/// How long nothing happens at most before overdue waits are looked for.
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+
+/// The watch of one group: collects reports and decides what they settle.
+///
+/// It runs on the control thread.
+#[derive(Debug)]
+pub struct GroupWatch {
+    clock: ProcessClock,
+    commands: mpsc::UnboundedReceiver<GroupCommand>,
+    snapshot: watch::Sender<GroupSnapshot>,
+    demands: BTreeMap<TargetId, watch::Sender<WatchDemand>>,
+    acks: AckTracker,
+    ack_replies: BTreeMap<AckKey, oneshot::Sender<AckOutcome>>,
+    floors: FloorTracker,
+    floor_replies: BTreeMap<RoundNumber, Vec<oneshot::Sender<Option<LogPosition>>>>,
+    awaited: BTreeMap<TargetId, Vec<(LogPosition, MonotonicTime)>>,
+}
+
+impl GroupWatch {
+    /// Starts the watch of a group on the present runtime; it ends when the
+    /// last handle is dropped.
+    #[must_use]
+    pub fn start(
+        group: &GroupEntry,
+        database: &str,
+        ack_timeout: Duration,
+        clock: ProcessClock,
+    ) -> GroupHandle {
+        let members = GroupMembers::new(group.targets.iter().map(|entry| entry.name.clone()));
+        let (command_sender, commands) = mpsc::unbounded_channel();
+        let (snapshot, snapshot_receiver) = watch::channel(GroupSnapshot::new(members.clone()));
+        let mut demands = BTreeMap::new();
+        for entry in &group.targets {
+            let (demand, demand_receiver) = watch::channel(WatchDemand::default());
+            demands.insert(entry.name.clone(), demand);
+            let watch = TargetWatch::new(
+                entry,
+                database,
+                clock,
+                demand_receiver,
+                command_sender.downgrade(),
+            );
+            tokio::spawn(watch.run());
+        }
+        let watch = Self {
+            clock,
+            commands,
+            snapshot,
+            demands,
+            acks: AckTracker::new(members.clone(), ack_timeout),
+            ack_replies: BTreeMap::new(),
+            floors: FloorTracker::new(members, FloorSettings::new()),
+            floor_replies: BTreeMap::new(),
+            awaited: BTreeMap::new(),
+        };
+        tokio::spawn(watch.run());
+        GroupHandle::new(command_sender, snapshot_receiver)
+    }
+
+    async fn run(mut self) {
+        loop {
+            let pause = self.time_to_deadline();
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                () = sleep(pause) => {}
+            }
+            self.expire();
+            self.update_demands();
+        }
+    }
+
+    fn time_to_deadline(&self) -> Duration {
+        let now = self.clock.now();
+        let deadlines = [self.acks.next_deadline(), self.floors.next_deadline()];
+        let next = deadlines.into_iter().flatten().min();
+        next.map_or(IDLE_CHECK, |at| at.saturating_since(now).min(IDLE_CHECK))
+    }
+
+    fn handle(&mut self, command: GroupCommand) {
+        let now = self.clock.now();
+        match command {
+            GroupCommand::Acknowledge {
+                primary,
+                position,
+                reply,
+            } => match self.acks.begin(&primary, position, now) {
+                AckStart::Resolved(outcome) => drop(reply.send(outcome)),
+                AckStart::Waiting(key) => drop(self.ack_replies.insert(key, reply)),
+            },
+            GroupCommand::Floor { reply } => {
+                let (round, action) = self.floors.join(now);
+                self.floor_replies.entry(round).or_default().push(reply);
+                self.perform(action);
+            }
+            GroupCommand::Await {
+                target,
+                position,
+                until,
+            } => self
+                .awaited
+                .entry(target)
+                .or_default()
+                .push((position, until)),
+            GroupCommand::Reported {
+                target,
+                requested_at,
+                report,
+            } => self.take_report(target, requested_at, report, now),
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        target: TargetId,
+        requested_at: MonotonicTime,
+        report: Option<ServerReport>,
+        now: MonotonicTime,
+    ) {
+        let Some(report) = report else {
+            self.snapshot
+                .send_if_modified(|snapshot| snapshot.silent.insert(target));
+            return;
+        };
+        let acknowledged = self.acks.observe(&report);
+        self.answer_acks(acknowledged);
+        let actions = self.floors.observe(&report, requested_at, now);
+        if let Some(waits) = self.awaited.get_mut(&target) {
+            waits.retain(|(position, _)| report.applied < *position);
+        }
+        self.snapshot.send_modify(|snapshot| {
+            snapshot.silent.remove(&target);
+            snapshot.view.observe(report, requested_at, now);
+            if let Some((at, floor)) = snapshot.view.floor() {
+                snapshot.history.record(at, floor);
+            }
+        });
+        self.perform(actions);
+    }
+
+    fn expire(&mut self) {
+        let now = self.clock.now();
+        let overdue = self.acks.expire(now);
+        self.answer_acks(overdue);
+        let actions = self.floors.expire(now);
+        self.perform(actions);
+        for waits in self.awaited.values_mut() {
+            waits.retain(|(_, until)| *until > now);
+        }
+    }
+
+    fn answer_acks(&mut self, resolved: Vec<(AckKey, AckOutcome)>) {
+        for (key, outcome) in resolved {
+            if let Some(reply) = self.ack_replies.remove(&key) {
+                let _ = reply.send(outcome);
+            }
+        }
+    }
+
+    fn perform(&mut self, actions: impl IntoIterator<Item = FloorAction>) {
+        for action in actions {
+            match action {
+                FloorAction::RequestReports(_) => self.request_reports(),
+                FloorAction::Yield { round, floor } => self.answer_floor(round, Some(floor)),
+                FloorAction::Fail(round) => self.answer_floor(round, None),
+            }
+        }
+    }
+
+    fn request_reports(&self) {
+        for demand in self.demands.values() {
+            demand.send_modify(|demand| demand.reports_wanted += 1);
+        }
+    }
+
+    fn answer_floor(&mut self, round: RoundNumber, floor: Option<LogPosition>) {
+        for reply in self.floor_replies.remove(&round).unwrap_or_default() {
+            let _ = reply.send(floor);
+        }
+    }
+
+    fn update_demands(&self) {
+        for (target, demand) in &self.demands {
+            let applied = self.awaited.get(target).into_iter().flatten();
+            let applied = applied.map(|(position, _)| *position);
+            let awaited = applied.chain(self.acks.next_wait(target)).min();
+            demand.send_if_modified(|demand| {
+                let is_new = demand.awaited != awaited;
+                demand.awaited = awaited;
+                is_new
+            });
+        }
+    }
+}
+
+impl GroupSnapshot {
+    fn new(members: GroupMembers) -> Self {
+        Self {
+            view: mustardhinge_core::replication::GroupView::new(members),
+            history: mustardhinge_core::replication::FloorHistory::new(),
+            silent: std::collections::BTreeSet::new(),
+        }
+    }
+}
--- a/crates/mustardhinge-entry/src/lib.rs
+++ b/crates/mustardhinge-entry/src/lib.rs
@@ -1,1 +1,12 @@
 //! Data path of the database proxy: callers in, pools to targets out.
+
+pub mod budget;
+pub mod caller;
+pub mod control;
+pub mod group;
+pub mod process;
+pub mod request;
+pub mod serve;
+pub mod statement;
+pub mod target;
+pub mod wire;
--- /dev/null
+++ b/crates/mustardhinge-entry/src/process/cancel_registry.rs
@@ -0,0 +1,95 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use pgwire::messages::startup::SecretKey;
+use slab::Slab;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::target::CancelKey;
+use crate::wire::WireFrame;
+
+/// The callers' cancel keys and the target statements that they stand for.
+#[derive(Debug, Default)]
+pub struct CancelRegistry {
+    entries: Mutex<Slab<CancelEntry>>,
+}
+
+#[derive(Debug)]
+struct CancelEntry {
+    secret: i32,
+    running: Option<(SocketAddr, CancelKey)>,
+}
+
+impl CancelRegistry {
+    /// Gives a caller its cancel key, which lasts as long as the slot.
+    #[must_use]
+    pub fn register(self: &Arc<Self>) -> CancelSlot {
+        let secret = rand::random::<i32>();
+        let running = None;
+        let index = self.lock().insert(CancelEntry { secret, running });
+        CancelSlot {
+            registry: Arc::clone(self),
+            index,
+            secret,
+        }
+    }
+
+    /// Passes a caller's cancel request on to the target that runs its
+    /// statement; an unknown key does nothing.
+    pub async fn cancel(&self, key: &CancelKey) {
+        let Some((address, target_key)) = self.find_running(key) else {
+            return;
+        };
+        let Ok(packet) = WireFrame::encode(&target_key.to_request()) else {
+            return;
+        };
+        if let Ok(mut stream) = TcpStream::connect(address).await {
+            let _ = stream.write_all(packet.as_bytes()).await;
+        }
+    }
+
+    fn find_running(&self, key: &CancelKey) -> Option<(SocketAddr, CancelKey)> {
+        let index = usize::try_from(key.pid).ok()?;
+        let entries = self.lock();
+        let entry = entries.get(index)?;
+        let is_right = SecretKey::I32(entry.secret).eq_value(&key.secret);
+        entry.running.clone().filter(|_| is_right)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Slab<CancelEntry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One caller's place in the registry.
+#[derive(Debug)]
+pub struct CancelSlot {
+    registry: Arc<CancelRegistry>,
+    index: usize,
+    secret: i32,
+}
+
+impl CancelSlot {
+    /// Returns the key to give to the caller.
+    #[must_use]
+    pub fn key(&self) -> CancelKey {
+        CancelKey {
+            pid: i32::try_from(self.index).unwrap_or(i32::MAX),
+            secret: SecretKey::I32(self.secret),
+        }
+    }
+
+    /// Notes which statement of a target a cancel request would stand for.
+    pub fn set_running(&self, running: Option<(SocketAddr, CancelKey)>) {
+        if let Some(entry) = self.registry.lock().get_mut(self.index) {
+            entry.running = running;
+        }
+    }
+}
+
+impl Drop for CancelSlot {
+    fn drop(&mut self) {
+        self.registry.lock().try_remove(self.index);
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/process/entry_process.rs
@@ -0,0 +1,160 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use mustardhinge_config::settings::EntrySettings;
+use mustardhinge_core::budget::ClientId;
+use mustardhinge_core::drain::{DrainCause, DrainState, DrainStep};
+use mustardhinge_process::{ProcessClock, event};
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::EntryShared;
+use super::listener::CallerListener;
+use super::tls_setup::load_acceptor;
+use crate::budget::{AgentClient, BudgetTable};
+use crate::caller::StartupPhase;
+use crate::control::{ControlLink, ControlSnapshot};
+
+/// The time between looks at whether the drain is over.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// The time between looks at budgets that are no longer needed.
+const RETURN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running entry.
+///
+/// Dropped without `stop`, it ends at once and cuts its callers.
+#[derive(Debug)]
+pub struct EntryProcess {
+    shared: Arc<EntryShared>,
+    address: SocketAddr,
+    drain_bound: Duration,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EntryProcess {
+    pub(super) async fn start(settings: EntrySettings, traffic: Handle) -> anyhow::Result<Self> {
+        let clock = ProcessClock::start();
+        let listener = TcpListener::bind(settings.listen)
+            .await
+            .with_context(|| format!("listening at {}", settings.listen))?;
+        let address = listener.local_addr()?;
+        let tls = settings.tls.as_ref().map(load_acceptor).transpose()?;
+        let (snapshot, control) = watch::channel(Arc::new(ControlSnapshot::default()));
+        let (connection, connection_receiver) = watch::channel(None);
+        let zone = settings.zone.clone();
+        let link = ControlLink::new(settings.agent, zone, clock, snapshot, connection);
+        let budgets = budget_table(&settings, AgentClient::new(connection_receiver), clock);
+        let shared = Arc::new(EntryShared::new(clock, control, budgets));
+        let callers = CallerListener {
+            shared: Arc::clone(&shared),
+            phase: StartupPhase::new(tls),
+            startup_bound: Duration::from_millis(settings.startup_timeout_ms.into()),
+            max_callers: usize::try_from(settings.max_callers).unwrap_or(usize::MAX),
+        };
+        let tasks = vec![
+            tokio::spawn(link.run()),
+            tokio::spawn(follow_drain(Arc::clone(&shared))),
+            traffic.spawn(return_budgets(Arc::clone(&shared))),
+            traffic.spawn(callers.run(listener)),
+        ];
+        Ok(Self {
+            shared,
+            address,
+            drain_bound: Duration::from_millis(settings.drain_bound_ms.into()),
+            tasks,
+        })
+    }
+
+    /// Returns the address at which callers connect.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the callers' tasks share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<EntryShared> {
+        &self.shared
+    }
+
+    /// Waits until the entry knows at least one service, at most for `bound`.
+    pub async fn wait_until_ready(&self, bound: Duration) -> bool {
+        let mut control = self.shared.watch_control();
+        let has_service = |snapshot: &Arc<ControlSnapshot>| {
+            let mut services = snapshot.services.values();
+            !snapshot.services.is_empty()
+                && services.all(|service| service.group().snapshot().writable_primary().is_some())
+        };
+        let deadline = tokio::time::Instant::now() + bound;
+        loop {
+            if has_service(&control.borrow_and_update()) {
+                return true;
+            }
+            if tokio::time::Instant::now() >= deadline {
+                return false;
+            }
+            sleep(DRAIN_CHECK).await;
+        }
+    }
+
+    /// Stops as planned: ends every request it took, moves callers on between
+    /// requests, then closes; bounded by the settings' drain bound.
+    pub async fn stop(self) {
+        let mut state = DrainState::new(self.drain_bound);
+        state.start(DrainCause::StopSignal, self.shared.now());
+        self.shared.set_draining(true);
+        loop {
+            let callers = self.shared.callers();
+            match state.step(callers, self.shared.now()) {
+                DrainStep::Exit => return,
+                DrainStep::ExitAtBound => {
+                    event::DRAIN_BOUND_REACHED.log(format_args!("callers={callers}"));
+                    return;
+                }
+                _ => sleep(DRAIN_CHECK).await,
+            }
+        }
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn budget_table(settings: &EntrySettings, agent: AgentClient, clock: ProcessClock) -> BudgetTable {
+    let client = ClientId {
+        instance: settings.instance.clone(),
+        incarnation: rand::random(),
+    };
+    BudgetTable::new(client, settings.zone.clone(), agent, clock)
+}
+
+/// Drains while the agent says that this instance is leaving.
+async fn follow_drain(shared: Arc<EntryShared>) {
+    let mut control = shared.watch_control();
+    let mut was_draining = false;
+    while control.changed().await.is_ok() {
+        let is_draining = control.borrow_and_update().is_draining;
+        if is_draining != was_draining {
+            was_draining = is_draining;
+            shared.set_draining(is_draining);
+        }
+    }
+}
+
+async fn return_budgets(shared: Arc<EntryShared>) {
+    loop {
+        sleep(RETURN_INTERVAL).await;
+        shared.budgets.return_unused();
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/process/listener.rs
@@ -0,0 +1,186 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::event;
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use super::EntryShared;
+use crate::caller::{
+    CallerHello, CallerKey, StartupOutcome, StartupPhase, protocol_error, read_hello,
+    unknown_service,
+};
+use crate::control::ServiceRuntime;
+use crate::serve::{CallerSession, CallerStream};
+use crate::wire::{ErrorReply, FrameError, FrameStream};
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a closed connection is read on, so that its last answer arrives.
+const LINGER_BOUND: Duration = Duration::from_secs(1);
+
+/// The server version that drivers see.
+const SERVER_VERSION: &str = "16.0 (mustardhinge)";
+
+/// Takes callers in and runs a task for each.
+#[derive(Clone)]
+pub(super) struct CallerListener {
+    pub(super) shared: Arc<EntryShared>,
+    pub(super) phase: StartupPhase,
+    pub(super) startup_bound: Duration,
+    pub(super) max_callers: usize,
+}
+
+impl CallerListener {
+    /// Accepts connections until the task is dropped.
+    pub(super) async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((tcp, _)) => self.start_caller(tcp),
+                Err(error) => {
+                    let cause = error.to_string();
+                    event::CALLER_NOT_ACCEPTED.log(format_args!("error={cause:?}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn start_caller(&self, tcp: TcpStream) {
+        let Some(count) = self.shared.try_enter(self.max_callers) else {
+            let limit = self.max_callers;
+            event::CALLER_NOT_ACCEPTED.log(format_args!("max_callers={limit}"));
+            return;
+        };
+        let _ = tcp.set_nodelay(true);
+        let listener = self.clone();
+        tokio::spawn(async move {
+            let _ = listener.serve(tcp).await;
+            drop(count);
+        });
+    }
+
+    async fn serve(self, tcp: TcpStream) -> Result<(), FrameError> {
+        let negotiated = timeout(self.startup_bound, self.phase.negotiate(tcp)).await;
+        match negotiated.map_err(|_| FrameError::Closed)?? {
+            StartupOutcome::Cancel(key) => {
+                self.shared.cancels.cancel(&key).await;
+                Ok(())
+            }
+            StartupOutcome::Plain(startup, stream) => self.serve_stream(&startup, stream).await,
+            StartupOutcome::Tls(startup, stream) => self.serve_stream(&startup, *stream).await,
+        }
+    }
+
+    async fn serve_stream<S: CallerStream>(
+        self,
+        startup: &Startup,
+        mut stream: FrameStream<S>,
+    ) -> Result<(), FrameError> {
+        let opened = timeout(self.startup_bound, self.identify(startup, &mut stream)).await;
+        let (hello, identity, max_bytes) = match opened.map_err(|_| FrameError::Closed)? {
+            Ok(opened) => opened,
+            Err(reply) => {
+                stream.queue_message(&reply.to_message())?;
+                stream.flush().await?;
+                return linger(stream).await;
+            }
+        };
+        stream.limit_frames(max_bytes);
+        let shared = Arc::clone(&self.shared);
+        let mut session = CallerSession::new(shared, stream, hello, identity, max_bytes);
+        greet(&mut session).await?;
+        let broken = session.serve().await.err().filter(is_callers_fault);
+        let mut stream = session.into_stream();
+        if let Some(error) = broken {
+            stream.queue_message(&protocol_error(&error).to_message())?;
+            stream.flush().await?;
+        }
+        linger(stream).await
+    }
+
+    /// Finds out who the caller is; fails with the answer for it.
+    async fn identify<S: CallerStream>(
+        &self,
+        startup: &Startup,
+        stream: &mut FrameStream<S>,
+    ) -> Result<(CallerHello, Identity, usize), ErrorReply> {
+        let hello = read_hello(startup)?;
+        let asked = self.phase.ask_key(stream).await;
+        let key = asked.map_err(|error| protocol_error(&error))?;
+        if self.shared.is_draining() {
+            let reason = RefusalReason::InstanceDraining;
+            let retry_after = Some(RetryDelay::new(Duration::ZERO));
+            let message = "this instance is leaving; connect again";
+            return Err(ErrorReply::not_run(reason, retry_after, message).fatal());
+        }
+        let service = self
+            .shared
+            .service(&hello.service)
+            .ok_or_else(|| unknown_service(hello.service.as_str()))?;
+        let customer = find_customer(&service, key.as_ref())?;
+        let max_bytes = service.document().limits.max_statement_bytes;
+        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        Ok((hello, (key, customer), max_bytes))
+    }
+}
+
+type Identity = (Option<CallerKey>, Option<CustomerId>);
+
+/// Finds the customer of a key; a caller without a key has none.
+fn find_customer(
+    service: &ServiceRuntime,
+    key: Option<&CallerKey>,
+) -> Result<Option<CustomerId>, ErrorReply> {
+    let Some(key) = key else {
+        return Ok(None);
+    };
+    match service.keys().find_customer(key.digest()) {
+        Some(customer) => Ok(Some(customer.clone())),
+        None => {
+            let reason = RefusalReason::KeyRejected;
+            metrics::counter!("mustardhinge_refusals_total", "reason" => reason.label())
+                .increment(1);
+            Err(ErrorReply::not_run(reason, None, "the key is unknown").fatal())
+        }
+    }
+}
+
+fn is_callers_fault(error: &FrameError) -> bool {
+    matches!(error, FrameError::Malformed(_) | FrameError::TooLong { .. })
+}
+
+async fn greet<S: CallerStream>(session: &mut CallerSession<S>) -> Result<(), FrameError> {
+    let key = session.cancel_slot().key();
+    let stream = session.stream();
+    stream.queue_message(&Authentication::Ok)?;
+    let parameters = [
+        ("server_version", SERVER_VERSION),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    for (name, value) in parameters {
+        stream.queue_message(&ParameterStatus::new(name.to_owned(), value.to_owned()))?;
+    }
+    stream.queue_message(&BackendKeyData::new(key.pid, key.secret))?;
+    session.queue_first_ready()?;
+    session.stream().flush().await
+}
+
+/// Closes the sending side and reads on for a moment: a connection closed with
+/// unread bytes would take the last answer with it.
+async fn linger<S: CallerStream>(stream: FrameStream<S>) -> Result<(), FrameError> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut inner = stream.into_inner();
+    inner.shutdown().await?;
+    let mut rest = [0; 1024];
+    let drained = async { while inner.read(&mut rest).await.is_ok_and(|read| read > 0) {} };
+    let _ = timeout(LINGER_BOUND, drained).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/request/caller_request.rs
@@ -0,0 +1,102 @@
+use mustardhinge_core::prelude::*;
+use pgwire::messages::simplequery::Query;
+
+use super::{BatchPlan, StatementCache};
+use crate::statement::{StatementKind, StatementScan, StatementTag};
+use crate::wire::{ErrorReply, FrameError, WireFrame, tags};
+
+/// One request of a caller: a simple query, or a batch up to its Sync.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// How the entry treats the request.
+    pub kind: StatementKind,
+    /// What the caller's comments say.
+    pub tag: StatementTag,
+    /// How many statements it executes.
+    pub statements: usize,
+    /// The simple query, if it is one.
+    pub query: Option<WireFrame>,
+    /// The batch, if it is one.
+    pub batch: Option<BatchPlan>,
+}
+
+impl CallerRequest {
+    /// Reads a request from its frames: one Query, or a batch without its Sync.
+    ///
+    /// # Errors
+    ///
+    /// Fails, with the answer for the caller, if a frame is malformed or names
+    /// what does not exist.
+    pub fn read(frames: &[WireFrame], cache: &mut StatementCache) -> Result<Self, ErrorReply> {
+        match frames {
+            [query] if query.tag() == tags::QUERY => Self::read_query(query),
+            batch => Self::read_batch(batch, cache),
+        }
+    }
+
+    fn read_query(frame: &WireFrame) -> Result<Self, ErrorReply> {
+        let query: Query = frame.decode().map_err(|error| malformed(&error))?;
+        let scan = StatementScan::new(&query.query);
+        Ok(Self {
+            kind: scan.kind,
+            tag: scan.tag,
+            statements: scan.count,
+            query: Some(frame.clone()),
+            batch: None,
+        })
+    }
+
+    fn read_batch(frames: &[WireFrame], cache: &mut StatementCache) -> Result<Self, ErrorReply> {
+        let plan = BatchPlan::new(frames, cache)?;
+        let scans: Vec<&StatementScan> = plan
+            .executed()
+            .iter()
+            .map(|statement| statement.scan())
+            .collect();
+        let kind = batch_kind(&scans, &plan);
+        let tag = scans.first().map(|scan| scan.tag.clone());
+        Ok(Self {
+            kind,
+            tag: tag.unwrap_or_default(),
+            statements: scans.len(),
+            query: None,
+            batch: Some(plan),
+        })
+    }
+
+    /// Returns the id under which a retry finds the recorded answer.
+    #[must_use]
+    pub fn request_id(&self) -> Option<&RequestId> {
+        self.tag.request_id.as_ref()
+    }
+
+    /// Tells whether the request only prepares or describes.
+    #[must_use]
+    pub fn only_prepares(&self) -> bool {
+        self.batch
+            .as_ref()
+            .is_some_and(|plan| plan.executed().is_empty())
+    }
+}
+
+fn batch_kind(scans: &[&StatementScan], plan: &BatchPlan) -> StatementKind {
+    let kinds: Vec<StatementKind> = scans.iter().map(|scan| scan.kind).collect();
+    match kinds.as_slice() {
+        [] if plan
+            .described()
+            .iter()
+            .any(|s| s.scan().kind == StatementKind::Unsupported) =>
+        {
+            StatementKind::Unsupported
+        }
+        [] => StatementKind::Read,
+        [only] => *only,
+        several if several.iter().all(|kind| *kind <= StatementKind::Read) => StatementKind::Read,
+        several if several.iter().all(|kind| *kind <= StatementKind::Write) => StatementKind::Write,
+        _ => StatementKind::Unsupported,
+    }
+}
+
+fn malformed(error: &FrameError) -> ErrorReply {
+    ErrorReply::new("08P01", error.to_string())
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/request/prepared_statement.rs
@@ -0,0 +1,76 @@
+use std::fmt::Write;
+
+use pgwire::messages::extendedquery::Parse;
+use sha2::{Digest, Sha256};
+
+use crate::statement::StatementScan;
+use crate::wire::{FrameError, WireFrame};
+
+/// Bytes of the text's digest that name a statement at targets.
+const NAME_DIGEST_BYTES: usize = 16;
+
+/// A statement that a caller prepared.
+///
+/// At targets it goes by a name made from its text and parameter types, so that
+/// callers who prepare the same statement share it on a pooled connection. An
+/// unnamed statement stays unnamed.
+#[derive(Clone, Debug)]
+pub struct PreparedStatement {
+    target_name: Option<String>,
+    frame: WireFrame,
+    scan: StatementScan,
+}
+
+impl PreparedStatement {
+    /// Takes a statement from the caller's Parse.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message can't be encoded under its other name.
+    pub fn new(parse: &Parse) -> Result<Self, FrameError> {
+        let target_name = parse.name.as_ref().map(|_| shared_name(parse));
+        let renamed = Parse::new(
+            target_name.clone(),
+            parse.query.clone(),
+            parse.type_oids.clone(),
+        );
+        Ok(Self {
+            target_name,
+            frame: WireFrame::encode(&renamed)?,
+            scan: StatementScan::new(&parse.query),
+        })
+    }
+
+    /// Returns the name at targets; none for the unnamed statement.
+    #[must_use]
+    pub fn target_name(&self) -> Option<&String> {
+        self.target_name.as_ref()
+    }
+
+    /// Returns the Parse frame for targets.
+    #[must_use]
+    pub fn frame(&self) -> &WireFrame {
+        &self.frame
+    }
+
+    /// Returns what the text tells.
+    #[must_use]
+    pub fn scan(&self) -> &StatementScan {
+        &self.scan
+    }
+}
+
+fn shared_name(parse: &Parse) -> String {
+    let mut hasher = Sha256::new();
+    for oid in &parse.type_oids {
+        hasher.update(oid.to_be_bytes());
+    }
+    hasher.update([0]);
+    hasher.update(parse.query.as_bytes());
+    let digest = hasher.finalize();
+    let mut name = "mh_".to_owned();
+    for byte in &digest[..NAME_DIGEST_BYTES] {
+        let _ = write!(name, "{byte:02x}");
+    }
+    name
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/request/reply_relay.rs
@@ -0,0 +1,198 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use pgwire::messages::extendedquery::{CloseComplete, ParseComplete};
+use pgwire::messages::startup::ParameterStatus;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::timeout;
+
+use super::{HoldRule, RelayError, ReplyEnd, ReplyStep};
+use crate::target::{ConnectionError, TargetConnection, transaction_status};
+use crate::wire::{FrameError, FrameStream, WireFrame, tags};
+
+/// The parameter under which a target reports the position of a commit.
+const POSITION_PARAMETER: &str = "group_position";
+
+/// The greatest answer that is held back, in bytes.
+const MAX_HELD_BYTES: usize = 4 << 20;
+
+/// Passes a target's answer on to the caller, frame by frame.
+///
+/// ReadyForQuery and the error are left to the owner of the request, who knows
+/// what the caller may be told.
+#[derive(Debug)]
+pub struct ReplyRelay {
+    steps: VecDeque<ReplyStep>,
+    rule: HoldRule,
+    is_holding: bool,
+    bound: Duration,
+    held_bytes: usize,
+    has_forwarded: bool,
+    position: Option<LogPosition>,
+    error: Option<WireFrame>,
+    held: Vec<WireFrame>,
+}
+
+impl ReplyRelay {
+    /// Makes a relay for an answer with these steps; every wait for a frame of
+    /// the target, and for the caller to take some, lasts at most `bound`.
+    #[must_use]
+    pub fn new(steps: VecDeque<ReplyStep>, rule: HoldRule, bound: Duration) -> Self {
+        Self {
+            steps,
+            rule,
+            is_holding: rule == HoldRule::Everything,
+            bound,
+            held_bytes: 0,
+            has_forwarded: false,
+            position: None,
+            error: None,
+            held: Vec::new(),
+        }
+    }
+
+    /// Tells whether the caller has got a part of the answer.
+    #[must_use]
+    pub fn has_forwarded(&self) -> bool {
+        self.has_forwarded
+    }
+
+    /// Passes one whole answer on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if either side fails, or too much would be held back.
+    pub async fn run<S>(
+        &mut self,
+        connection: &mut TargetConnection,
+        caller: &mut FrameStream<S>,
+    ) -> Result<ReplyEnd, RelayError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        self.answer_steps(caller).map_err(RelayError::Caller)?;
+        loop {
+            let frame = self.next_frame(connection).await?;
+            if frame.tag() == tags::READY_FOR_QUERY {
+                return self.finish(&frame);
+            }
+            self.take_frame(frame, caller)?;
+            self.flush_if_large(caller).await?;
+        }
+    }
+
+    async fn next_frame(&self, connection: &mut TargetConnection) -> Result<WireFrame, RelayError> {
+        let read = timeout(self.bound, connection.stream().read_frame()).await;
+        match read {
+            Ok(Ok(frame)) => Ok(frame),
+            Ok(Err(error)) => Err(RelayError::Target(error.into())),
+            Err(_) => Err(RelayError::Target(ConnectionError::Overdue)),
+        }
+    }
+
+    async fn flush_if_large<S>(&self, caller: &mut FrameStream<S>) -> Result<(), RelayError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        match timeout(self.bound, caller.flush_if_large()).await {
+            Ok(flushed) => flushed.map_err(RelayError::Caller),
+            Err(_) => Err(RelayError::Caller(FrameError::Closed)),
+        }
+    }
+
+    fn take_frame<S>(
+        &mut self,
+        frame: WireFrame,
+        caller: &mut FrameStream<S>,
+    ) -> Result<(), RelayError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        match frame.tag() {
+            tags::PARAMETER_STATUS => {
+                self.position = position_in(&frame).or(self.position);
+                return Ok(());
+            }
+            tags::ERROR_RESPONSE => {
+                self.error = Some(frame);
+                return Ok(());
+            }
+            tags::COMMAND_COMPLETE if self.rule == HoldRule::Completion => self.is_holding = true,
+            _ => {}
+        }
+        let step = self.steps.front().copied();
+        if step.is_some_and(|step| step.ends_with(frame.tag())) {
+            self.steps.pop_front();
+        }
+        if step != Some(ReplyStep::HiddenParse) {
+            self.pass_on(frame, caller)?;
+        }
+        self.answer_steps(caller).map_err(RelayError::Caller)
+    }
+
+    fn pass_on<S>(
+        &mut self,
+        frame: WireFrame,
+        caller: &mut FrameStream<S>,
+    ) -> Result<(), RelayError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        if !self.is_holding {
+            self.has_forwarded = true;
+            caller.queue_frame(&frame);
+            return Ok(());
+        }
+        self.held_bytes += frame.length();
+        if self.held_bytes > MAX_HELD_BYTES {
+            let limit = MAX_HELD_BYTES;
+            return Err(RelayError::TooMuchHeld { limit });
+        }
+        self.held.push(frame);
+        Ok(())
+    }
+
+    /// Answers the steps at the front for which the target sends nothing.
+    fn answer_steps<S>(&mut self, caller: &mut FrameStream<S>) -> Result<(), FrameError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        while let Some(step) = self.steps.front().copied() {
+            if !step.is_answered_here() {
+                break;
+            }
+            self.steps.pop_front();
+            let frame = match step {
+                ReplyStep::AnsweredClose => WireFrame::encode(&CloseComplete::new())?,
+                _ => WireFrame::encode(&ParseComplete::new())?,
+            };
+            if self.is_holding {
+                self.held.push(frame);
+            } else {
+                caller.queue_frame(&frame);
+            }
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, ready: &WireFrame) -> Result<ReplyEnd, RelayError> {
+        let status = transaction_status(ready)
+            .map_err(|error| RelayError::Target(ConnectionError::Broken(error)))?;
+        Ok(ReplyEnd {
+            status,
+            position: self.position.take(),
+            error: self.error.take(),
+            held: std::mem::take(&mut self.held),
+            missing_steps: std::mem::take(&mut self.steps),
+        })
+    }
+}
+
+/// Reads the position of a commit out of a ParameterStatus frame; none if it
+/// reports something else.
+pub(crate) fn position_in(frame: &WireFrame) -> Option<LogPosition> {
+    let status: ParameterStatus = frame.decode().ok()?;
+    let is_position = status.name == POSITION_PARAMETER;
+    is_position.then(|| status.value.parse().ok()).flatten()
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/admission.rs
@@ -0,0 +1,183 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+
+use super::run_context::RunContext;
+use super::{CallerSession, CallerStream, RequestEnd};
+use crate::caller::CallerKey;
+use crate::control::ServiceRuntime;
+use crate::request::CallerRequest;
+use crate::statement::StatementKind;
+use crate::wire::ErrorReply;
+
+/// When a caller of an instance without proof of its key should come back.
+const UNPROVEN_RETRY: RetryDelay = RetryDelay::new(Duration::from_millis(1_000));
+
+/// When a caller of a leaving instance should come back, to another one.
+const DRAINING_RETRY: RetryDelay = RetryDelay::new(Duration::ZERO);
+
+/// The lane of callers without a key.
+pub(super) const OPEN_LANE: &str = "open";
+
+impl<S: CallerStream> CallerSession<S> {
+    /// Decides whether a request may run, up to its customer's budget.
+    pub(super) async fn admit(&self, request: &CallerRequest) -> Result<RunContext, RequestEnd> {
+        let service = self.current_service()?;
+        self.check_draining()?;
+        self.check_kind(request)?;
+        self.check_key(&service, request)?;
+        let customer = self.lane();
+        self.check_budget(&service, &customer, request).await?;
+        Ok(self.context(service, customer, request))
+    }
+
+    /// Makes the context of a request inside a transaction, whose budget was
+    /// taken at its beginning.
+    pub(super) fn readmit(&self, request: &CallerRequest) -> Result<RunContext, RequestEnd> {
+        let service = self.current_service()?;
+        self.check_kind(request)?;
+        self.check_key(&service, request)?;
+        let customer = self.lane();
+        Ok(self.context(service, customer, request))
+    }
+
+    fn context(
+        &self,
+        service: Arc<ServiceRuntime>,
+        customer: CustomerId,
+        request: &CallerRequest,
+    ) -> RunContext {
+        let route = request
+            .tag
+            .route
+            .as_ref()
+            .and_then(|name| service.route(name));
+        let max_age = route.and_then(|route| route.max_age_ms);
+        let is_repeatable = route.is_some_and(|route| route.repeatable);
+        RunContext {
+            deadline: self.shared.now() + service.statement_bound(),
+            customer,
+            max_age: max_age.map(|ms| Duration::from_millis(ms.into())),
+            is_repeatable,
+            service,
+        }
+    }
+
+    pub(super) fn current_service(&self) -> Result<Arc<ServiceRuntime>, RequestEnd> {
+        let service = &self.hello.service;
+        self.shared.service(service).ok_or_else(|| {
+            let message = format!("service {service} is not known here");
+            RequestEnd::refused(RefusalReason::ServiceUnknown, None, &message)
+        })
+    }
+
+    fn lane(&self) -> CustomerId {
+        let open = || OPEN_LANE.parse().expect("a valid name");
+        self.customer.clone().unwrap_or_else(open)
+    }
+
+    fn check_draining(&self) -> Result<(), RequestEnd> {
+        if !self.shared.is_draining() {
+            return Ok(());
+        }
+        let reason = RefusalReason::InstanceDraining;
+        let message = "this instance is leaving; connect again";
+        Err(RequestEnd::refused(reason, Some(DRAINING_RETRY), message))
+    }
+
+    fn check_kind(&self, request: &CallerRequest) -> Result<(), RequestEnd> {
+        if request.kind != StatementKind::Unsupported {
+            return Ok(());
+        }
+        let message = "COPY, session settings, cursors, LISTEN and several statements that end a \
+                       transaction are not supported";
+        Err(RequestEnd::refused(
+            RefusalReason::Unsupported,
+            None,
+            message,
+        ))
+    }
+
+    /// Checks that the request may run for the customer of the key; to be
+    /// called again right before the request is sent.
+    pub(super) fn check_key(
+        &self,
+        service: &ServiceRuntime,
+        request: &CallerRequest,
+    ) -> Result<(), RequestEnd> {
+        if is_open(service, request) {
+            return Ok(());
+        }
+        let (Some(key), Some(customer)) = (&self.key, &self.customer) else {
+            let message = "without a key, only reads on routes open to all may run";
+            return Err(RequestEnd::refused(
+                RefusalReason::KeyRejected,
+                None,
+                message,
+            ));
+        };
+        check_standing(service, key, customer)?;
+        self.check_proof(service)
+    }
+
+    fn check_proof(&self, service: &ServiceRuntime) -> Result<(), RequestEnd> {
+        let control = self.shared.control();
+        if control.is_proven(service.proof_bound(), self.shared.now()) {
+            return Ok(());
+        }
+        let reason = RefusalReason::KeyUnproven;
+        let message = "this instance is cut off and can't prove that the key still stands";
+        Err(RequestEnd::refused(reason, Some(UNPROVEN_RETRY), message))
+    }
+
+    /// Checks what may have changed while the request waited.
+    pub(super) fn recheck(&self, request: &CallerRequest) -> Result<(), RequestEnd> {
+        let service = self.current_service()?;
+        self.check_key(&service, request)
+    }
+
+    async fn check_budget(
+        &self,
+        service: &ServiceRuntime,
+        customer: &CustomerId,
+        request: &CallerRequest,
+    ) -> Result<(), RequestEnd> {
+        if request.only_prepares() || self.customer.is_none() {
+            return Ok(());
+        }
+        let admitted = self
+            .shared
+            .budgets
+            .admit(&service.document().service, customer, service.zones())
+            .await;
+        admitted.map_err(|retry_after| {
+            let message = format!("customer {customer} has used up its rate and burst");
+            RequestEnd::refused(RefusalReason::RateExceeded, Some(retry_after), &message)
+        })
+    }
+}
+
+fn is_open(service: &ServiceRuntime, request: &CallerRequest) -> bool {
+    let route = request
+        .tag
+        .route
+        .as_ref()
+        .and_then(|name| service.route(name));
+    let reads = request.kind <= StatementKind::Read;
+    reads && route.is_some_and(|route| route.open)
+}
+
+fn check_standing(
+    service: &ServiceRuntime,
+    key: &CallerKey,
+    customer: &CustomerId,
+) -> Result<(), RequestEnd> {
+    if service.keys().find_customer(key.digest()) == Some(customer) {
+        return Ok(());
+    }
+    let reason = RefusalReason::KeyRejected;
+    metrics::counter!("mustardhinge_refusals_total", "reason" => reason.label()).increment(1);
+    let reply = ErrorReply::not_run(reason, None, "the key has been withdrawn");
+    Err(RequestEnd::Closed(reply.fatal()))
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/commit_check.rs
@@ -0,0 +1,35 @@
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::AckOutcome;
+
+use super::run_context::RunContext;
+use super::{CallerSession, CallerStream, RequestEnd};
+use crate::wire::WireFrame;
+
+impl<S: CallerStream> CallerSession<S> {
+    /// Waits until the effect of a commit is held by a majority in its term.
+    ///
+    /// A commit without a position changed nothing; that it saw the newest rows
+    /// is confirmed by a round among the servers.
+    pub(super) async fn confirm(
+        &self,
+        context: &RunContext,
+        primary: &TargetId,
+        position: Option<LogPosition>,
+        held: Vec<WireFrame>,
+    ) -> RequestEnd {
+        let group = context.service.group();
+        let Some(position) = position else {
+            return match group.floor().await {
+                Some(_) => RequestEnd::Answered(held),
+                None => RequestEnd::unknown("no majority of the group's servers answers"),
+            };
+        };
+        match group.acknowledge(primary.clone(), position).await {
+            AckOutcome::Acknowledged => RequestEnd::Confirmed(held, position),
+            AckOutcome::Unknown(failure) => {
+                let message = format!("the write is not confirmed: {}", failure.label());
+                RequestEnd::unknown(&message)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -0,0 +1,196 @@
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::routing::{ReadQuery, ReadRoute};
+use mustardhinge_core::session::ReadRequirement;
+
+use super::run_context::RunContext;
+use super::target_run::TargetRun;
+use super::{CallerSession, CallerStream, RequestEnd};
+use crate::request::{CallerRequest, HoldRule, RelayError};
+use crate::target::PoolRefusal;
+
+/// Targets that one read is sent to at most.
+const MAX_READ_ATTEMPTS: usize = 3;
+
+/// SQLSTATE of a write at a server that takes none.
+const READ_ONLY_SQLSTATE: &str = "25006";
+
+/// What became of a read at one target.
+enum ReadAttempt {
+    /// The read has ended.
+    Ended(RequestEnd),
+    /// The target failed before the caller got anything.
+    TargetFailed,
+    /// The statement turned out to write.
+    Writes,
+}
+
+impl<S: CallerStream> CallerSession<S> {
+    /// Runs a read on a target that holds what the session has to see.
+    pub(super) async fn run_read(
+        &mut self,
+        request: &CallerRequest,
+        context: &RunContext,
+    ) -> RequestEnd {
+        let mut excluded = Vec::new();
+        while excluded.len() < MAX_READ_ATTEMPTS {
+            let target = match self.route_read(context, &excluded).await {
+                Ok(target) => target,
+                Err(refused) => return refused,
+            };
+            match self.try_read(request, context, &target).await {
+                ReadAttempt::Ended(end) => return end,
+                ReadAttempt::Writes => return self.run_write(request, context).await,
+                ReadAttempt::TargetFailed => {
+                    count_retry("read_target_failed");
+                    excluded.push(target);
+                }
+            }
+        }
+        no_target()
+    }
+
+    /// Chooses a target, waiting for a floor or for a replica where that is
+    /// called for.
+    async fn route_read(
+        &self,
+        context: &RunContext,
+        excluded: &[TargetId],
+    ) -> Result<TargetId, RequestEnd> {
+        let mut query = ReadQuery {
+            requirement: self.floor.requirement(context.max_age),
+            arrived_at: self.shared.now(),
+            deadline: context.deadline,
+            is_repeatable: context.is_repeatable,
+        };
+        let group = context.service.group();
+        loop {
+            let snapshot = group.snapshot();
+            let states = context.service.target_states(&snapshot, excluded);
+            let router = context.service.router();
+            let now = self.shared.now();
+            match router.route(&query, &states, &snapshot.history, now) {
+                ReadRoute::Replica { target, .. } => {
+                    count_read("replica");
+                    return Ok(target);
+                }
+                ReadRoute::Primary(target) => {
+                    count_read("primary");
+                    return Ok(target);
+                }
+                ReadRoute::NeedsFloor => {
+                    let floor = group.floor().await.ok_or_else(floor_unknown)?;
+                    query.requirement = with_floor(query.requirement, floor);
+                }
+                ReadRoute::WaitFor {
+                    target,
+                    floor,
+                    until,
+                } => {
+                    let bound = until.saturating_since(now);
+                    group.await_applied(&target, floor, until, bound).await;
+                }
+                ReadRoute::Refuse {
+                    reason,
+                    retry_after,
+                } => {
+                    let message = "no target holds what the session has to see";
+                    return Err(RequestEnd::refused(reason, Some(retry_after), message));
+                }
+            }
+        }
+    }
+
+    async fn try_read(
+        &mut self,
+        request: &CallerRequest,
+        context: &RunContext,
+        target: &TargetId,
+    ) -> ReadAttempt {
+        let Some(pool) = context.service.pool(target) else {
+            return ReadAttempt::TargetFailed;
+        };
+        let mut lease = match pool.lend(&context.customer, context.deadline).await {
+            Ok(lease) => lease,
+            Err(PoolRefusal::Connection(_)) => return ReadAttempt::TargetFailed,
+            Err(refusal) => return ReadAttempt::Ended(refused_by_pool(&refusal)),
+        };
+        if let Err(refused) = self.recheck(request) {
+            lease.give_back(self.shared.now());
+            return ReadAttempt::Ended(refused);
+        }
+        let bound = context.time_left(self.shared.now());
+        let run = self
+            .run_on(&mut lease, request, HoldRule::Nothing, bound)
+            .await;
+        let now = self.shared.now();
+        if run.result.is_ok() {
+            lease.give_back(now);
+        }
+        read_outcome(run)
+    }
+}
+
+fn read_outcome(run: TargetRun) -> ReadAttempt {
+    match run.result {
+        Ok(end) => {
+            let code = end.error_code().ok().flatten();
+            match end.error {
+                None => ReadAttempt::Ended(RequestEnd::Answered(end.held)),
+                Some(_) if code.as_deref() == Some(READ_ONLY_SQLSTATE) && !run.has_forwarded => {
+                    ReadAttempt::Writes
+                }
+                Some(error) => ReadAttempt::Ended(RequestEnd::TargetError(end.held, error)),
+            }
+        }
+        Err(RelayError::Caller(error)) => ReadAttempt::Ended(RequestEnd::CallerGone(error)),
+        Err(_) if !run.has_forwarded => ReadAttempt::TargetFailed,
+        Err(error) => {
+            let message = format!("the answer broke off: {error}");
+            ReadAttempt::Ended(RequestEnd::unknown(&message))
+        }
+    }
+}
+
+/// Adds a floor to what a read requires; an allowed age stands beside it.
+fn with_floor(requirement: ReadRequirement, floor: LogPosition) -> ReadRequirement {
+    match requirement {
+        ReadRequirement::MaxAge(_) => ReadRequirement::Floor(floor),
+        ReadRequirement::FloorAndMaxAge(own, _) => ReadRequirement::Floor(own.max(floor)),
+        other => other.with_floor(floor),
+    }
+}
+
+/// Ends a request that the pool refused.
+pub(super) fn refused_by_pool(refusal: &PoolRefusal) -> RequestEnd {
+    match refusal {
+        PoolRefusal::Queue {
+            reason,
+            retry_after,
+        } => {
+            let message = "the request can't be served before its deadline";
+            RequestEnd::refused(*reason, Some(*retry_after), message)
+        }
+        PoolRefusal::Connection(_) => no_target(),
+    }
+}
+
+fn no_target() -> RequestEnd {
+    let retry_after = RetryDelay::new(std::time::Duration::from_millis(250));
+    let message = "no target of the group answers";
+    RequestEnd::refused(RefusalReason::NoTarget, Some(retry_after), message)
+}
+
+fn floor_unknown() -> RequestEnd {
+    let retry_after = RetryDelay::new(std::time::Duration::from_millis(250));
+    let message = "no majority of the group's servers answers";
+    RequestEnd::refused(RefusalReason::FloorNotReached, Some(retry_after), message)
+}
+
+/// Counts a retry by its reason.
+pub(super) fn count_retry(reason: &'static str) {
+    metrics::counter!("mustardhinge_retries_total", "reason" => reason).increment(1);
+}
+
+fn count_read(role: &'static str) {
+    metrics::counter!("mustardhinge_reads_total", "role" => role).increment(1);
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/reply_writer.rs
@@ -0,0 +1,84 @@
+use std::collections::VecDeque;
+
+use pgwire::messages::data::{NoData, ParameterDescription};
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ReadyForQuery, TransactionStatus,
+};
+use pgwire::messages::startup::ParameterStatus;
+
+use super::{CallerStream, CallerTransaction};
+use crate::request::{CallerRequest, ReplyStep};
+use crate::wire::{FrameError, FrameStream, WireFrame};
+
+/// The parameter that reports a session's read token.
+const TOKEN_PARAMETER: &str = "mustardhinge.token";
+
+/// Queues ReadyForQuery with the status of the caller's transaction.
+pub(super) fn queue_ready<S: CallerStream>(
+    stream: &mut FrameStream<S>,
+    transaction: &CallerTransaction,
+) -> Result<(), FrameError> {
+    let status = match transaction {
+        CallerTransaction::Idle => TransactionStatus::Idle,
+        CallerTransaction::Open(_) => TransactionStatus::Transaction,
+        CallerTransaction::Failed(_) | CallerTransaction::Lost => TransactionStatus::Error,
+    };
+    stream.queue_message(&ReadyForQuery::new(status))
+}
+
+/// Queues the report of a session's read token.
+pub(super) fn queue_token<S: CallerStream>(
+    stream: &mut FrameStream<S>,
+    token: &str,
+) -> Result<(), FrameError> {
+    let status = ParameterStatus::new(TOKEN_PARAMETER.to_owned(), token.to_owned());
+    stream.queue_message(&status)
+}
+
+/// Makes the frames of an answer that no target gives, with this command tag;
+/// an empty statement has none.
+pub(super) fn local_answer(
+    request: &CallerRequest,
+    tag: Option<&str>,
+) -> Result<Vec<WireFrame>, FrameError> {
+    let steps = match &request.batch {
+        Some(plan) => plan.visible_steps(),
+        None => VecDeque::from([ReplyStep::Execute]),
+    };
+    answer_steps(steps, tag)
+}
+
+/// Makes the frames that answer these steps without rows.
+pub(super) fn answer_steps(
+    steps: VecDeque<ReplyStep>,
+    tag: Option<&str>,
+) -> Result<Vec<WireFrame>, FrameError> {
+    let mut frames = Vec::new();
+    for step in steps {
+        match step {
+            ReplyStep::HiddenParse => {}
+            ReplyStep::Parse | ReplyStep::AnsweredParse => {
+                frames.push(WireFrame::encode(&ParseComplete::new())?);
+            }
+            ReplyStep::Close | ReplyStep::AnsweredClose => {
+                frames.push(WireFrame::encode(&CloseComplete::new())?);
+            }
+            ReplyStep::Bind => frames.push(WireFrame::encode(&BindComplete::new())?),
+            ReplyStep::Describe => frames.push(WireFrame::encode(&NoData::new())?),
+            ReplyStep::DescribeStatement => {
+                frames.push(WireFrame::encode(&ParameterDescription::new(Vec::new()))?);
+                frames.push(WireFrame::encode(&NoData::new())?);
+            }
+            ReplyStep::Execute => frames.push(completion(tag)?),
+        }
+    }
+    Ok(frames)
+}
+
+fn completion(tag: Option<&str>) -> Result<WireFrame, FrameError> {
+    match tag {
+        Some(tag) => WireFrame::encode(&CommandComplete::new(tag.to_owned())),
+        None => WireFrame::encode(&EmptyQueryResponse::new()),
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/target_run.rs
@@ -0,0 +1,95 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{CallerSession, CallerStream};
+use crate::request::{CallerRequest, HoldRule, RelayError, ReplyEnd, ReplyRelay, ReplyStep};
+use crate::target::TargetLease;
+use crate::wire::FrameError;
+
+/// How a request went on one connection.
+#[derive(Debug)]
+pub(super) struct TargetRun {
+    /// The end of the answer, or why there is none.
+    pub(super) result: Result<ReplyEnd, RelayError>,
+    /// Whether the caller has got a part of the answer.
+    pub(super) has_forwarded: bool,
+}
+
+impl<S: CallerStream> CallerSession<S> {
+    /// Sends a request on a lent connection and passes the answer on.
+    ///
+    /// Every wait for a frame of the target lasts at most `bound`.
+    pub(super) async fn run_on(
+        &mut self,
+        lease: &mut TargetLease,
+        request: &CallerRequest,
+        rule: HoldRule,
+        bound: Duration,
+    ) -> TargetRun {
+        let run = self.send_and_relay(lease, request, rule, bound).await;
+        self.cancel_slot.set_running(None);
+        run
+    }
+
+    async fn send_and_relay(
+        &mut self,
+        lease: &mut TargetLease,
+        request: &CallerRequest,
+        rule: HoldRule,
+        bound: Duration,
+    ) -> TargetRun {
+        let connection = lease.connection();
+        let address = connection.address();
+        let cancel_key = connection.cancel_key().cloned();
+        self.cancel_slot
+            .set_running(cancel_key.map(|key| (address, key)));
+        let steps = match queue_request(lease, request) {
+            Ok(steps) => steps,
+            Err(error) => return failed(error),
+        };
+        let connection = lease.connection();
+        if let Err(error) = connection.stream().flush().await {
+            return failed(error);
+        }
+        let mut relay = ReplyRelay::new(steps, rule, bound);
+        let result = relay.run(connection, &mut self.stream).await;
+        note_lost_prepares(lease, &result);
+        TargetRun {
+            result,
+            has_forwarded: relay.has_forwarded(),
+        }
+    }
+}
+
+fn queue_request(
+    lease: &mut TargetLease,
+    request: &CallerRequest,
+) -> Result<VecDeque<ReplyStep>, FrameError> {
+    let connection = lease.connection();
+    if let Some(query) = &request.query {
+        connection.stream().queue_frame(query);
+    }
+    match &request.batch {
+        Some(plan) => plan.queue_on(connection),
+        None => Ok(VecDeque::new()),
+    }
+}
+
+/// An error skips the rest of a batch, so that statements noted as prepared may
+/// not be.
+fn note_lost_prepares(lease: &mut TargetLease, result: &Result<ReplyEnd, RelayError>) {
+    let is_prepare = |step: &ReplyStep| matches!(step, ReplyStep::Parse | ReplyStep::HiddenParse);
+    let Ok(end) = result else {
+        return;
+    };
+    if end.missing_steps.iter().any(is_prepare) {
+        lease.connection().mark_worn();
+    }
+}
+
+fn failed(error: FrameError) -> TargetRun {
+    TargetRun {
+        result: Err(RelayError::Target(error.into())),
+        has_forwarded: false,
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/serve/write_path.rs
@@ -0,0 +1,153 @@
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::request::{NotRunProof, SentRequest, UnsentRequest};
+
+use super::read_path::{count_retry, refused_by_pool};
+use super::run_context::RunContext;
+use super::target_run::TargetRun;
+use super::{CallerSession, CallerStream, RequestEnd};
+use crate::request::{CallerRequest, HoldRule, RelayError, ReplyEnd};
+use crate::target::{PoolRefusal, TargetLease};
+
+/// When a caller should come back while there is no writable primary.
+pub(super) const NO_PRIMARY_RETRY: RetryDelay = RetryDelay::new(Duration::from_millis(500));
+
+/// How long a request waits for a target that could not be reached.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(20);
+
+/// What became of a write at one primary.
+enum WriteAttempt {
+    /// The write has ended.
+    Ended(RequestEnd),
+    /// The server proved that it did not run, as it is not primary any more.
+    NotPrimary(UnsentRequest),
+}
+
+impl<S: CallerStream> CallerSession<S> {
+    /// Runs a write outside a transaction: once, unless it carries an id.
+    pub(super) async fn run_write(
+        &mut self,
+        request: &CallerRequest,
+        context: &RunContext,
+    ) -> RequestEnd {
+        if let Some(id) = request.request_id().cloned() {
+            return self.run_recorded(request, context, &id).await;
+        }
+        let mut unsent = UnsentRequest::new();
+        let mut replaced = None;
+        loop {
+            let found = self.find_primary(context, replaced).await;
+            let (lease, term) = match found {
+                Ok(found) => found,
+                Err(refused) => return refused,
+            };
+            match self.try_write(request, context, lease, unsent).await {
+                WriteAttempt::Ended(end) => return end,
+                WriteAttempt::NotPrimary(again) => {
+                    count_retry("not_primary");
+                    unsent = again;
+                    replaced = Some(term);
+                }
+            }
+        }
+    }
+
+    /// Lends a connection to the primary, waiting for one until the deadline.
+    ///
+    /// Nothing has been sent when this fails.
+    pub(super) async fn find_primary(
+        &self,
+        context: &RunContext,
+        replaced: Option<LeaderTerm>,
+    ) -> Result<(TargetLease, LeaderTerm), RequestEnd> {
+        let group = context.service.group();
+        loop {
+            let left = context.time_left(self.shared.now());
+            let found = match replaced {
+                None => group.await_primary(left).await,
+                Some(term) => group.await_other_primary(term, left).await,
+            };
+            let Some((target, term)) = found else {
+                return Err(no_primary());
+            };
+            let pool = context.service.pool(&target).ok_or_else(no_primary)?;
+            match pool.lend(&context.customer, context.deadline).await {
+                Ok(lease) => return Ok((lease, term)),
+                Err(PoolRefusal::Connection(_)) => {
+                    count_retry("primary_not_reached");
+                    tokio::time::sleep(UNREACHED_PAUSE).await;
+                }
+                Err(refusal) => return Err(refused_by_pool(&refusal)),
+            }
+        }
+    }
+
+    async fn try_write(
+        &mut self,
+        request: &CallerRequest,
+        context: &RunContext,
+        mut lease: TargetLease,
+        unsent: UnsentRequest,
+    ) -> WriteAttempt {
+        if let Err(refused) = self.recheck(request) {
+            lease.give_back(self.shared.now());
+            return WriteAttempt::Ended(refused);
+        }
+        let now = self.shared.now();
+        let sent = unsent.send(now);
+        let bound = context.time_left(now);
+        let run = self
+            .run_on(&mut lease, request, HoldRule::Completion, bound)
+            .await;
+        let TargetRun {
+            result,
+            has_forwarded,
+        } = run;
+        match result {
+            Ok(end) => {
+                let target = lease.pool().target().clone();
+                lease.give_back(self.shared.now());
+                match proof_of(&end).filter(|_| !has_forwarded) {
+                    Some(proof) if proof.reason() == RefusalReason::NoPrimary => {
+                        WriteAttempt::NotPrimary(sent.take_back(proof))
+                    }
+                    _ => WriteAttempt::Ended(self.finish_write(context, &target, end).await),
+                }
+            }
+            Err(error) => WriteAttempt::Ended(broken_write(sent, error)),
+        }
+    }
+
+    async fn finish_write(
+        &self,
+        context: &RunContext,
+        target: &TargetId,
+        end: ReplyEnd,
+    ) -> RequestEnd {
+        match end.error {
+            Some(error) => RequestEnd::TargetError(end.held, error),
+            None => self.confirm(context, target, end.position, end.held).await,
+        }
+    }
+}
+
+/// Returns the target's proof that the statement did not run, if its error is one.
+pub(super) fn proof_of(end: &ReplyEnd) -> Option<NotRunProof> {
+    let code = end.error_code().ok().flatten()?;
+    NotRunProof::from_sqlstate(&code)
+}
+
+fn broken_write(sent: SentRequest, error: RelayError) -> RequestEnd {
+    let _outcome: StatementOutcome = sent.abandon();
+    match error {
+        RelayError::Caller(error) => RequestEnd::CallerGone(error),
+        other => RequestEnd::unknown(&other.to_string()),
+    }
+}
+
+/// Ends a request for which there is no writable primary.
+pub(super) fn no_primary() -> RequestEnd {
+    let message = "the group has no writable primary";
+    RequestEnd::refused(RefusalReason::NoPrimary, Some(NO_PRIMARY_RETRY), message)
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/statement/mod.rs
@@ -0,0 +1,9 @@
+//! What a statement is and how its caller tagged it, read from its text.
+
+mod statement_kind;
+mod statement_scan;
+mod statement_tag;
+
+pub use statement_kind::StatementKind;
+pub use statement_scan::StatementScan;
+pub use statement_tag::StatementTag;
--- /dev/null
+++ b/crates/mustardhinge-entry/src/wire/wire_frame.rs
@@ -0,0 +1,67 @@
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+
+use super::FrameError;
+
+/// The length of the type byte and the length field, in bytes.
+const HEADER_BYTES: usize = 5;
+
+/// One whole frame: type byte, length field, body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireFrame(Bytes);
+
+impl WireFrame {
+    /// Takes the bytes of one whole frame.
+    #[must_use]
+    pub(super) fn from_bytes(bytes: Bytes) -> Self {
+        debug_assert!(bytes.len() >= HEADER_BYTES);
+        Self(bytes)
+    }
+
+    /// Encodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message is longer than the protocol allows.
+    pub fn encode(message: &impl Message) -> Result<Self, FrameError> {
+        let mut buffer = BytesMut::new();
+        message.encode(&mut buffer)?;
+        Ok(Self(buffer.freeze()))
+    }
+
+    /// Decodes the message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame holds no such message.
+    pub fn decode<M: Message>(&self) -> Result<M, FrameError> {
+        let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+        let mut buffer = BytesMut::from(&self.0[..]);
+        let message = M::decode(&mut buffer, &context)?;
+        message.ok_or_else(|| FrameError::Malformed("a frame ends too early".to_owned()))
+    }
+
+    /// Returns the type byte.
+    #[must_use]
+    pub fn tag(&self) -> u8 {
+        self.0[0]
+    }
+
+    /// Returns the body, without type byte and length field.
+    #[must_use]
+    pub fn body(&self) -> &[u8] {
+        &self.0[HEADER_BYTES..]
+    }
+
+    /// Returns the whole frame.
+    #[must_use]
+    pub fn as_bytes(&self) -> &Bytes {
+        &self.0
+    }
+
+    /// Returns the length of the whole frame, in bytes.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.0.len()
+    }
+}
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -24,4 +24,9 @@
     PROCESS_STOPPING = 1002, Info, "process stopping";
     PROCESS_STOPPED = 1003, Info, "process stopped";
     PROCESS_FAILED = 1004, Error, "process failed";
+    AGENT_NOT_REACHED = 2001, Warn, "agent not reached";
+    TARGET_NOT_REACHED = 2002, Warn, "target not reached";
+    DOCUMENT_NOT_SERVED = 2003, Error, "document not served";
+    CALLER_NOT_ACCEPTED = 2004, Warn, "caller not accepted";
+    DRAIN_BOUND_REACHED = 2005, Warn, "drain bound reached";
 }
