Add the failover machine of a database group

The agents promote a new primary themselves, since nothing outside orders one. The machine takes in reports, refusals, peers' observations and answers with the present time, and returns claims, fences, promotions, follow calls and publications.

Weighed for the choice of the new primary: only the greatest position among the grants, or any server past which a majority of the grants holds nothing. The second was taken; it is as safe, and lets a switchover name its successor and a failover pass over the suspected server.

--- /dev/null
+++ b/crates/mustardhinge-core/src/failover/election_driver.rs
@@ -0,0 +1,214 @@
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::ids::TargetId;
+use crate::replication::ServerReport;
+use crate::units::{LeaderTerm, MonotonicTime};
+
+use super::{
+    AttemptPlan, AttemptProgress, AttemptStep, ClaimAnswer, ElectionAttempt, ElectionContext,
+    FailoverAction, FailoverCause, FailoverTimeline, SwitchoverRefusal,
+};
+
+/// The attempts of one agent at new terms, one after another.
+#[derive(Clone, Debug)]
+pub(super) struct ElectionDriver {
+    attempt: Option<ElectionAttempt>,
+    timeline: Option<FailoverTimeline>,
+    used_term: LeaderTerm,
+    promoted_term: LeaderTerm,
+    quiet_until: MonotonicTime,
+    rng: SmallRng,
+}
+
+impl ElectionDriver {
+    /// Makes a driver without an attempt.
+    pub(super) fn new(seed: u64, now: MonotonicTime) -> Self {
+        Self {
+            attempt: None,
+            timeline: None,
+            used_term: LeaderTerm::default(),
+            promoted_term: LeaderTerm::default(),
+            quiet_until: now,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the attempt under way.
+    pub(super) fn attempt(&self) -> Option<&ElectionAttempt> {
+        self.attempt.as_ref()
+    }
+
+    /// Returns the steps of the last attempt, the one under way included.
+    pub(super) fn timeline(&self) -> Option<&FailoverTimeline> {
+        let current = self.attempt.as_ref().map(|attempt| &attempt.timeline);
+        current.or(self.timeline.as_ref())
+    }
+
+    /// Returns the greatest term in which an attempt of this agent succeeded.
+    pub(super) fn promoted_term(&self) -> LeaderTerm {
+        self.promoted_term
+    }
+
+    /// Returns whether this agent keeps still after an attempt that failed.
+    pub(super) fn is_quiet(&self, now: MonotonicTime) -> bool {
+        now < self.quiet_until
+    }
+
+    /// Starts an attempt in a term that has not been used.
+    pub(super) fn start(
+        &mut self,
+        cause: FailoverCause,
+        predecessor: Option<TargetId>,
+        preferred: Option<TargetId>,
+        context: &ElectionContext<'_>,
+    ) -> FailoverAction {
+        let known = context.monitor.view().greatest_term().max(self.used_term);
+        self.used_term = known.next();
+        let plan = AttemptPlan {
+            term: self.used_term,
+            cause,
+            predecessor,
+            preferred,
+        };
+        let last_heard_at = context.monitor.last_heard_at();
+        let (attempt, claim) = ElectionAttempt::start(plan, last_heard_at, context.now);
+        self.attempt = Some(attempt);
+        claim
+    }
+
+    /// Takes in the store's answer to a claim.
+    pub(super) fn note_claim(
+        &mut self,
+        term: LeaderTerm,
+        answer: ClaimAnswer,
+        context: &ElectionContext<'_>,
+    ) -> Vec<FailoverAction> {
+        let Some(attempt) = self.attempt_in(term) else {
+            return Vec::new();
+        };
+        match answer {
+            ClaimAnswer::Won | ClaimAnswer::Unavailable => attempt.finish_claim(context),
+            ClaimAnswer::Lost { term } if matches!(attempt.step, AttemptStep::Claiming) => {
+                self.used_term = self.used_term.max(term);
+                self.abandon(context)
+            }
+            ClaimAnswer::Lost { .. } => Vec::new(),
+        }
+    }
+
+    /// Takes in a server's answer to a fence.
+    pub(super) fn note_fence(&mut self, term: LeaderTerm, report: &ServerReport, granted: bool) {
+        if let Some(attempt) = self.attempt_in(term) {
+            attempt.note_fence(report, granted);
+        }
+    }
+
+    /// Takes in a server's answer to a promotion.
+    pub(super) fn note_promote(
+        &mut self,
+        term: LeaderTerm,
+        report: &ServerReport,
+        granted: bool,
+        context: &ElectionContext<'_>,
+    ) -> Vec<FailoverAction> {
+        let attempt = self.attempt_in(term);
+        let progress = attempt.map(|it| it.note_promote(report, granted, context.now));
+        progress.map_or_else(Vec::new, |progress| self.apply(progress, context))
+    }
+
+    /// Notes that the writes under way have ended.
+    pub(super) fn note_drained(&mut self, now: MonotonicTime) -> Vec<FailoverAction> {
+        let attempt = self.attempt.as_mut();
+        attempt.map_or_else(Vec::new, |attempt| attempt.note_drained(now))
+    }
+
+    /// Notes that a server's host refused a connection; an attempt to promote
+    /// that server ends.
+    pub(super) fn note_refusal(
+        &mut self,
+        target: &TargetId,
+        context: &ElectionContext<'_>,
+    ) -> Vec<FailoverAction> {
+        let step = self.attempt.as_ref().map(|attempt| &attempt.step);
+        match step {
+            Some(AttemptStep::Promoting { target: candidate }) if candidate == target => {
+                self.apply(AttemptProgress::CandidateFailed(target.clone()), context)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Notes that the store has the primary of a term.
+    pub(super) fn note_published(&mut self, term: LeaderTerm, now: MonotonicTime) {
+        let timeline = self.timeline.as_mut().filter(|it| it.term == term);
+        if let Some(timeline) = timeline {
+            timeline.published_at.get_or_insert(now);
+        }
+    }
+
+    /// Goes on with the attempt under way.
+    pub(super) fn poll(&mut self, context: &ElectionContext<'_>) -> Vec<FailoverAction> {
+        let Some(attempt) = &mut self.attempt else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        let progress = attempt.poll(context, &mut actions);
+        actions.extend(self.apply(progress, context));
+        actions
+    }
+
+    /// Gives up the attempt under way, if there is one.
+    pub(super) fn abandon(&mut self, context: &ElectionContext<'_>) -> Vec<FailoverAction> {
+        let refusal = SwitchoverRefusal::Interrupted;
+        self.apply(AttemptProgress::Abandoned(refusal), context)
+    }
+
+    /// Returns the report time to give to answers in a term, if it is that of
+    /// the attempt under way: they were asked for after its step began.
+    pub(super) fn requested_at(&mut self, term: LeaderTerm) -> Option<MonotonicTime> {
+        self.attempt_in(term).map(|attempt| attempt.step_at)
+    }
+
+    fn attempt_in(&mut self, term: LeaderTerm) -> Option<&mut ElectionAttempt> {
+        self.attempt.as_mut().filter(|it| it.plan.term == term)
+    }
+
+    fn apply(
+        &mut self,
+        progress: AttemptProgress,
+        context: &ElectionContext<'_>,
+    ) -> Vec<FailoverAction> {
+        let mut actions = Vec::new();
+        if progress == AttemptProgress::Continue {
+            return actions;
+        }
+        let Some(attempt) = self.attempt.take() else {
+            return actions;
+        };
+        self.timeline = Some(attempt.timeline);
+        if attempt.plan.is_switchover() {
+            actions.push(FailoverAction::ReleaseWrites);
+            let refusal = progress.refusal();
+            actions.extend(refusal.map(FailoverAction::RefuseSwitchover));
+        }
+        match progress {
+            AttemptProgress::Promoted(_) => self.promoted_term = attempt.plan.term,
+            AttemptProgress::CandidateFailed(target) => {
+                let cause = FailoverCause::NoPrimary;
+                actions.push(self.start(cause, Some(target), None, context));
+            }
+            AttemptProgress::Continue | AttemptProgress::Abandoned(_) => {
+                self.keep_quiet(context);
+            }
+        }
+        actions
+    }
+
+    /// Leaves the next attempt to others for a while.
+    fn keep_quiet(&mut self, context: &ElectionContext<'_>) {
+        let wait = context.settings.get_duel_wait();
+        let jitter = wait.mul_f64(self.rng.random::<f64>());
+        self.quiet_until = context.now + wait + jitter;
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/failover/failover_machine.rs
@@ -0,0 +1,292 @@
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::replication::{GroupMembers, GroupView, ServerReport, ServerRole};
+use crate::units::{LeaderTerm, MonotonicTime};
+
+use super::{
+    ElectionContext, ElectionDriver, FailoverAction, FailoverCause, FailoverEvent, FailoverPhase,
+    FailoverSettings, FailoverTimeline, FollowPlan, GroupMonitor, PublishTask, SwitchoverRefusal,
+};
+
+/// The changes of primary of one group, as one agent drives them.
+///
+/// The machine never uses a term twice, and promotes one server at most in a
+/// term. For this to hold over restarts, the claimant's name that the agent
+/// gives to the servers has to differ from start to start.
+#[derive(Clone, Debug)]
+pub struct FailoverMachine {
+    settings: FailoverSettings,
+    rank: u32,
+    monitor: GroupMonitor,
+    driver: ElectionDriver,
+    follow: FollowPlan,
+    publish: Option<PublishTask>,
+    last_event_at: MonotonicTime,
+}
+
+impl FailoverMachine {
+    /// Makes the machine of a group that has not reported yet.
+    ///
+    /// `rank` is the place of this agent among those that watch the group; the
+    /// agent of rank 0 acts at once. The seed should differ between agents.
+    #[must_use]
+    pub fn new(
+        members: GroupMembers,
+        rank: u32,
+        settings: FailoverSettings,
+        seed: u64,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            settings,
+            rank,
+            monitor: GroupMonitor::new(members),
+            driver: ElectionDriver::new(seed, now),
+            follow: FollowPlan::default(),
+            publish: None,
+            last_event_at: now,
+        }
+    }
+
+    /// Sets the place of this agent among those that watch the group.
+    pub fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
+    /// Returns what is known of the servers.
+    #[must_use]
+    pub fn view(&self) -> &GroupView {
+        self.monitor.view()
+    }
+
+    /// Returns the current primary's report, if a majority can follow it.
+    #[must_use]
+    pub fn primary(&self) -> Option<&ServerReport> {
+        self.monitor.primary()
+    }
+
+    /// Returns how far a change of primary is.
+    #[must_use]
+    pub fn phase(&self) -> FailoverPhase {
+        match self.driver.attempt() {
+            Some(attempt) => attempt.step.phase(),
+            None if self.monitor.is_suspecting() => FailoverPhase::BackingOff,
+            None => FailoverPhase::Watching,
+        }
+    }
+
+    /// Returns the steps of the last change of primary driven here, the one
+    /// under way included.
+    #[must_use]
+    pub fn timeline(&self) -> Option<&FailoverTimeline> {
+        self.driver.timeline()
+    }
+
+    /// Takes in an event and returns what to do.
+    ///
+    /// `Tick` is to be given every few tens of milliseconds when nothing else
+    /// happens.
+    #[must_use]
+    pub fn handle(&mut self, event: FailoverEvent, now: MonotonicTime) -> Vec<FailoverAction> {
+        let was_active = self.driver.attempt().is_some();
+        let mut actions = self.note_pause(now);
+        actions.extend(self.take_in(event, now));
+        actions.extend(self.drive(now, ElectionDriver::poll));
+        if was_active && self.driver.attempt().is_none() {
+            self.monitor.restart_diagnosis();
+        }
+        actions.extend(self.consider_attempt(now));
+        actions.extend(self.settle(now));
+        actions
+    }
+
+    /// Observes silence anew if this process was paused, and gives up an
+    /// attempt that others have had time to overtake.
+    fn note_pause(&mut self, now: MonotonicTime) -> Vec<FailoverAction> {
+        let paused = now.saturating_since(self.last_event_at);
+        self.last_event_at = now;
+        if paused > self.settings.get_pause_limit() {
+            self.monitor.restart(now);
+        }
+        if paused < self.settings.get_step_timeout() {
+            return Vec::new();
+        }
+        self.drive(now, ElectionDriver::abandon)
+    }
+
+    fn take_in(&mut self, event: FailoverEvent, now: MonotonicTime) -> Vec<FailoverAction> {
+        match event {
+            FailoverEvent::Reported {
+                report,
+                requested_at,
+            } => self.observe(&report, requested_at, now),
+            FailoverEvent::ConnectionRefused { target } => {
+                self.monitor.note_refusal(&target, now);
+                return self.drive(now, |driver, context| driver.note_refusal(&target, context));
+            }
+            FailoverEvent::PeerObserved {
+                observer,
+                target,
+                answered,
+            } => self.monitor.note_peer(observer, &target, answered, now),
+            FailoverEvent::ClaimAnswered { term, answer } => {
+                return self.drive(now, |driver, context| {
+                    driver.note_claim(term, answer, context)
+                });
+            }
+            FailoverEvent::FenceAnswered {
+                term,
+                report,
+                granted,
+            } => {
+                self.driver.note_fence(term, &report, granted);
+                self.observe_answer(&report, term, now);
+            }
+            FailoverEvent::PromoteAnswered {
+                term,
+                report,
+                granted,
+            } => {
+                return self.note_promote(term, &report, granted, now);
+            }
+            FailoverEvent::PublishAnswered { term, is_published } => {
+                self.note_published(term, is_published, now);
+            }
+            FailoverEvent::SwitchoverRequested { successor } => {
+                return vec![self.start_switchover(successor.as_ref(), now)];
+            }
+            FailoverEvent::WritesDrained => return self.driver.note_drained(now),
+            FailoverEvent::Tick => {}
+        }
+        Vec::new()
+    }
+
+    /// Lets the driver act on what is known now.
+    fn drive<T>(
+        &mut self,
+        now: MonotonicTime,
+        step: impl FnOnce(&mut ElectionDriver, &ElectionContext<'_>) -> T,
+    ) -> T {
+        let context = ElectionContext {
+            monitor: &self.monitor,
+            settings: &self.settings,
+            now,
+        };
+        step(&mut self.driver, &context)
+    }
+
+    fn observe(&mut self, report: &ServerReport, requested_at: MonotonicTime, now: MonotonicTime) {
+        let changed = self.monitor.observe(report, requested_at, now);
+        if let Some((primary, term)) = changed {
+            let first_at = now + self.rank_delay(term);
+            self.publish = Some(PublishTask::new(term, primary, first_at));
+        }
+    }
+
+    fn observe_answer(&mut self, report: &ServerReport, term: LeaderTerm, now: MonotonicTime) {
+        if let Some(requested_at) = self.driver.requested_at(term) {
+            self.observe(report, requested_at, now);
+        }
+    }
+
+    fn note_promote(
+        &mut self,
+        term: LeaderTerm,
+        report: &ServerReport,
+        granted: bool,
+        now: MonotonicTime,
+    ) -> Vec<FailoverAction> {
+        let requested_at = self.driver.requested_at(term);
+        let actions = self.drive(now, |driver, context| {
+            driver.note_promote(term, report, granted, context)
+        });
+        if let Some(requested_at) = requested_at {
+            self.observe(report, requested_at, now);
+        }
+        actions
+    }
+
+    fn note_published(&mut self, term: LeaderTerm, is_published: bool, now: MonotonicTime) {
+        let is_current = self.publish.as_ref().is_some_and(|task| task.term == term);
+        if is_published && is_current {
+            self.publish = None;
+            self.driver.note_published(term, now);
+        }
+    }
+
+    /// Begins a new term if there is a cause and the agents of a better rank
+    /// have had their time.
+    fn consider_attempt(&mut self, now: MonotonicTime) -> Option<FailoverAction> {
+        if self.driver.attempt().is_some() {
+            return None;
+        }
+        let (cause, since) = self.monitor.diagnose(&self.settings, now)?;
+        let starts_at = since + self.settings.get_rank_delay() * self.rank;
+        if now < starts_at || self.driver.is_quiet(now) {
+            return None;
+        }
+        let primary = self.view().primary();
+        let predecessor = primary.map(|timed| timed.report.target.clone());
+        let keeps_primary = cause == FailoverCause::ServerStranded;
+        let preferred = predecessor.clone().filter(|_| keeps_primary);
+        Some(self.drive(now, |driver, context| {
+            driver.start(cause, predecessor, preferred, context)
+        }))
+    }
+
+    fn start_switchover(
+        &mut self,
+        successor: Option<&TargetId>,
+        now: MonotonicTime,
+    ) -> FailoverAction {
+        match self.plan_switchover(successor) {
+            Ok((primary, successor)) => self.drive(now, |driver, context| {
+                let cause = FailoverCause::Switchover;
+                driver.start(cause, Some(primary), Some(successor), context)
+            }),
+            Err(refusal) => FailoverAction::RefuseSwitchover(refusal),
+        }
+    }
+
+    /// Returns the primary and the server to take over from it.
+    fn plan_switchover(
+        &self,
+        successor: Option<&TargetId>,
+    ) -> Result<(TargetId, TargetId), SwitchoverRefusal> {
+        if self.driver.attempt().is_some() {
+            return Err(SwitchoverRefusal::ChangeUnderWay);
+        }
+        let primary = self.primary().ok_or(SwitchoverRefusal::NoPrimary)?;
+        let reports = self.view().reports().map(|timed| &timed.report);
+        let replicas = reports.filter(|report| {
+            report.role == ServerRole::Replica
+                && report.term == primary.term
+                && successor.is_none_or(|target| *target == report.target)
+        });
+        let chosen = replicas.max_by_key(|report| report.last);
+        let chosen = chosen.ok_or(SwitchoverRefusal::NoSuccessor)?;
+        Ok((primary.target.clone(), chosen.target.clone()))
+    }
+
+    /// Makes servers follow the primary, and publishes it.
+    fn settle(&mut self, now: MonotonicTime) -> Vec<FailoverAction> {
+        let Some(term) = self.primary().map(|primary| primary.term) else {
+            return Vec::new();
+        };
+        let publish = self.publish.as_mut().filter(|task| task.term == term);
+        let publish = publish.and_then(|task| task.due(&self.settings, now));
+        let delay = self.rank_delay(term);
+        let view = self.monitor.view();
+        let follow = self.follow.due(view, delay, &self.settings, now);
+        publish.into_iter().chain(follow).collect()
+    }
+
+    /// Returns how long this agent leaves a task of the term to others.
+    fn rank_delay(&self, term: LeaderTerm) -> Duration {
+        if term == self.driver.promoted_term() {
+            return Duration::ZERO;
+        }
+        self.settings.get_rank_delay() * self.rank
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/failover/failover_settings.rs
@@ -0,0 +1,278 @@
+use std::time::Duration;
+
+/// The bounds of the waits of a failover machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailoverSettings {
+    refused_limit: Duration,
+    silence_limit: Duration,
+    contested_limit: Duration,
+    stall_limit: Duration,
+    repair_limit: Duration,
+    pause_limit: Duration,
+    rank_delay: Duration,
+    claim_timeout: Duration,
+    drain_timeout: Duration,
+    catch_up_interval: Duration,
+    step_timeout: Duration,
+    resend_interval: Duration,
+    straggler_wait: Duration,
+    duel_wait: Duration,
+    publish_interval: Duration,
+}
+
+impl FailoverSettings {
+    const DEFAULT_REFUSED_LIMIT: Duration = Duration::from_millis(60);
+    const DEFAULT_SILENCE_LIMIT: Duration = Duration::from_millis(300);
+    const DEFAULT_CONTESTED_LIMIT: Duration = Duration::from_millis(2_000);
+    const DEFAULT_STALL_LIMIT: Duration = Duration::from_millis(5_000);
+    const DEFAULT_REPAIR_LIMIT: Duration = Duration::from_millis(1_000);
+    const DEFAULT_PAUSE_LIMIT: Duration = Duration::from_millis(150);
+    const DEFAULT_RANK_DELAY: Duration = Duration::from_millis(150);
+    const DEFAULT_CLAIM_TIMEOUT: Duration = Duration::from_millis(50);
+    const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+    const DEFAULT_CATCH_UP_INTERVAL: Duration = Duration::from_millis(5);
+    const DEFAULT_STEP_TIMEOUT: Duration = Duration::from_millis(400);
+    const DEFAULT_RESEND_INTERVAL: Duration = Duration::from_millis(60);
+    const DEFAULT_STRAGGLER_WAIT: Duration = Duration::from_millis(15);
+    const DEFAULT_DUEL_WAIT: Duration = Duration::from_millis(100);
+    const DEFAULT_PUBLISH_INTERVAL: Duration = Duration::from_millis(250);
+
+    /// Makes the default settings.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            refused_limit: Self::DEFAULT_REFUSED_LIMIT,
+            silence_limit: Self::DEFAULT_SILENCE_LIMIT,
+            contested_limit: Self::DEFAULT_CONTESTED_LIMIT,
+            stall_limit: Self::DEFAULT_STALL_LIMIT,
+            repair_limit: Self::DEFAULT_REPAIR_LIMIT,
+            pause_limit: Self::DEFAULT_PAUSE_LIMIT,
+            rank_delay: Self::DEFAULT_RANK_DELAY,
+            claim_timeout: Self::DEFAULT_CLAIM_TIMEOUT,
+            drain_timeout: Self::DEFAULT_DRAIN_TIMEOUT,
+            catch_up_interval: Self::DEFAULT_CATCH_UP_INTERVAL,
+            step_timeout: Self::DEFAULT_STEP_TIMEOUT,
+            resend_interval: Self::DEFAULT_RESEND_INTERVAL,
+            straggler_wait: Self::DEFAULT_STRAGGLER_WAIT,
+            duel_wait: Self::DEFAULT_DUEL_WAIT,
+            publish_interval: Self::DEFAULT_PUBLISH_INTERVAL,
+        }
+    }
+
+    /// Sets how long the primary's host refuses connections before it is
+    /// suspected.
+    #[must_use]
+    pub const fn refused_limit(mut self, limit: Duration) -> Self {
+        self.refused_limit = limit;
+        self
+    }
+
+    /// Sets how long the primary is silent before it is suspected.
+    #[must_use]
+    pub const fn silence_limit(mut self, limit: Duration) -> Self {
+        self.silence_limit = limit;
+        self
+    }
+
+    /// Sets how long the primary is silent here before it is suspected although
+    /// another instance hears it.
+    #[must_use]
+    pub const fn contested_limit(mut self, limit: Duration) -> Self {
+        self.contested_limit = limit;
+        self
+    }
+
+    /// Sets how long no replica gets the primary's log before the primary is
+    /// suspected.
+    #[must_use]
+    pub const fn stall_limit(mut self, limit: Duration) -> Self {
+        self.stall_limit = limit;
+        self
+    }
+
+    /// Sets how long a server is stranded in a greater term before a new term
+    /// is begun for it.
+    #[must_use]
+    pub const fn repair_limit(mut self, limit: Duration) -> Self {
+        self.repair_limit = limit;
+        self
+    }
+
+    /// Sets the time between two events after which this process counts as
+    /// paused and observes silence anew.
+    #[must_use]
+    pub const fn pause_limit(mut self, limit: Duration) -> Self {
+        self.pause_limit = limit;
+        self
+    }
+
+    /// Sets how much later than the agent of the rank before it an agent acts.
+    #[must_use]
+    pub const fn rank_delay(mut self, delay: Duration) -> Self {
+        self.rank_delay = delay;
+        self
+    }
+
+    /// Sets how long a claim waits for the store.
+    #[must_use]
+    pub const fn claim_timeout(mut self, timeout: Duration) -> Self {
+        self.claim_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a switchover waits for writes to end and the successor to
+    /// catch up.
+    #[must_use]
+    pub const fn drain_timeout(mut self, timeout: Duration) -> Self {
+        self.drain_timeout = timeout;
+        self
+    }
+
+    /// Sets how often the servers are asked whether the successor has caught up.
+    #[must_use]
+    pub const fn catch_up_interval(mut self, interval: Duration) -> Self {
+        self.catch_up_interval = interval;
+        self
+    }
+
+    /// Sets how long a fence or promotion waits for the servers.
+    #[must_use]
+    pub const fn step_timeout(mut self, timeout: Duration) -> Self {
+        self.step_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a call waits before it is sent again.
+    #[must_use]
+    pub const fn resend_interval(mut self, interval: Duration) -> Self {
+        self.resend_interval = interval;
+        self
+    }
+
+    /// Sets how long a fence waits for another server than the suspected
+    /// primary.
+    #[must_use]
+    pub const fn straggler_wait(mut self, wait: Duration) -> Self {
+        self.straggler_wait = wait;
+        self
+    }
+
+    /// Sets how long an agent that lost a duel waits at least.
+    #[must_use]
+    pub const fn duel_wait(mut self, wait: Duration) -> Self {
+        self.duel_wait = wait;
+        self
+    }
+
+    /// Sets how long a publication waits before it is sent again.
+    #[must_use]
+    pub const fn publish_interval(mut self, interval: Duration) -> Self {
+        self.publish_interval = interval;
+        self
+    }
+
+    /// Returns how long the primary's host refuses connections before it is
+    /// suspected.
+    #[must_use]
+    pub const fn get_refused_limit(&self) -> Duration {
+        self.refused_limit
+    }
+
+    /// Returns how long the primary is silent before it is suspected.
+    #[must_use]
+    pub const fn get_silence_limit(&self) -> Duration {
+        self.silence_limit
+    }
+
+    /// Returns how long the primary is silent here before it is suspected
+    /// although another instance hears it.
+    #[must_use]
+    pub const fn get_contested_limit(&self) -> Duration {
+        self.contested_limit
+    }
+
+    /// Returns how long no replica gets the primary's log before the primary is
+    /// suspected.
+    #[must_use]
+    pub const fn get_stall_limit(&self) -> Duration {
+        self.stall_limit
+    }
+
+    /// Returns how long a server is stranded in a greater term before a new
+    /// term is begun for it.
+    #[must_use]
+    pub const fn get_repair_limit(&self) -> Duration {
+        self.repair_limit
+    }
+
+    /// Returns the time between two events after which this process counts as
+    /// paused and observes silence anew.
+    #[must_use]
+    pub const fn get_pause_limit(&self) -> Duration {
+        self.pause_limit
+    }
+
+    /// Returns how much later than the agent of the rank before it an agent
+    /// acts.
+    #[must_use]
+    pub const fn get_rank_delay(&self) -> Duration {
+        self.rank_delay
+    }
+
+    /// Returns how long a claim waits for the store.
+    #[must_use]
+    pub const fn get_claim_timeout(&self) -> Duration {
+        self.claim_timeout
+    }
+
+    /// Returns how long a switchover waits for writes to end and the successor
+    /// to catch up.
+    #[must_use]
+    pub const fn get_drain_timeout(&self) -> Duration {
+        self.drain_timeout
+    }
+
+    /// Returns how often the servers are asked whether the successor has caught
+    /// up.
+    #[must_use]
+    pub const fn get_catch_up_interval(&self) -> Duration {
+        self.catch_up_interval
+    }
+
+    /// Returns how long a fence or promotion waits for the servers.
+    #[must_use]
+    pub const fn get_step_timeout(&self) -> Duration {
+        self.step_timeout
+    }
+
+    /// Returns how long a call waits before it is sent again.
+    #[must_use]
+    pub const fn get_resend_interval(&self) -> Duration {
+        self.resend_interval
+    }
+
+    /// Returns how long a fence waits for another server than the suspected
+    /// primary.
+    #[must_use]
+    pub const fn get_straggler_wait(&self) -> Duration {
+        self.straggler_wait
+    }
+
+    /// Returns how long an agent that lost a duel waits at least.
+    #[must_use]
+    pub const fn get_duel_wait(&self) -> Duration {
+        self.duel_wait
+    }
+
+    /// Returns how long a publication waits before it is sent again.
+    #[must_use]
+    pub const fn get_publish_interval(&self) -> Duration {
+        self.publish_interval
+    }
+}
+
+impl Default for FailoverSettings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/failover/primary_watch.rs
@@ -0,0 +1,120 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{InstanceId, TargetId};
+use crate::replication::{GroupView, ServerReport};
+use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
+
+use super::FailoverSettings;
+
+/// The signs of life of one primary in one term.
+///
+/// A primary is alive as long as it answers here, or as long as any replica
+/// gets new log entries of its term.
+#[derive(Clone, Debug)]
+pub(super) struct PrimaryWatch {
+    pub(super) target: TargetId,
+    pub(super) term: LeaderTerm,
+    heard_at: MonotonicTime,
+    refused_at: Option<MonotonicTime>,
+    replicated: LogPosition,
+    replicated_at: MonotonicTime,
+    peers_heard_at: BTreeMap<InstanceId, MonotonicTime>,
+}
+
+impl PrimaryWatch {
+    /// Starts to watch a primary that has just reported.
+    pub(super) fn new(target: TargetId, term: LeaderTerm, now: MonotonicTime) -> Self {
+        Self {
+            target,
+            term,
+            heard_at: now,
+            refused_at: None,
+            replicated: LogPosition::default(),
+            replicated_at: now,
+            peers_heard_at: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a report of any server of the group.
+    pub(super) fn observe(&mut self, report: &ServerReport, now: MonotonicTime) {
+        if report.target == self.target {
+            self.heard_at = now;
+            self.refused_at = None;
+            return;
+        }
+        let held = report.held_in(self.term);
+        if let Some(held) = held.filter(|held| *held > self.replicated) {
+            self.replicated = held;
+            self.replicated_at = now;
+        }
+    }
+
+    /// Notes that the primary's host refused a connection.
+    pub(super) fn note_refusal(&mut self, target: &TargetId, now: MonotonicTime) {
+        if *target == self.target {
+            self.refused_at.get_or_insert(now);
+        }
+    }
+
+    /// Notes whether another instance heard the primary.
+    pub(super) fn note_peer(&mut self, observer: InstanceId, answered: bool, now: MonotonicTime) {
+        if answered {
+            self.peers_heard_at.insert(observer, now);
+        } else {
+            self.peers_heard_at.remove(&observer);
+        }
+    }
+
+    /// Observes silence anew, after this process was paused.
+    pub(super) fn restart(&mut self, now: MonotonicTime) {
+        self.heard_at = now;
+        self.refused_at = None;
+        self.replicated_at = now;
+    }
+
+    /// Returns when the primary last answered here.
+    pub(super) fn heard_at(&self) -> MonotonicTime {
+        self.heard_at
+    }
+
+    /// Returns whether the primary gives no sign of life.
+    pub(super) fn is_silent(&self, settings: &FailoverSettings, now: MonotonicTime) -> bool {
+        let silence = now.saturating_since(self.heard_at);
+        let standstill = now.saturating_since(self.replicated_at);
+        let is_heard_elsewhere = self.is_heard_elsewhere(settings.get_silence_limit(), now);
+        if is_heard_elsewhere {
+            let limit = settings.get_contested_limit();
+            return silence > limit && standstill > limit;
+        }
+        let refused_at = self.refused_at;
+        let refused = refused_at.map_or(Duration::ZERO, |at| now.saturating_since(at));
+        if refused >= settings.get_refused_limit() && self.refused_at.is_some() {
+            return standstill > settings.get_refused_limit();
+        }
+        let limit = settings.get_silence_limit();
+        silence > limit && standstill > limit
+    }
+
+    /// Returns whether the primary has written, but no replica got anything
+    /// of it for long.
+    pub(super) fn is_stalled(
+        &self,
+        view: &GroupView,
+        settings: &FailoverSettings,
+        now: MonotonicTime,
+    ) -> bool {
+        let primary = view.report(&self.target);
+        let last = primary.and_then(|timed| timed.report.held_in(self.term));
+        let is_ahead = last.is_some_and(|last| last > self.replicated);
+        let standstill = now.saturating_since(self.replicated_at);
+        is_ahead && standstill > settings.get_stall_limit()
+    }
+
+    fn is_heard_elsewhere(&self, limit: Duration, now: MonotonicTime) -> bool {
+        let heard = self.peers_heard_at.values();
+        heard
+            .into_iter()
+            .any(|at| now.saturating_since(*at) <= limit)
+    }
+}
