Add the agent: documents, primaries and control state

A thin version for the entry to be built against: it watches the service documents in the platform's store, adopts greater versions only, probes every target of their groups over one kept connection each, publishes the primary with the greatest term, and answers the entry's long poll.

--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/document_watch.rs
@@ -0,0 +1,32 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{ObjectKind, PlatformClient, watch_backoff::WatchBackoff};
+use crate::state::SharedState;
+
+/// How long one watch waits; each answer is proof that the documents are
+/// current.
+pub(crate) const PROOF_WAIT: Duration = Duration::from_millis(400);
+
+/// Watches the services' documents for as long as it is polled.
+pub(crate) async fn watch_documents(client: PlatformClient, state: Arc<SharedState>) {
+    let mut backoff = WatchBackoff::default();
+    loop {
+        let asked_at = state.now();
+        let after = state.known_revision();
+        let answer = client
+            .watch_objects(ObjectKind::Service, after, PROOF_WAIT)
+            .await;
+        match answer {
+            Ok(list) => {
+                backoff.reset();
+                state.take_documents(&list, asked_at);
+            }
+            Err(error) => {
+                state.note_platform_failure(&error);
+                let wait = backoff.next_wait(&mut rand::rng());
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/instance_watch.rs
@@ -0,0 +1,27 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{PlatformClient, watch_backoff::WatchBackoff};
+use crate::state::SharedState;
+
+/// How long one watch of the list waits.
+const LIST_WAIT: Duration = Duration::from_secs(10);
+
+/// Watches the list of instances for as long as it is polled.
+pub(crate) async fn watch_instances(client: PlatformClient, state: Arc<SharedState>) {
+    let mut backoff = WatchBackoff::default();
+    let mut after = 0;
+    loop {
+        match client.watch_instances(after, LIST_WAIT).await {
+            Ok(list) => {
+                backoff.reset();
+                after = list.revision;
+                state.take_instances(list);
+            }
+            Err(_) => {
+                let wait = backoff.next_wait(&mut rand::rng());
+                tokio::time::sleep(wait).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/mod.rs
@@ -0,0 +1,25 @@
+//! Calls of the platform's object API, each with a bounded wait and counted.
+
+mod document_watch;
+mod instance_list;
+mod instance_watch;
+mod object_kind;
+mod object_list;
+mod object_update;
+mod platform_client;
+mod platform_error;
+mod put_outcome;
+mod stored_object;
+mod watch_backoff;
+
+pub(crate) use document_watch::watch_documents;
+pub(crate) use instance_watch::watch_instances;
+
+pub use instance_list::{InstanceEntry, InstanceList};
+pub use object_kind::ObjectKind;
+pub use object_list::ObjectList;
+pub use object_update::ObjectUpdate;
+pub use platform_client::PlatformClient;
+pub use platform_error::PlatformError;
+pub use put_outcome::PutOutcome;
+pub use stored_object::StoredObject;
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/object_list.rs
@@ -0,0 +1,12 @@
+use serde::{Deserialize, Serialize};
+
+use super::StoredObject;
+
+/// Objects of one kind, and the store's revision at which they were read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectList {
+    /// The revision of the store.
+    pub revision: u64,
+    /// The objects.
+    pub objects: Vec<StoredObject>,
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/object_update.rs
@@ -0,0 +1,13 @@
+use mustardhinge_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// A conditional update of an object.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectUpdate {
+    /// The version that has to be in force; 0 if the object must not exist.
+    pub expected_version: DocumentVersion,
+    /// Names the update.
+    pub operation_id: OperationId,
+    /// The new value.
+    pub value: serde_json::Value,
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/platform_error.rs
@@ -0,0 +1,47 @@
+/// Why a call of the platform gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// No connection came about, so that the call was not sent.
+    #[error("the platform can't be reached")]
+    NotSent,
+    /// The answer did not come in time; the call may have taken effect.
+    #[error("the platform's answer did not come")]
+    NoAnswer,
+    /// The platform answered with an error; the call may have taken effect.
+    #[error("the platform answered with status {0}")]
+    BadStatus(u16),
+    /// The answer is not of the form that was agreed.
+    #[error("the platform's answer can't be read")]
+    BadAnswer,
+}
+
+impl PlatformError {
+    /// Returns the label value of the error.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::NoAnswer => "no_answer",
+            Self::BadStatus(_) => "bad_status",
+            Self::BadAnswer => "bad_answer",
+        }
+    }
+
+    /// Returns whether the call has certainly not taken effect.
+    #[must_use]
+    pub const fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotSent)
+    }
+}
+
+impl From<reqwest::Error> for PlatformError {
+    fn from(error: reqwest::Error) -> Self {
+        if error.is_connect() {
+            Self::NotSent
+        } else if error.is_decode() {
+            Self::BadAnswer
+        } else {
+            Self::NoAnswer
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/platform/watch_backoff.rs
@@ -0,0 +1,32 @@
+use std::time::Duration;
+
+use rand::RngExt;
+
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// The wait before a failed watch is repeated: doubles up to a bound, jittered,
+/// so that agents don't come back together.
+pub(crate) struct WatchBackoff {
+    next: Duration,
+}
+
+impl Default for WatchBackoff {
+    fn default() -> Self {
+        Self { next: MIN_BACKOFF }
+    }
+}
+
+impl WatchBackoff {
+    /// Starts again from the shortest wait.
+    pub(crate) fn reset(&mut self) {
+        self.next = MIN_BACKOFF;
+    }
+
+    /// Returns the wait before the next try.
+    pub(crate) fn next_wait(&mut self, random: &mut impl rand::Rng) -> Duration {
+        let bound = self.next;
+        self.next = (bound * 2).min(MAX_BACKOFF);
+        bound.mul_f64(random.random_range(0.5..1.0))
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/process/agent_builder.rs
@@ -0,0 +1,101 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use mustardhinge_config::settings::AgentSettings;
+use mustardhinge_process::{ProcessClock, event};
+use mustardhinge_rpc::AgentApiServer;
+use tokio::task::JoinSet;
+
+use super::AgentProcess;
+use crate::entry::AgentService;
+use crate::group::{ProbeTiming, WatchSupervisor};
+use crate::platform::{PlatformClient, watch_documents, watch_instances};
+use crate::state::SharedState;
+
+/// Connections that the entry and other agents may hold at once.
+const MAX_CONNECTIONS: u32 = 512;
+
+/// Sets up an agent.
+#[derive(Clone, Debug, Default)]
+pub struct AgentBuilder {
+    settings: Option<AgentSettings>,
+    clock: Option<ProcessClock>,
+    incarnation: Option<u64>,
+}
+
+impl AgentBuilder {
+    /// Sets the settings; needed.
+    #[must_use]
+    pub fn settings(mut self, settings: AgentSettings) -> Self {
+        self.settings = Some(settings);
+        self
+    }
+
+    /// Sets the clock; a new one by default.
+    #[must_use]
+    pub const fn clock(mut self, clock: ProcessClock) -> Self {
+        self.clock = Some(clock);
+        self
+    }
+
+    /// Sets the number of this start; random by default.
+    #[must_use]
+    pub const fn incarnation(mut self, incarnation: u64) -> Self {
+        self.incarnation = Some(incarnation);
+        self
+    }
+
+    /// Returns the settings, if they are set.
+    #[must_use]
+    pub const fn get_settings(&self) -> Option<&AgentSettings> {
+        self.settings.as_ref()
+    }
+
+    /// Starts the agent as tasks of the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if settings are missing or an address can't be listened at.
+    pub async fn start(self) -> anyhow::Result<AgentProcess> {
+        let settings = self.settings.context("the agent's settings are not set")?;
+        let clock = self.clock.unwrap_or_else(ProcessClock::start);
+        let incarnation = self.incarnation.unwrap_or_else(rand::random);
+        let state = Arc::new(SharedState::new(
+            clock,
+            settings.instance.clone(),
+            incarnation,
+        ));
+        let config = ServerConfig::builder()
+            .max_connections(MAX_CONNECTIONS)
+            .build();
+        let server = Server::builder()
+            .set_config(config)
+            .build(settings.listen)
+            .await
+            .with_context(|| format!("listening at {}", settings.listen))?;
+        let address = server.local_addr().context("the address listened at")?;
+        let handle: ServerHandle = server.start(AgentService::new(state.clone()).into_rpc());
+        let tasks = start_tasks(&settings, &state)?;
+        event::PROCESS_STARTED.log(format_args!(
+            "process=agent instance={} listen={address}",
+            settings.instance
+        ));
+        Ok(AgentProcess::new(address, state, handle, tasks))
+    }
+}
+
+fn start_tasks(settings: &AgentSettings, state: &Arc<SharedState>) -> anyhow::Result<JoinSet<()>> {
+    let timeout = Duration::from_millis(settings.platform_timeout_ms.into());
+    let client = PlatformClient::new(settings.platform, timeout).context("platform client")?;
+    let timing = ProbeTiming {
+        interval: Duration::from_millis(settings.probe_interval_ms.into()),
+        bound: Duration::from_millis(settings.probe_timeout_ms.into()),
+    };
+    let mut tasks = JoinSet::new();
+    tasks.spawn(watch_documents(client.clone(), state.clone()));
+    tasks.spawn(watch_instances(client, state.clone()));
+    tasks.spawn(WatchSupervisor::new(state.clone(), timing).run());
+    Ok(tasks)
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/process/mod.rs
@@ -0,0 +1,7 @@
+//! Starts and stops the agent.
+
+mod agent_builder;
+mod agent_process;
+
+pub use agent_builder::AgentBuilder;
+pub use agent_process::AgentProcess;
--- /dev/null
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -0,0 +1,70 @@
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::control::{ControlState, ServiceState};
+
+use super::{DocumentTable, GroupTable};
+use crate::platform::InstanceList;
+
+/// Everything that the agent knows.
+#[derive(Debug)]
+pub(crate) struct KnownState {
+    /// The start of this agent.
+    pub(crate) incarnation: u64,
+    /// Grows with each change that the entry has to hear of.
+    pub(crate) revision: u64,
+    /// Every document change of the store up to this revision is known.
+    pub(crate) store_revision: u64,
+    /// When the newest proof that the documents are current was asked for.
+    pub(crate) proven_at: Option<MonotonicTime>,
+    /// Whether the platform answered the last call.
+    pub(crate) is_platform_reachable: bool,
+    /// Whether this instance is leaving.
+    pub(crate) is_draining: bool,
+    /// The documents in force.
+    pub(crate) documents: DocumentTable,
+    /// The primaries.
+    pub(crate) groups: GroupTable,
+    /// The platform's list of instances.
+    pub(crate) instances: InstanceList,
+}
+
+impl KnownState {
+    /// Makes the state of an agent that knows nothing.
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            revision: 1,
+            store_revision: 0,
+            proven_at: None,
+            is_platform_reachable: false,
+            is_draining: false,
+            documents: DocumentTable::default(),
+            groups: GroupTable::default(),
+            instances: InstanceList {
+                revision: 0,
+                instances: Vec::new(),
+            },
+        }
+    }
+
+    /// Returns the age of the newest proof that the documents are current.
+    pub(crate) fn proof_age_ms(&self, now: MonotonicTime) -> Option<u32> {
+        let age = now.saturating_since(self.proven_at?);
+        Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+    }
+
+    /// Returns what the entry needs to know.
+    pub(crate) fn control_state(&self, now: MonotonicTime) -> ControlState {
+        let service = |known: &std::sync::Arc<super::AdoptedDocument>| ServiceState {
+            version: known.version,
+            document: known.document.clone(),
+        };
+        ControlState {
+            agent_incarnation: self.incarnation,
+            revision: self.revision,
+            proof_age_ms: self.proof_age_ms(now),
+            draining: self.is_draining,
+            services: self.documents.iter().map(service).collect(),
+            groups: self.groups.changed_after(0).cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the agent, by feature.
+
+mod cold_start;
+mod static_shares;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -24,4 +24,8 @@
     PROCESS_STOPPING = 1002, Info, "process stopping";
     PROCESS_STOPPED = 1003, Info, "process stopped";
     PROCESS_FAILED = 1004, Error, "process failed";
+    PLATFORM_REACHED = 3001, Info, "platform reached";
+    PLATFORM_LOST = 3002, Warn, "platform not reached";
+    DOCUMENT_ADOPTED = 3003, Info, "document adopted";
+    DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
 }
