--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -29,4 +29,8 @@
     DOCUMENT_NOT_SERVED = 2003, Error, "document not served";
     CALLER_NOT_ACCEPTED = 2004, Warn, "caller not accepted";
     DRAIN_BOUND_REACHED = 2005, Warn, "drain bound reached";
+    PLATFORM_REACHED = 3001, Info, "platform reached";
+    PLATFORM_LOST = 3002, Warn, "platform not reached";
+    DOCUMENT_ADOPTED = 3003, Info, "document adopted";
+    DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
 }
