Add the target stand-in

The data path, the agents and the bench need a database server that offers the group's calls of docs/TARGET-PROTOCOL.md and fails on command.

Weighed: pgwire's server API or its message codec alone. The codec was taken: fault switches need to hold back, lose or delay single answers, and to stream rows, which the API's handlers hide.

Replication lag and apply lag are two switches: the first keeps a replica from holding an entry (an acknowledgement waits), the second keeps reads from seeing what it holds.

--- a/crates/mustardhinge-standins/src/lib.rs
+++ b/crates/mustardhinge-standins/src/lib.rs
@@ -1,1 +1,5 @@
-//! Small stand-ins of the platform and of the target, for tests and trials.
+//! Small stand-ins of the platform and of the target, with fault switches, for
+//! tests and trials.
+
+pub mod fault;
+pub mod target;
--- /dev/null
+++ b/crates/mustardhinge-standins/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the stand-ins, by feature.
+
+mod replication;
+mod scaffold;
+mod statements;
+mod target_faults;
+mod target_limits;
+mod transactions;
