Keep source folders named target in the repository

Cause: the ignore rule `target/` matched source folders of that name, so the agent did not build from a fresh checkout ("file not found for module target").

--- /dev/null
+++ b/crates/mustardhinge-agent/src/target/target_error.rs
@@ -0,0 +1,13 @@
+/// Why a target gave no report.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum TargetError {
+    /// No connection came about, or it broke.
+    #[error("no connection")]
+    NotConnected,
+    /// No answer came in time.
+    #[error("no answer in time")]
+    Silent,
+    /// The target answered something else.
+    #[error("{0}")]
+    BadAnswer(String),
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/target/mod.rs
@@ -0,0 +1,18 @@
+//! Connections to targets: opened, proved, lent to one transaction at a time.
+
+mod cancel_key;
+mod connection_error;
+mod pool_refusal;
+mod pool_settings;
+mod target_connection;
+mod target_lease;
+mod target_pool;
+
+pub use cancel_key::CancelKey;
+pub use connection_error::ConnectionError;
+pub use pool_refusal::PoolRefusal;
+pub use pool_settings::PoolSettings;
+pub use target_connection::TargetConnection;
+pub(crate) use target_connection::transaction_status;
+pub use target_lease::TargetLease;
+pub use target_pool::TargetPool;
--- /dev/null
+++ b/crates/mustardhinge-entry/src/target/target_connection.rs
@@ -0,0 +1,217 @@
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::{BackendKeyData, Startup};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{CancelKey, ConnectionError};
+use crate::wire::{FrameError, FrameStream, WireFrame, tags};
+
+/// The user that all instances are at a target.
+const TARGET_USER: &str = "mustardhinge";
+
+/// The greatest frame that a target may send, in bytes.
+const MAX_TARGET_FRAME_BYTES: usize = 256 << 20;
+
+/// Prepared statements on a connection from which on it is not kept.
+const MAX_PREPARED: usize = 256;
+
+/// One open connection to a target.
+#[derive(Debug)]
+pub struct TargetConnection {
+    stream: FrameStream<TcpStream>,
+    address: SocketAddr,
+    cancel_key: Option<CancelKey>,
+    prepared: HashSet<String>,
+    is_worn: bool,
+    last_used: MonotonicTime,
+}
+
+impl TargetConnection {
+    /// Opens a connection, within `bound`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target can't be reached, refuses, or does not answer.
+    pub async fn open(
+        address: SocketAddr,
+        database: &str,
+        bound: Duration,
+        now: MonotonicTime,
+    ) -> Result<Self, ConnectionError> {
+        let opening = Self::start_session(address, database, now);
+        timeout(bound, opening)
+            .await
+            .map_err(|_| ConnectionError::Overdue)?
+    }
+
+    async fn start_session(
+        address: SocketAddr,
+        database: &str,
+        now: MonotonicTime,
+    ) -> Result<Self, ConnectionError> {
+        let tcp = TcpStream::connect(address).await?;
+        tcp.set_nodelay(true)?;
+        let mut connection = Self {
+            stream: FrameStream::new(tcp, MAX_TARGET_FRAME_BYTES),
+            address,
+            cancel_key: None,
+            prepared: HashSet::new(),
+            is_worn: false,
+            last_used: now,
+        };
+        connection.send_startup(database).await?;
+        connection.wait_until_ready().await?;
+        Ok(connection)
+    }
+
+    async fn send_startup(&mut self, database: &str) -> Result<(), FrameError> {
+        let mut startup = Startup::new();
+        let parameters = [
+            ("user", TARGET_USER),
+            ("database", database),
+            ("client_encoding", "UTF8"),
+        ];
+        for (name, value) in parameters {
+            startup.parameters.insert(name.to_owned(), value.to_owned());
+        }
+        self.stream.queue_message(&startup)?;
+        self.stream.flush().await
+    }
+
+    async fn wait_until_ready(&mut self) -> Result<(), ConnectionError> {
+        loop {
+            let frame = self.stream.read_frame().await?;
+            match frame.tag() {
+                tags::BACKEND_KEY_DATA => {
+                    let data: BackendKeyData = frame.decode()?;
+                    self.cancel_key = Some(CancelKey {
+                        pid: data.pid,
+                        secret: data.secret_key,
+                    });
+                }
+                tags::ERROR_RESPONSE => {
+                    let response: ErrorResponse = frame.decode()?;
+                    return Err(ConnectionError::refused(&response));
+                }
+                tags::READY_FOR_QUERY => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Runs a statement of the entry's own and collects the answer's frames,
+    /// within `bound`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the answer is overdue; the connection
+    /// must then be closed.
+    pub async fn run_own(
+        &mut self,
+        text: &str,
+        bound: Duration,
+    ) -> Result<Vec<WireFrame>, ConnectionError> {
+        self.queue_query(text)?;
+        timeout(bound, self.flush_and_collect())
+            .await
+            .map_err(|_| ConnectionError::Overdue)?
+    }
+
+    async fn flush_and_collect(&mut self) -> Result<Vec<WireFrame>, ConnectionError> {
+        self.stream.flush().await?;
+        self.collect_answer().await
+    }
+
+    /// Collects the frames of one answer, up to and with ReadyForQuery.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn collect_answer(&mut self) -> Result<Vec<WireFrame>, ConnectionError> {
+        let mut frames = Vec::new();
+        loop {
+            let frame = self.stream.read_frame().await?;
+            let is_last = frame.tag() == tags::READY_FOR_QUERY;
+            frames.push(frame);
+            if is_last {
+                return Ok(frames);
+            }
+        }
+    }
+
+    /// Queues a simple query.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is longer than the protocol allows.
+    pub fn queue_query(&mut self, text: &str) -> Result<(), FrameError> {
+        self.stream.queue_message(&Query::new(text.to_owned()))
+    }
+
+    /// Returns the stream of frames.
+    pub fn stream(&mut self) -> &mut FrameStream<TcpStream> {
+        &mut self.stream
+    }
+
+    /// Returns what the target wants to see before it cancels a statement.
+    #[must_use]
+    pub fn cancel_key(&self) -> Option<&CancelKey> {
+        self.cancel_key.as_ref()
+    }
+
+    /// Returns the address of the target.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns when the connection last gave a whole answer.
+    #[must_use]
+    pub fn last_used(&self) -> MonotonicTime {
+        self.last_used
+    }
+
+    /// Notes that the connection gave a whole answer.
+    pub fn mark_used(&mut self, now: MonotonicTime) {
+        self.last_used = now;
+    }
+
+    /// Tells whether a statement of this name is prepared on the connection.
+    #[must_use]
+    pub fn has_prepared(&self, name: &str) -> bool {
+        self.prepared.contains(name)
+    }
+
+    /// Notes that a statement of this name is prepared on the connection.
+    pub fn note_prepared(&mut self, name: &str) {
+        self.prepared.insert(name.to_owned());
+    }
+
+    /// Notes that it is no longer certain what is prepared on the connection.
+    pub fn mark_worn(&mut self) {
+        self.is_worn = true;
+    }
+
+    /// Tells whether the connection should be closed rather than kept, because
+    /// many statements are prepared on it, or it is uncertain which.
+    #[must_use]
+    pub fn is_worn(&self) -> bool {
+        self.is_worn || self.prepared.len() >= MAX_PREPARED
+    }
+}
+
+/// Reads the transaction status out of a ReadyForQuery frame.
+///
+/// # Errors
+///
+/// Fails if the frame is none.
+pub(crate) fn transaction_status(frame: &WireFrame) -> Result<TransactionStatus, FrameError> {
+    let ready: ReadyForQuery = frame.decode()?;
+    Ok(ready.status)
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/src/target/target_pool.rs
@@ -0,0 +1,299 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::queue::{
+    FairQueue, PopOutcome, PushOutcome, QueueLimits, QueueRefusal, QueueTicket, SlotGate,
+    WaitingItem,
+};
+use mustardhinge_process::ProcessClock;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::{PoolRefusal, PoolSettings, TargetConnection, TargetLease};
+
+/// The statement that proves an idle connection.
+const PROOF_STATEMENT: &str = "SELECT 1";
+
+/// The cost of a statement in the queue.
+const STATEMENT_COST: u32 = 1;
+
+/// What a waiting request gets: its place, or the refusal.
+type PlaceAnswer = Result<(), (RefusalReason, RetryDelay)>;
+
+/// Takes the answer to a waiting request.
+type PlaceReply = oneshot::Sender<PlaceAnswer>;
+
+/// A request's place in the queue and where its answer arrives.
+type QueuedPlace = (QueueTicket, oneshot::Receiver<PlaceAnswer>);
+
+/// The connections of this instance to one target and the queue in front of them.
+#[derive(Debug)]
+pub struct TargetPool {
+    target: TargetId,
+    address: SocketAddr,
+    settings: PoolSettings,
+    clock: ProcessClock,
+    state: Mutex<PoolState>,
+}
+
+#[derive(Debug)]
+struct PoolState {
+    queue: FairQueue<PlaceReply>,
+    gate: SlotGate,
+    idle: Vec<TargetConnection>,
+}
+
+impl TargetPool {
+    /// Makes a pool without open connections.
+    #[must_use]
+    pub fn new(
+        target: TargetId,
+        address: SocketAddr,
+        settings: PoolSettings,
+        clock: ProcessClock,
+    ) -> Arc<Self> {
+        let limits = QueueLimits::new().slots(settings.get_connections());
+        let state = PoolState {
+            queue: FairQueue::new(limits),
+            gate: SlotGate::new(settings.get_connections()),
+            idle: Vec::new(),
+        };
+        Arc::new(Self {
+            target,
+            address,
+            settings,
+            clock,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Returns the target.
+    #[must_use]
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// Returns the address of the target.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the statements at work and waiting, for routing.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        let state = self.lock();
+        let working = self.settings.get_connections() - state.gate.get_free();
+        working + u32::try_from(state.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the statements that may be at work at once.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.settings.get_connections()
+    }
+
+    /// Lends a connection as soon as it is the customer's turn.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the queue refuses the request, or no connection can be opened.
+    /// Nothing was sent in either case.
+    pub async fn lend(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        deadline: MonotonicTime,
+    ) -> Result<TargetLease, PoolRefusal> {
+        self.wait_for_place(customer, deadline).await?;
+        let mut lease = TargetLease::new(Arc::clone(self), self.clock.now());
+        let connection = self.connect().await?;
+        lease.set_connection(connection);
+        Ok(lease)
+    }
+
+    async fn wait_for_place(
+        self: &Arc<Self>,
+        customer: &CustomerId,
+        deadline: MonotonicTime,
+    ) -> Result<(), PoolRefusal> {
+        let Some((ticket, place)) = self.enter_queue(customer, deadline)? else {
+            return Ok(());
+        };
+        let mut waiting = WaitingPlace {
+            pool: self,
+            ticket: Some(ticket),
+            place,
+        };
+        let bound = deadline.saturating_since(self.clock.now());
+        match timeout(bound, &mut waiting.place).await {
+            Ok(Ok(granted)) => {
+                waiting.ticket = None;
+                granted.map_err(|(reason, retry_after)| PoolRefusal::Queue {
+                    reason,
+                    retry_after,
+                })
+            }
+            Ok(Err(_)) | Err(_) => Err(self.deadline_refusal()),
+        }
+    }
+
+    /// Takes a place at once (`None`), or waits in the queue.
+    fn enter_queue(
+        &self,
+        customer: &CustomerId,
+        deadline: MonotonicTime,
+    ) -> Result<Option<QueuedPlace>, PoolRefusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.queue.is_empty() && state.gate.try_take() {
+            return Ok(None);
+        }
+        let (reply, place) = oneshot::channel();
+        let arrival = WaitingItem {
+            customer: customer.clone(),
+            deadline,
+            cost: STATEMENT_COST,
+            item: reply,
+        };
+        match state.queue.push(arrival, now) {
+            PushOutcome::Queued { ticket, displaced } => {
+                displaced.into_iter().for_each(refuse_waiting);
+                Ok(Some((ticket, place)))
+            }
+            PushOutcome::Refused(refusal) => Err(PoolRefusal::Queue {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            }),
+        }
+    }
+
+    fn deadline_refusal(&self) -> PoolRefusal {
+        PoolRefusal::Queue {
+            reason: RefusalReason::DeadlinePassed,
+            retry_after: RetryDelay::new(self.settings.get_open_bound()),
+        }
+    }
+
+    async fn connect(&self) -> Result<TargetConnection, PoolRefusal> {
+        while let Some(mut connection) = self.take_idle() {
+            if self.is_usable(&mut connection).await {
+                return Ok(connection);
+            }
+        }
+        let database = self.settings.get_database();
+        let bound = self.settings.get_open_bound();
+        let now = self.clock.now();
+        Ok(TargetConnection::open(self.address, database, bound, now).await?)
+    }
+
+    async fn is_usable(&self, connection: &mut TargetConnection) -> bool {
+        let idle = self.clock.now().saturating_since(connection.last_used());
+        if idle < self.settings.get_prove_after() {
+            return true;
+        }
+        let bound = self.settings.get_proof_bound();
+        connection.run_own(PROOF_STATEMENT, bound).await.is_ok()
+    }
+
+    fn take_idle(&self) -> Option<TargetConnection> {
+        self.lock().idle.pop()
+    }
+
+    /// Opens a connection ahead of need, if none is idle and a place is free.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn open_ahead(self: &Arc<Self>) -> Result<(), PoolRefusal> {
+        {
+            let mut state = self.lock();
+            if !state.idle.is_empty() || !state.gate.try_take() {
+                return Ok(());
+            }
+        }
+        let mut lease = TargetLease::new(Arc::clone(self), self.clock.now());
+        let connection = self.connect().await?;
+        lease.set_connection(connection);
+        lease.give_back(self.clock.now());
+        Ok(())
+    }
+
+    /// Closes the idle connections, for instance since the target fell silent.
+    pub fn close_idle(&self) {
+        self.lock().idle.clear();
+    }
+
+    pub(super) fn keep(&self, connection: TargetConnection) {
+        self.lock().idle.push(connection);
+    }
+
+    pub(super) fn release(&self, lent_at: MonotonicTime) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state
+            .queue
+            .record_service(STATEMENT_COST, now.saturating_since(lent_at));
+        state.gate.release();
+        state.admit_waiting(now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PoolState {
+    /// Gives free places to those whose turn it is.
+    fn admit_waiting(&mut self, now: MonotonicTime) {
+        while self.gate.try_take() {
+            if !self.admit_next(now) {
+                self.gate.release();
+                return;
+            }
+        }
+    }
+
+    /// Returns whether somebody took the place.
+    fn admit_next(&mut self, now: MonotonicTime) -> bool {
+        while let Some(popped) = self.queue.pop(now) {
+            match popped {
+                PopOutcome::Expired(refusal) => refuse_waiting(refusal),
+                PopOutcome::Ready(ready) => {
+                    if ready.item.send(Ok(())).is_ok() {
+                        return true;
+                    }
+                }
+            }
+        }
+        false
+    }
+}
+
+/// A request's place in the queue, given up when the request is dropped.
+struct WaitingPlace<'a> {
+    pool: &'a Arc<TargetPool>,
+    ticket: Option<QueueTicket>,
+    place: oneshot::Receiver<PlaceAnswer>,
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        let was_waiting = self.pool.lock().queue.cancel(&ticket).is_some();
+        let was_granted = !was_waiting && matches!(self.place.try_recv(), Ok(Ok(())));
+        if was_granted {
+            drop(TargetLease::new(
+                Arc::clone(self.pool),
+                self.pool.clock.now(),
+            ));
+        }
+    }
+}
+
+fn refuse_waiting(refusal: QueueRefusal<PlaceReply>) {
+    let answer = Err((refusal.reason, refusal.retry_after));
+    let _ = refusal.refused.item.send(answer);
+}
