--- a/crates/mustardhinge-agent/src/budget/mod.rs
+++ b/crates/mustardhinge-agent/src/budget/mod.rs
@@ -1,4 +1,4 @@
-//! Lends requests out of customers' rates and bursts to the entry.
+//! Lends requests out of customers' rates and bursts to entries.
 
 mod static_shares;
 
--- a/crates/mustardhinge-agent/src/entry/agent_service.rs
+++ b/crates/mustardhinge-agent/src/entry/agent_service.rs
@@ -16,10 +16,10 @@
 
 impl AgentService {
     /// Makes the service.
-    pub(crate) fn new(state: Arc<SharedState>) -> Self {
+    pub(crate) fn new(state: Arc<SharedState>, shares: StaticShares) -> Self {
         Self {
             state,
-            shares: Mutex::default(),
+            shares: Mutex::new(shares),
         }
     }
 }
@@ -31,18 +31,14 @@
     }
 
     async fn acquire_budget(&self, request: BudgetRequest) -> RpcResult<BudgetGrant> {
-        let now = self.state.now();
         let known = self
             .state
-            .read(|known| known.documents.get(&request.service).cloned());
+            .read(|known| known.document(&request.service).cloned());
         let document = known.as_ref().map(|known| &known.document);
-        let customer = document.and_then(|document| {
-            let mut customers = document.customers.iter();
-            let customer = customers.find(|customer| customer.name == request.customer)?;
-            Some((customer, &document.limits))
-        });
+        let now = self.state.now();
         let mut shares = self.shares.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(shares.answer(&request, customer, now))
+        let result = shares.answer(&request, document, now);
+        Ok(BudgetGrant { result })
     }
 
     async fn observe_targets(&self, observations: Vec<TargetObservation>) -> RpcResult<()> {
--- a/crates/mustardhinge-agent/src/group/watch_supervisor.rs
+++ b/crates/mustardhinge-agent/src/group/watch_supervisor.rs
@@ -65,7 +65,7 @@
 
     fn wanted_groups(&self) -> BTreeMap<GroupId, GroupEntry> {
         self.state.read(|known| {
-            let groups = known.documents.iter().map(|known| &known.document.group);
+            let groups = known.documents().map(|known| &known.document.group);
             groups
                 .map(|entry| (entry.name.clone(), entry.clone()))
                 .collect()
--- a/crates/mustardhinge-agent/src/process/agent_builder.rs
+++ b/crates/mustardhinge-agent/src/process/agent_builder.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::AgentProcess;
+use crate::budget::StaticShares;
 use crate::entry::AgentService;
 use crate::group::{ProbeTiming, WatchSupervisor};
 use crate::platform::{PlatformClient, watch_documents, watch_instances};
@@ -75,8 +76,10 @@
             .build(settings.listen)
             .await
             .with_context(|| format!("listening at {}", settings.listen))?;
+        let shares = StaticShares::new(settings.zone.clone(), incarnation, state.now());
+        let service = AgentService::new(state.clone(), shares);
         let address = server.local_addr().context("the address listened at")?;
-        let handle: ServerHandle = server.start(AgentService::new(state.clone()).into_rpc());
+        let handle: ServerHandle = server.start(service.into_rpc());
         let tasks = start_tasks(&settings, &state)?;
         event::PROCESS_STARTED.log(format_args!(
             "process=agent instance={} listen={address}",
--- a/crates/mustardhinge-agent/src/state/adopted_document.rs
+++ b/crates/mustardhinge-agent/src/state/adopted_document.rs
@@ -1,6 +1,7 @@
 use mustardhinge_config::document::ServiceDocument;
 use mustardhinge_config::finding::Findings;
 use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::control::ServiceState;
 use serde::{Deserialize, Serialize};
 
 /// A document in force, with the text that its owners wrote.
@@ -17,6 +18,14 @@
 }
 
 impl AdoptedDocument {
+    /// Returns what the entry needs to know of it.
+    pub(crate) fn to_state(&self) -> ServiceState {
+        ServiceState {
+            version: self.version,
+            document: self.document.clone(),
+        }
+    }
+
     /// Parses the text of a document that the store holds.
     ///
     /// # Errors
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -1,7 +1,8 @@
+use mustardhinge_core::document::AdoptionTable;
 use mustardhinge_core::prelude::*;
-use mustardhinge_rpc::control::{ControlState, ServiceState};
+use mustardhinge_rpc::control::ControlState;
 
-use super::{DocumentTable, GroupTable};
+use super::{AdoptedDocument, GroupTable};
 use crate::platform::InstanceList;
 
 /// Everything that the agent knows.
@@ -20,7 +21,7 @@
     /// Whether this instance is leaving.
     pub(crate) is_draining: bool,
     /// The documents in force.
-    pub(crate) documents: DocumentTable,
+    pub(crate) documents: AdoptionTable<AdoptedDocument>,
     /// The primaries.
     pub(crate) groups: GroupTable,
     /// The platform's list of instances.
@@ -37,7 +38,7 @@
             proven_at: None,
             is_platform_reachable: false,
             is_draining: false,
-            documents: DocumentTable::default(),
+            documents: AdoptionTable::default(),
             groups: GroupTable::default(),
             instances: InstanceList {
                 revision: 0,
@@ -46,6 +47,18 @@
         }
     }
 
+    /// Goes through the documents in force.
+    pub(crate) fn documents(&self) -> impl Iterator<Item = &AdoptedDocument> {
+        let services = self.documents.versions().map(|(service, _)| service);
+        services.filter_map(|service| self.document(service))
+    }
+
+    /// Returns the document in force of a service.
+    pub(crate) fn document(&self, service: &ServiceId) -> Option<&AdoptedDocument> {
+        let known = self.documents.get_document(service)?;
+        Some(known.document.as_ref())
+    }
+
     /// Returns the age of the newest proof that the documents are current.
     pub(crate) fn proof_age_ms(&self, now: MonotonicTime) -> Option<u32> {
         let age = now.saturating_since(self.proven_at?);
@@ -54,16 +67,12 @@
 
     /// Returns what the entry needs to know.
     pub(crate) fn control_state(&self, now: MonotonicTime) -> ControlState {
-        let service = |known: &std::sync::Arc<super::AdoptedDocument>| ServiceState {
-            version: known.version,
-            document: known.document.clone(),
-        };
         ControlState {
             agent_incarnation: self.incarnation,
             revision: self.revision,
             proof_age_ms: self.proof_age_ms(now),
             draining: self.is_draining,
-            services: self.documents.iter().map(service).collect(),
+            services: self.documents().map(AdoptedDocument::to_state).collect(),
             groups: self.groups.changed_after(0).cloned().collect(),
         }
     }
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -1,6 +1,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use mustardhinge_core::document::AdoptionOutcome;
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::{ProcessClock, event};
 use mustardhinge_rpc::control::{ControlRequest, ControlState, GroupState};
@@ -132,7 +133,8 @@
 fn adopt_document(known: &mut KnownState, document: AdoptedDocument) -> bool {
     let service = document.document.service.clone();
     let version = document.version;
-    let adopted = known.documents.offer(document);
+    let outcome = known.documents.offer(&service, version, document);
+    let adopted = outcome == AdoptionOutcome::Adopted;
     if adopted {
         event::DOCUMENT_ADOPTED.log(format_args!("service={service} version={version}"));
     }
