Add the platform stand-in and the delaying forwarder

The platform stands behind a forwarder, so that both have one set of network faults and dropshot serves undisturbed. Weighed: faults inside the handlers; they can neither reset nor silence a connection.

The runtime's timer rounds up to a millisecond, which is twice the delay between the zones of Taiwan north. A thread with a condition variable keeps the forwarder's waits.

--- a/crates/mustardhinge-standins/src/lib.rs
+++ b/crates/mustardhinge-standins/src/lib.rs
@@ -2,4 +2,6 @@
 //! tests and trials.
 
 pub mod fault;
+pub mod forward;
+pub mod platform;
 pub mod target;
--- a/crates/mustardhinge-standins/tests/suite/main.rs
+++ b/crates/mustardhinge-standins/tests/suite/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the stand-ins, by feature.
 
+mod forwarding;
+mod platform;
+mod platform_faults;
 mod replication;
 mod scaffold;
 mod statements;
