--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -33,4 +33,5 @@
     PLATFORM_LOST = 3002, Warn, "platform not reached";
     DOCUMENT_ADOPTED = 3003, Info, "document adopted";
     DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
+    TARGET_JOINED = 5001, Info, "target joined its group";
 }
--- a/crates/mustardhinge-standins/tests/suite/main.rs
+++ b/crates/mustardhinge-standins/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod forwarding;
 mod platform;
 mod platform_faults;
+mod processes;
 mod replication;
 mod scaffold;
 mod statements;
