--- a/crates/mustardhinge-standins/tests/suite/main.rs
+++ b/crates/mustardhinge-standins/tests/suite/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the stand-ins, by feature.
 
+mod forwarding;
+mod platform;
+mod platform_faults;
+mod processes;
 mod replication;
 mod scaffold;
 mod statements;
