Share budgets between zones under leases of two terms

A lease record per zone names the holder; a record per service holds the zones' shares. They are apart because leases are renewed all the time and shares change seldom: a record per service would be renewed once per service, zone and term.

The floor of a share has a long term and the rest a short one. One long term for all was ruled out, since a dead holder would strand the whole share for minutes; one short term for all as well, since a zone would stop within seconds of an outage of the store. Renewal by a majority of zones while the store is out was ruled out too: a takeover whose answer is lost may have taken effect, and the instances, which keep nothing, can't promise that it has not.

A new holder claims its zone's share in the service's record before it serves, so that a change which an earlier holder sent can't take effect any more.

--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/lease/lease_record.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::{HolderId, LeaseTerms};
+
+/// The record in the platform's store that names the holder of a zone's share.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The holder; none after it has given the share back.
+    pub holder: Option<HolderId>,
+    /// Grows with each new holder.
+    pub epoch: u64,
+    /// Grows with each write.
+    pub renewal: u64,
+    /// The epoch whose holder may use the floor; smaller than `epoch` as long as a
+    /// holder before may still do so.
+    pub floor_epoch: u64,
+    /// The term of the floor's lease for the holder that may use it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "floor_term_ms")]
+    pub floor_term: Duration,
+    /// The terms of the present holder's lease.
+    pub terms: LeaseTerms,
+}
+
+impl LeaseRecord {
+    /// Makes the first record of a zone.
+    #[must_use]
+    pub const fn first(holder: HolderId, terms: LeaseTerms) -> Self {
+        Self {
+            holder: Some(holder),
+            epoch: 1,
+            renewal: 1,
+            floor_epoch: 1,
+            floor_term: terms.floor,
+            terms,
+        }
+    }
+
+    /// Returns the record of the holder's next renewal.
+    #[must_use]
+    pub(crate) fn renewed(&self) -> Self {
+        Self {
+            renewal: self.renewal + 1,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the record of the next holder; the floor comes along if nobody may
+    /// use it any more.
+    #[must_use]
+    pub(crate) fn taken_over(&self, holder: HolderId, terms: LeaseTerms, with_floor: bool) -> Self {
+        let next = Self {
+            holder: Some(holder),
+            epoch: self.epoch + 1,
+            renewal: self.renewal + 1,
+            terms,
+            ..self.clone()
+        };
+        if with_floor { next.with_floor() } else { next }
+    }
+
+    /// Returns the record with the floor given to the present holder.
+    #[must_use]
+    pub(crate) fn with_floor(&self) -> Self {
+        Self {
+            renewal: self.renewal + 1,
+            floor_epoch: self.epoch,
+            floor_term: self.terms.floor,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the record of a share given back.
+    #[must_use]
+    pub(crate) fn released(&self) -> Self {
+        Self {
+            holder: None,
+            renewal: self.renewal + 1,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether the floor belongs to the epoch of the record.
+    #[must_use]
+    pub const fn has_floor(&self) -> bool {
+        self.floor_epoch == self.epoch
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/lease/lease_terms.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// How long a holder may go on without a renewal.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseTerms {
+    /// For the flexible part of the share.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "flexible_ms")]
+    pub flexible: Duration,
+    /// For the floor of the share.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "floor_ms")]
+    pub floor: Duration,
+}
+
+impl LeaseTerms {
+    /// The part of its terms that a holder leaves unused, for clocks that run at
+    /// different speeds, as one over this.
+    const CLOCK_MARGIN: u32 = 16;
+    /// Renewals that fit into the shorter term.
+    const RENEWALS_PER_TERM: u32 = 3;
+
+    /// Returns how long the holder itself may use the flexible part.
+    #[must_use]
+    pub fn flexible_use(&self) -> Duration {
+        self.flexible - self.flexible / Self::CLOCK_MARGIN
+    }
+
+    /// Returns how long the holder itself may use the floor.
+    #[must_use]
+    pub fn floor_use(&self) -> Duration {
+        self.floor - self.floor / Self::CLOCK_MARGIN
+    }
+
+    /// Returns the time between two renewals.
+    #[must_use]
+    pub fn renewal_period(&self) -> Duration {
+        self.flexible.min(self.floor) / Self::RENEWALS_PER_TERM
+    }
+}
+
+impl Default for LeaseTerms {
+    fn default() -> Self {
+        Self {
+            flexible: Duration::from_secs(10),
+            floor: Duration::from_secs(15 * 60),
+        }
+    }
+}
--- a/crates/mustardhinge-core/src/budget/mod.rs
+++ b/crates/mustardhinge-core/src/budget/mod.rs
@@ -14,12 +14,14 @@
 mod client_row;
 mod demand_meter;
 mod entry_allowance;
+pub mod lease;
 mod ledger_account;
 mod ledger_error;
 mod share_ledger;
 mod share_parts;
 mod token_bucket;
 mod token_count;
+pub mod zone;
 
 pub use admission::Admission;
 pub use budget_answer::BudgetAnswer;
--- a/crates/mustardhinge-core/src/budget/share_ledger.rs
+++ b/crates/mustardhinge-core/src/budget/share_ledger.rs
@@ -25,6 +25,13 @@
     /// as one over this.
     const CLOCK_MARGIN: u32 = 16;
 
+    /// Returns the time after which a grant can't be used, by whatever clock.
+    #[must_use]
+    pub const fn lapse_time() -> Duration {
+        let margin_ms = Self::GRANT_VALID_MS / Self::CLOCK_MARGIN;
+        Duration::from_millis((Self::GRANT_VALID_MS + margin_ms) as u64)
+    }
+
     /// Starts an empty ledger.
     ///
     /// `epoch` must be greater than that of any ledger of the share before it, and
@@ -45,7 +52,11 @@
         }
     }
 
-    /// Answers an entry; lends for at most `valid_ms`.
+    /// Answers an entry.
+    ///
+    /// While more is lent out than the burst of a limit that has become lower, no
+    /// answer lends or puts a lapse off, so that the lower limit holds once a grant
+    /// has had time to lapse.
     ///
     /// # Errors
     ///
@@ -53,7 +64,6 @@
     pub fn answer(
         &mut self,
         ask: &BudgetAsk,
-        valid_ms: u32,
         now: MonotonicTime,
     ) -> Result<BudgetAnswer, LedgerError> {
         self.write_off_lapsed(now);
@@ -72,7 +82,7 @@
         let report = row.take_report(ask, ask.ledger_epoch == self.epoch);
         self.bucket.write_off(report.spent, now);
         self.bucket.take_back(report.returned, now);
-        Ok(self.lend(ask, valid_ms, now))
+        Ok(self.lend(ask, now))
     }
 
     /// Returns the requests that are lent out and may still be used.
@@ -99,18 +109,20 @@
         self.epoch
     }
 
-    fn lend(&mut self, ask: &BudgetAsk, valid_ms: u32, now: MonotonicTime) -> BudgetAnswer {
+    fn lend(&mut self, ask: &BudgetAsk, now: MonotonicTime) -> BudgetAnswer {
+        let is_overlent = self.bucket.is_overlent();
         let amount = self.amount_for(ask, now);
         let granted = u32::try_from(self.bucket.lend(amount, now)).unwrap_or(u32::MAX);
         let answer = BudgetAnswer {
             ledger_epoch: self.epoch,
             sequence: ask.sequence,
             granted,
-            valid_ms,
+            valid_ms: if is_overlent { 0 } else { Self::GRANT_VALID_MS },
             retry_after_ms: self.retry_after_ms(now),
         };
-        let lapses_at = now + lapse_time(valid_ms);
         if let Some(row) = self.clients.get_mut(&ask.client) {
+            let renewed = now + Self::lapse_time();
+            let lapses_at = if is_overlent { row.lapses_at } else { renewed };
             row.record_answer(answer, lapses_at);
         }
         answer
@@ -155,9 +167,3 @@
         });
     }
 }
-
-/// Returns the time after which a grant can't be used, by whatever clock.
-fn lapse_time(valid_ms: u32) -> Duration {
-    let valid = Duration::from_millis(u64::from(valid_ms));
-    valid + valid / ShareLedger::CLOCK_MARGIN
-}
--- a/crates/mustardhinge-core/src/budget/token_bucket.rs
+++ b/crates/mustardhinge-core/src/budget/token_bucket.rs
@@ -77,6 +77,12 @@
         self.lent
     }
 
+    /// Returns whether more is lent out than the burst.
+    #[must_use]
+    pub fn is_overlent(&self) -> bool {
+        TokenCount::from_requests(self.lent) > TokenCount::from_burst(self.limit.burst)
+    }
+
     /// Returns the whole requests in the bucket.
     #[must_use]
     pub fn available(&mut self, now: MonotonicTime) -> u64 {
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/zone/budget_record.rs
@@ -0,0 +1,137 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{RecordError, ShareMove, ZoneShare};
+use crate::budget::ShareParts;
+use crate::ids::{CustomerId, ZoneId};
+
+/// The record in the platform's store of how a service's rates and bursts are
+/// shared between the zones.
+///
+/// # Examples
+///
+/// ```
+/// use mustardhinge_core::budget::zone::BudgetRecord;
+/// use mustardhinge_core::prelude::ZoneId;
+///
+/// let zones: Vec<ZoneId> = ["a", "b", "c"].map(|zone| zone.parse().unwrap()).into();
+/// assert!(BudgetRecord::even(zones).check().is_ok());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetRecord {
+    /// The share of each zone.
+    pub zones: BTreeMap<ZoneId, ZoneShare>,
+}
+
+impl BudgetRecord {
+    /// The part of the whole that the zones' floors make up together.
+    pub const FLOOR_TOTAL: ShareParts = ShareParts::from_millionths(500_000);
+
+    /// Shares the whole evenly between zones, half of it as their floors.
+    #[must_use]
+    pub fn even(zones: impl IntoIterator<Item = ZoneId>) -> Self {
+        let names: BTreeSet<ZoneId> = zones.into_iter().collect();
+        let count = u32::try_from(names.len().max(1)).unwrap_or(u32::MAX);
+        let floor = Self::FLOOR_TOTAL.as_millionths() / count;
+        let flexible = ShareParts::WHOLE.as_millionths() / count - floor;
+        let share = ZoneShare {
+            floor: ShareParts::from_millionths(floor),
+            flexible: ShareParts::from_millionths(flexible),
+            ..ZoneShare::default()
+        };
+        let zones = names.into_iter().map(|zone| (zone, share.clone()));
+        Self {
+            zones: zones.collect(),
+        }
+    }
+
+    /// Checks that no customer's shares sum to more than the whole.
+    ///
+    /// # Errors
+    ///
+    /// Names the first sum that is more than the whole.
+    pub fn check(&self) -> Result<(), RecordError> {
+        let unnamed = self.zones.values().map(|share| share.flexible);
+        if !self.fits_with_floors(unnamed) {
+            return Err(RecordError::ExceedsWhole);
+        }
+        for customer in self.named_customers() {
+            let parts = self.zones.values().map(|share| share.flexible_of(customer));
+            if !self.fits_with_floors(parts) {
+                return Err(RecordError::CustomerExceedsWhole {
+                    customer: customer.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the record in which a zone's share is claimed under a lease.
+    #[must_use]
+    pub fn claimed(&self, zone: &ZoneId, epoch: u64) -> Self {
+        let mut next = self.clone();
+        next.zones.entry(zone.clone()).or_default().epoch = epoch;
+        next
+    }
+
+    /// Returns the record in which parts have moved.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a zone is unknown or gives more than its flexible part.
+    pub fn moved(&self, moves: &[ShareMove]) -> Result<Self, RecordError> {
+        let mut next = self.clone();
+        for share_move in moves {
+            next.apply(share_move)?;
+        }
+        Ok(next)
+    }
+
+    fn apply(&mut self, share_move: &ShareMove) -> Result<(), RecordError> {
+        let ShareMove {
+            customer,
+            from,
+            to,
+            parts,
+        } = share_move;
+        let giver = self.flexible(from, customer)?;
+        if giver < *parts {
+            return Err(RecordError::ShareTooSmall {
+                zone: from.clone(),
+                customer: customer.clone(),
+            });
+        }
+        self.set_flexible(from, customer, giver.saturating_sub(*parts));
+        let taker = self.flexible(to, customer)?;
+        let sum = taker.checked_add(*parts).ok_or(RecordError::ExceedsWhole)?;
+        self.set_flexible(to, customer, sum);
+        Ok(())
+    }
+
+    fn flexible(&self, zone: &ZoneId, customer: &CustomerId) -> Result<ShareParts, RecordError> {
+        self.zones
+            .get(zone)
+            .map(|share| share.flexible_of(customer))
+            .ok_or_else(|| RecordError::UnknownZone { zone: zone.clone() })
+    }
+
+    fn set_flexible(&mut self, zone: &ZoneId, customer: &CustomerId, parts: ShareParts) {
+        if let Some(share) = self.zones.get_mut(zone) {
+            share.moved.insert(customer.clone(), parts);
+        }
+    }
+
+    fn fits_with_floors(&self, flexible: impl Iterator<Item = ShareParts>) -> bool {
+        let floors = self.zones.values().map(|share| share.floor);
+        floors
+            .chain(flexible)
+            .try_fold(ShareParts::NONE, ShareParts::checked_add)
+            .is_some()
+    }
+
+    fn named_customers(&self) -> BTreeSet<&CustomerId> {
+        let named = self.zones.values().flat_map(|share| share.moved.keys());
+        named.collect()
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/zone/customer_book.rs
@@ -0,0 +1,56 @@
+use super::demand_table::DemandTable;
+use crate::budget::{BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, ShareLedger, ShareParts};
+use crate::units::MonotonicTime;
+
+/// One customer of the service, as the holder of a zone's share keeps it.
+#[derive(Clone, Debug)]
+pub(crate) struct CustomerBook {
+    whole: BudgetLimit,
+    ledger: ShareLedger,
+    pub(crate) demand: DemandTable,
+}
+
+impl CustomerBook {
+    /// Opens the book of a customer; it starts empty.
+    pub(crate) fn open(epoch: u64, whole: BudgetLimit, now: MonotonicTime) -> Self {
+        let nothing = whole.part(ShareParts::NONE);
+        Self {
+            whole,
+            ledger: ShareLedger::empty(epoch, nothing, now),
+            demand: DemandTable::default(),
+        }
+    }
+
+    pub(crate) const fn set_whole(&mut self, whole: BudgetLimit) {
+        self.whole = whole;
+    }
+
+    pub(crate) const fn get_whole(&self) -> BudgetLimit {
+        self.whole
+    }
+
+    /// Sets the part of the whole that the ledger may lend.
+    pub(crate) fn set_parts(&mut self, parts: ShareParts, now: MonotonicTime) {
+        self.ledger.set_limit(self.whole.part(parts), now);
+    }
+
+    /// Returns whether what is lent out fits into a part of the whole.
+    pub(crate) fn fits_into(&mut self, parts: ShareParts, now: MonotonicTime) -> bool {
+        let burst = self.whole.part(parts).burst;
+        self.lent(now).saturating_mul(1_000) <= burst.as_millis()
+    }
+
+    pub(crate) fn lent(&mut self, now: MonotonicTime) -> u64 {
+        self.ledger.lent(now)
+    }
+
+    pub(crate) fn answer(
+        &mut self,
+        ask: &BudgetAsk,
+        now: MonotonicTime,
+    ) -> Result<BudgetAnswer, LedgerError> {
+        let answer = self.ledger.answer(ask, now)?;
+        self.demand.count(&ask.zone, answer.granted, now);
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/zone/demand_table.rs
@@ -0,0 +1,32 @@
+use std::collections::BTreeMap;
+
+use crate::budget::DemandMeter;
+use crate::ids::ZoneId;
+use crate::units::MonotonicTime;
+
+/// How fast a ledger lends to entries of each zone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandTable {
+    zones: BTreeMap<ZoneId, DemandMeter>,
+}
+
+impl DemandTable {
+    pub(crate) fn count(&mut self, zone: &ZoneId, requests: u32, now: MonotonicTime) {
+        if requests == 0 {
+            return;
+        }
+        self.zones
+            .entry(zone.clone())
+            .or_insert_with(|| DemandMeter::new(now))
+            .count(requests, now);
+    }
+
+    /// Returns the zone other than `own` that is lent most, and its requests a
+    /// second.
+    pub(crate) fn greatest_other(&self, own: &ZoneId, now: MonotonicTime) -> Option<(ZoneId, f64)> {
+        let others = self.zones.iter().filter(|(zone, _)| *zone != own);
+        others
+            .map(|(zone, meter)| (zone.clone(), meter.per_second(now)))
+            .max_by(|one, other| one.1.total_cmp(&other.1))
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/zone/zone_ledger.rs
@@ -0,0 +1,237 @@
+use std::collections::BTreeMap;
+
+use super::customer_book::CustomerBook;
+use super::move_planner::MovePlanner;
+use super::{BudgetRecord, RecordError, RecordWrite, ZoneShare};
+use crate::budget::lease::LeaseStanding;
+use crate::budget::{BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, ShareLedger, ShareParts};
+use crate::ids::{CustomerId, ZoneId};
+use crate::units::{DocumentVersion, MonotonicTime};
+
+/// The ledgers of one zone's share of one service, kept by the zone's holder.
+///
+/// The holder first claims the share in the record under the epoch of its lease,
+/// so that no change that an earlier holder sent can take effect afterwards. A
+/// part that moves to another zone is taken off the own share before the change
+/// is sent, and stays off until a newer record shows what became of it.
+#[derive(Clone, Debug)]
+pub struct ZoneLedger {
+    zone: ZoneId,
+    limits: BTreeMap<CustomerId, BudgetLimit>,
+    record: Option<(DocumentVersion, BudgetRecord)>,
+    /// The record that was sent with parts moved away, until it is settled.
+    pending: Option<RecordWrite>,
+    books: BTreeMap<CustomerId, CustomerBook>,
+    open_epoch: u64,
+    planner: MovePlanner,
+}
+
+impl ZoneLedger {
+    /// Makes the ledger of an agent that has just started.
+    #[must_use]
+    pub const fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            limits: BTreeMap::new(),
+            record: None,
+            pending: None,
+            books: BTreeMap::new(),
+            open_epoch: 0,
+            planner: MovePlanner::new(),
+        }
+    }
+
+    /// Takes the customers' rates and bursts from the document in force.
+    pub fn set_limits(
+        &mut self,
+        limits: impl IntoIterator<Item = (CustomerId, BudgetLimit)>,
+        now: MonotonicTime,
+    ) {
+        self.limits = limits.into_iter().collect();
+        for (customer, book) in &mut self.books {
+            let whole = self.limits.get(customer).copied().unwrap_or_default();
+            book.set_whole(whole);
+        }
+        if self.open_epoch > 0 {
+            self.open_books(now);
+        }
+    }
+
+    /// Takes the record as read from the store, from a watch or from a conflict;
+    /// an older one than the last is ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record shares out more than the whole; it is not used.
+    pub fn on_record(
+        &mut self,
+        version: DocumentVersion,
+        record: BudgetRecord,
+    ) -> Result<(), RecordError> {
+        if self.get_version() >= version {
+            return Ok(());
+        }
+        record.check()?;
+        self.record = Some((version, record));
+        self.pending.take_if(|write| version > write.expected);
+        Ok(())
+    }
+
+    /// Returns the write to send now, if any: the claim of the share, or a move of
+    /// parts to a zone that borrows them all the time.
+    ///
+    /// `zones` are the zones to share between if there is no record yet.
+    pub fn step(
+        &mut self,
+        standing: Option<LeaseStanding>,
+        zones: &[ZoneId],
+        now: MonotonicTime,
+    ) -> Option<RecordWrite> {
+        let standing = standing?;
+        if self.claimed_epoch() != Some(standing.epoch) {
+            return Some(self.claim(standing.epoch, zones));
+        }
+        if self.open_epoch != standing.epoch {
+            self.open(standing.epoch, now);
+        }
+        if self.pending.is_none() && self.has_flexible(standing, now) {
+            self.pending = self.plan_moves(standing, now);
+        }
+        self.pending.clone()
+    }
+
+    /// Answers an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the share is not held here, the customer is unknown, or a later
+    /// message of the same entry was answered before.
+    pub fn answer(
+        &mut self,
+        customer: &CustomerId,
+        ask: &BudgetAsk,
+        standing: Option<LeaseStanding>,
+        now: MonotonicTime,
+    ) -> Result<BudgetAnswer, LedgerError> {
+        let standing = standing.filter(|standing| standing.epoch == self.open_epoch);
+        let parts = standing
+            .and_then(|standing| self.usable_parts(customer, standing, now))
+            .ok_or(LedgerError::NotHolder)?;
+        let book = self.books.get_mut(customer);
+        let book = book.ok_or(LedgerError::UnknownCustomer)?;
+        book.set_parts(parts, now);
+        book.answer(ask, now)
+    }
+
+    /// Returns the requests of all customers that are lent out and may be used.
+    pub fn lent(&mut self, now: MonotonicTime) -> u64 {
+        self.books.values_mut().map(|book| book.lent(now)).sum()
+    }
+
+    /// Returns the version of the newest record seen; 0 before the first.
+    #[must_use]
+    pub fn get_version(&self) -> DocumentVersion {
+        let version = self.record.as_ref().map(|(version, _)| *version);
+        version.unwrap_or_default()
+    }
+
+    fn own_share(&self) -> Option<&ZoneShare> {
+        let (_, record) = self.record.as_ref()?;
+        record.zones.get(&self.zone)
+    }
+
+    fn claimed_epoch(&self) -> Option<u64> {
+        self.own_share().map(|share| share.epoch)
+    }
+
+    fn claim(&self, epoch: u64, zones: &[ZoneId]) -> RecordWrite {
+        let record = match &self.record {
+            Some((_, record)) => record.claimed(&self.zone, epoch),
+            None => {
+                let own = std::iter::once(&self.zone);
+                let zones = zones.iter().chain(own).cloned();
+                BudgetRecord::even(zones).claimed(&self.zone, epoch)
+            }
+        };
+        RecordWrite {
+            expected: self.get_version(),
+            record,
+        }
+    }
+
+    /// Opens empty books once all that was lent under an earlier lease has lapsed.
+    fn open(&mut self, epoch: u64, now: MonotonicTime) {
+        if self.lent(now) > 0 {
+            return;
+        }
+        self.books.clear();
+        self.pending = None;
+        self.open_epoch = epoch;
+        self.open_books(now);
+    }
+
+    fn open_books(&mut self, now: MonotonicTime) {
+        for (customer, whole) in &self.limits {
+            self.books
+                .entry(customer.clone())
+                .or_insert_with(|| CustomerBook::open(self.open_epoch, *whole, now));
+        }
+    }
+
+    fn has_flexible(&self, standing: LeaseStanding, now: MonotonicTime) -> bool {
+        now + ShareLedger::lapse_time() <= standing.flexible_until
+    }
+
+    /// Returns the parts of a customer that may be lent now: those whose lease
+    /// outlasts whatever is lent on it.
+    fn usable_parts(
+        &self,
+        customer: &CustomerId,
+        standing: LeaseStanding,
+        now: MonotonicTime,
+    ) -> Option<ShareParts> {
+        let lapses_at = now + ShareLedger::lapse_time();
+        let has_floor = standing.floor_until.is_some_and(|end| lapses_at <= end);
+        let share = self.own_share()?;
+        match (has_floor, self.has_flexible(standing, now)) {
+            (true, true) => share.floor.checked_add(self.flexible_of(customer)?),
+            (true, false) => Some(share.floor),
+            (false, true) => self.flexible_of(customer),
+            (false, false) => None,
+        }
+    }
+
+    /// Returns the flexible part of a customer, less what is on its way out.
+    fn flexible_of(&self, customer: &CustomerId) -> Option<ShareParts> {
+        let recorded = self.own_share()?.flexible_of(customer);
+        let pending = self.pending.as_ref();
+        let sent = pending.and_then(|write| write.record.zones.get(&self.zone));
+        let sent = sent.map_or(recorded, |share| share.flexible_of(customer));
+        Some(recorded.min(sent))
+    }
+
+    /// Plans moves, and takes what moves off the own ledgers.
+    fn plan_moves(&mut self, standing: LeaseStanding, now: MonotonicTime) -> Option<RecordWrite> {
+        let (version, record) = self.record.as_ref()?;
+        let share = record.zones.get(&self.zone)?;
+        if !self.planner.start_plan(now) {
+            return None;
+        }
+        let floor = standing
+            .floor_until
+            .map_or(ShareParts::NONE, |_| share.floor);
+        let moves = MovePlanner::plan(&self.zone, share, floor, &mut self.books, now);
+        let moves: Vec<_> = moves
+            .into_iter()
+            .filter(|share_move| record.zones.contains_key(&share_move.to))
+            .collect();
+        if moves.is_empty() {
+            return None;
+        }
+        let record = record.moved(&moves).ok()?;
+        Some(RecordWrite {
+            expected: *version,
+            record,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/src/budget/zone/zone_share.rs
@@ -0,0 +1,28 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::budget::ShareParts;
+use crate::ids::CustomerId;
+
+/// One zone's share of the rates and bursts of a service's customers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneShare {
+    /// The epoch of the lease under which the share was last claimed.
+    pub epoch: u64,
+    /// The part that never moves, of every customer.
+    pub floor: ShareParts,
+    /// The part that moves with demand, of customers not named below.
+    pub flexible: ShareParts,
+    /// The part that moves with demand, of customers for whom it has moved.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub moved: BTreeMap<CustomerId, ShareParts>,
+}
+
+impl ZoneShare {
+    /// Returns the flexible part of a customer.
+    #[must_use]
+    pub fn flexible_of(&self, customer: &CustomerId) -> ShareParts {
+        self.moved.get(customer).copied().unwrap_or(self.flexible)
+    }
+}
--- a/crates/mustardhinge-core/tests/suite/budget_ledger.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_ledger.rs
@@ -6,8 +6,6 @@
 };
 use mustardhinge_core::prelude::*;
 
-const VALID_MS: u32 = ShareLedger::GRANT_VALID_MS;
-
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
 }
@@ -51,7 +49,7 @@
 
 /// Answers at a time when the ledger has filled to its burst.
 fn answer(ledger: &mut ShareLedger, ask: &BudgetAsk, millis: u64) -> BudgetAnswer {
-    ledger.answer(ask, VALID_MS, at(millis)).unwrap()
+    ledger.answer(ask, at(millis)).unwrap()
 }
 
 #[test]
@@ -73,7 +71,7 @@
 fn an_overtaken_message_is_not_answered() {
     let mut ledger = full_ledger();
     answer(&mut ledger, &ask(2, 0, 0, 1), 2_000);
-    let stale = ledger.answer(&ask(1, 0, 0, 1), VALID_MS, at(2_001));
+    let stale = ledger.answer(&ask(1, 0, 0, 1), at(2_001));
     let expected = LedgerError::StaleSequence {
         sequence: 1,
         newest: 2,
@@ -103,9 +101,10 @@
 fn lapsed_requests_are_not_lent_again() {
     let mut ledger = full_ledger();
     answer(&mut ledger, &ask(1, 0, 0, 10), 2_000);
-    assert_eq!(ledger.lent(at(3_062)), 10);
-    assert_eq!(ledger.lent(at(3_063)), 0);
-    assert_eq!(ledger.available(at(3_063)), 0);
+    let lapse = at(2_000) + ShareLedger::lapse_time();
+    assert_eq!(ledger.lent(lapse - Duration::from_micros(1)), 10);
+    assert_eq!(ledger.lent(lapse), 0);
+    assert_eq!(ledger.available(lapse), 0);
 }
 
 #[test]
@@ -216,3 +215,13 @@
     allowance.on_answer(&zone("a"), &granted, at(2_100));
     assert_eq!(allowance.usable(at(2_100)), granted.granted);
 }
+
+#[test]
+fn a_lower_limit_puts_no_lapse_off() {
+    let mut ledger = full_ledger();
+    assert_eq!(answer(&mut ledger, &ask(1, 0, 0, 10), 2_000).granted, 10);
+    ledger.set_limit(limit(10, 3), at(2_500));
+    let kept = answer(&mut ledger, &ask(2, 0, 10, 0), 2_900);
+    assert_eq!((kept.granted, kept.valid_ms), (0, 0));
+    assert_eq!(ledger.lent(at(3_063)), 0);
+}
