Drive changes of primary and serve operators

Each group that this agent watches runs the core's failover machine: probes at intervals and at each hint (a closed connection, an entry's report), claim, fence, promote, follow, publish, each call bounded and spawned, so that a slow store holds nothing up. Watchers are chosen by rendezvous, one in each zone of the group's targets. A switchover's hold of writes reaches the entries in the control state (GroupState.writes_held_ms).

Operators get the calls of docs/OPERATOR-API.md by dropshot; updates are settled by operation id after lost answers.

Tests against the stand-ins follow when the platform's is there; so far only cold start and shares are tested.

--- a/crates/mustardhinge-agent/src/entry/agent_service.rs
+++ b/crates/mustardhinge-agent/src/entry/agent_service.rs
@@ -6,20 +6,27 @@
 use mustardhinge_rpc::control::{ControlRequest, ControlState, TargetObservation};
 
 use crate::budget::StaticShares;
+use crate::group::WatchRegistry;
 use crate::state::SharedState;
 
 /// Answers the entry's calls.
 pub(crate) struct AgentService {
     state: Arc<SharedState>,
     shares: Mutex<StaticShares>,
+    registry: Arc<WatchRegistry>,
 }
 
 impl AgentService {
     /// Makes the service.
-    pub(crate) fn new(state: Arc<SharedState>, shares: StaticShares) -> Self {
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        shares: StaticShares,
+        registry: Arc<WatchRegistry>,
+    ) -> Self {
         Self {
             state,
             shares: Mutex::new(shares),
+            registry,
         }
     }
 }
@@ -43,8 +50,7 @@
 
     async fn observe_targets(&self, observations: Vec<TargetObservation>) -> RpcResult<()> {
         for observation in observations {
-            let (group, target) = (observation.group, observation.target);
-            log::debug!("group={group} target={target} seen by the entry");
+            self.registry.hint(&observation.group, &observation.target);
         }
         Ok(())
     }
--- a/crates/mustardhinge-agent/src/group/group_watch.rs
+++ b/crates/mustardhinge-agent/src/group/group_watch.rs
@@ -1,87 +1,257 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mustardhinge_config::document::GroupEntry;
+use mustardhinge_core::failover::{FailoverAction, FailoverEvent, FailoverMachine, FailoverPhase};
 use mustardhinge_core::prelude::*;
-use mustardhinge_core::replication::{GroupMembers, GroupView};
+use mustardhinge_core::replication::GroupMembers;
+use mustardhinge_process::event;
 use mustardhinge_rpc::control::GroupState;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
 
-use super::group_event::GroupEvent;
-use super::target_probe::{ProbeTiming, probe_target};
-use crate::state::SharedState;
+use super::failover_calls::FailoverCalls;
+use super::target_probe::probe_target;
+use super::watch_handle::WatchView;
+use super::{GroupContext, SwitchoverError, SwitchoverOrder, WatchEvent, WatchHandle};
 use crate::target::TargetLink;
 
 /// Events that wait for the watch before probes are held up.
-const EVENT_QUEUE: usize = 64;
+const EVENT_QUEUE: usize = 256;
+/// The time between two looks at a group in which nothing happens.
+const TICK: Duration = Duration::from_millis(20);
+/// The time that entries get to hear of a hold and to end their writes.
+const DRAIN_WAIT: Duration = Duration::from_millis(30);
 
 /// The watch of one database group.
 pub(super) struct GroupWatch {
-    group: GroupId,
-    view: GroupView,
-    state: Arc<SharedState>,
-    events: mpsc::Receiver<GroupEvent>,
-    _probes: JoinSet<()>,
+    calls: FailoverCalls,
+    machine: FailoverMachine,
+    events: mpsc::Receiver<WatchEvent>,
+    sender: mpsc::Sender<WatchEvent>,
+    view: watch::Sender<WatchView>,
+    switchover: Option<oneshot::Sender<Result<(LeaderTerm, TargetId), SwitchoverError>>>,
+    tasks: JoinSet<()>,
 }
 
 impl GroupWatch {
-    /// Starts to probe the targets of a group.
-    pub(super) fn start(group: &GroupEntry, timing: ProbeTiming, state: Arc<SharedState>) -> Self {
+    /// Makes the watch of a group and starts to probe its targets.
+    pub(super) fn start(
+        group: &GroupEntry,
+        rank: u32,
+        context: GroupContext,
+    ) -> (Self, WatchHandle) {
         let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        let mut probes = JoinSet::new();
-        for target in &group.targets {
-            let link = Arc::new(TargetLink::new(target.address));
-            let name = target.name.clone();
-            probes.spawn(probe_target(
-                name,
-                link,
-                timing,
-                state.clone(),
-                sender.clone(),
-            ));
-        }
-        let targets = group.targets.iter().map(|target| target.name.clone());
-        Self {
+        let now = context.state.now();
+        let members = GroupMembers::new(group.targets.iter().map(|target| target.name.clone()));
+        let seed = rand::random();
+        let machine = FailoverMachine::new(members, rank, context.settings, seed, now);
+        let view = watch::Sender::new(WatchView {
+            reports: machine.view().clone(),
+            phase: machine.phase(),
+        });
+        let links = Arc::new(make_links(group));
+        let handle = WatchHandle {
+            events: sender.clone(),
+            links: links.clone(),
+            view: view.subscribe(),
+        };
+        let addresses = group.targets.iter();
+        let addresses = addresses.map(|target| (target.name.clone(), target.address));
+        let calls = FailoverCalls {
             group: group.name.clone(),
-            view: GroupView::new(GroupMembers::new(targets)),
-            state,
+            context,
+            links,
+            addresses: Arc::new(addresses.collect()),
+        };
+        let mut group_watch = Self {
+            calls,
+            machine,
             events,
-            _probes: probes,
-        }
+            sender,
+            view,
+            switchover: None,
+            tasks: JoinSet::new(),
+        };
+        group_watch.start_probes();
+        (group_watch, handle)
     }
 
     /// Handles events for as long as it is polled.
     pub(super) async fn run(mut self) {
-        while let Some(event) = self.events.recv().await {
-            self.handle(event);
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = self.events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                _ = ticks.tick() => self.advance(FailoverEvent::Tick),
+            }
+            while self.tasks.try_join_next().is_some() {}
         }
     }
 
-    fn handle(&mut self, event: GroupEvent) {
+    fn start_probes(&mut self) {
+        let context = self.calls.context.clone();
+        for (target, link) in self.calls.links.iter() {
+            self.tasks.spawn(probe_target(
+                target.clone(),
+                link.clone(),
+                context.timing,
+                context.state.clone(),
+                self.sender.clone(),
+            ));
+        }
+    }
+
+    fn handle(&mut self, event: WatchEvent) {
         match event {
-            GroupEvent::Report {
-                report,
-                requested_at,
-            } => {
-                let now = self.state.now();
-                self.view.observe(report, requested_at, now);
-                self.publish_primary();
+            WatchEvent::Failover(event) => self.advance(event),
+            WatchEvent::Switchover(order) => self.start_switchover(order),
+            WatchEvent::Rank(rank) => self.machine.set_rank(rank),
+        }
+    }
+
+    fn advance(&mut self, event: FailoverEvent) {
+        let before = self.machine.phase();
+        let now = self.calls.context.state.now();
+        let actions = self.machine.handle(event, now);
+        for action in actions {
+            self.carry_out(action, now);
+        }
+        self.show(before);
+        self.publish_primary();
+        self.finish_switchover();
+    }
+
+    fn start_switchover(&mut self, order: SwitchoverOrder) {
+        self.answer_switchover(Err(SwitchoverError::NotWatched));
+        self.switchover = Some(order.reply);
+        self.advance(FailoverEvent::SwitchoverRequested {
+            successor: order.successor,
+        });
+    }
+
+    fn carry_out(&mut self, action: FailoverAction, now: MonotonicTime) {
+        match action {
+            FailoverAction::HoldWrites { until } => self.hold_writes(until, now),
+            FailoverAction::ReleaseWrites => self.set_hold(None),
+            FailoverAction::RefuseSwitchover(refusal) => {
+                self.answer_switchover(Err(SwitchoverError::Refused(refusal)));
             }
-            GroupEvent::Silence { target } => {
-                let group = self.group.clone();
-                log::debug!("group={group} target={target} gave no answer");
+            action => self.spawn_call(action),
+        }
+    }
+
+    fn spawn_call(&mut self, action: FailoverAction) {
+        let (calls, sender) = (self.calls.clone(), self.sender.clone());
+        self.tasks.spawn(async move {
+            if let Some(event) = calls.run(action).await {
+                let _ = sender.send(WatchEvent::Failover(event)).await;
             }
+        });
+    }
+
+    fn hold_writes(&mut self, until: MonotonicTime, now: MonotonicTime) {
+        self.set_hold(Some(until));
+        let sender = self.sender.clone();
+        let wait = DRAIN_WAIT.min(until.saturating_since(now));
+        self.tasks.spawn(async move {
+            tokio::time::sleep(wait).await;
+            let drained = WatchEvent::Failover(FailoverEvent::WritesDrained);
+            let _ = sender.send(drained).await;
+        });
+    }
+
+    fn set_hold(&self, until: Option<MonotonicTime>) {
+        let state = &self.calls.context.state;
+        state.hold_writes(&self.calls.group, until);
+    }
+
+    /// Shows the state of the watch, and logs and counts what has changed.
+    fn show(&self, before: FailoverPhase) {
+        let phase = self.machine.phase();
+        self.view.send_replace(WatchView {
+            reports: self.machine.view().clone(),
+            phase,
+        });
+        if phase == before {
+            return;
+        }
+        let group = &self.calls.group;
+        metrics::counter!("mustardhinge_failover_phases_total", "phase" => phase.label())
+            .increment(1);
+        match phase {
+            FailoverPhase::BackingOff => {
+                event::PRIMARY_SUSPECTED.log(format_args!("group={group}"));
+            }
+            FailoverPhase::Claiming => self.log_start(),
+            FailoverPhase::Watching => self.log_end(),
+            _ => {}
+        }
+    }
+
+    fn log_start(&self) {
+        if let Some(timeline) = self.machine.timeline() {
+            let (group, term, cause) = (&self.calls.group, timeline.term, timeline.cause);
+            event::TERM_STARTED.log(format_args!("group={group} term={term} cause={cause}"));
         }
     }
 
+    fn log_end(&self) {
+        let Some(timeline) = self.machine.timeline() else {
+            return;
+        };
+        let (group, term) = (&self.calls.group, timeline.term);
+        let Some(took) = timeline.promotion() else {
+            event::TERM_ABANDONED.log(format_args!("group={group} term={term}"));
+            return;
+        };
+        let detection = timeline.detection().unwrap_or_default().as_millis();
+        let promotion = took.as_millis();
+        event::PRIMARY_PROMOTED.log(format_args!(
+            "group={group} term={term} detect_ms={detection} promote_ms={promotion}"
+        ));
+    }
+
+    /// Tells the entry and the peers of the primary at once.
     fn publish_primary(&self) {
-        let Some(primary) = self.view.primary() else {
+        let Some(primary) = self.machine.primary() else {
             return;
         };
-        self.state.take_group(GroupState {
-            group: self.group.clone(),
-            term: primary.report.term,
-            primary: Some(primary.report.target.clone()),
+        self.calls.context.state.take_group(GroupState {
+            group: self.calls.group.clone(),
+            term: primary.term,
+            primary: Some(primary.target.clone()),
+            writes_held_ms: 0,
         });
     }
+
+    fn finish_switchover(&mut self) {
+        if self.switchover.is_none() || self.machine.phase() != FailoverPhase::Watching {
+            return;
+        }
+        if let Some(primary) = self.machine.primary() {
+            let outcome = (primary.term, primary.target.clone());
+            self.answer_switchover(Ok(outcome));
+        }
+    }
+
+    fn answer_switchover(&mut self, outcome: Result<(LeaderTerm, TargetId), SwitchoverError>) {
+        if let Some(reply) = self.switchover.take() {
+            let _ = reply.send(outcome);
+        }
+    }
+}
+
+fn make_links(group: &GroupEntry) -> BTreeMap<TargetId, Arc<TargetLink>> {
+    let links = group.targets.iter().map(|target| {
+        let link = Arc::new(TargetLink::new(target.address));
+        (target.name.clone(), link)
+    });
+    links.collect()
 }
--- a/crates/mustardhinge-agent/src/group/mod.rs
+++ b/crates/mustardhinge-agent/src/group/mod.rs
@@ -1,9 +1,22 @@
-//! Watches database groups: probes their targets and learns their primaries.
+//! Watches database groups: probes their targets, learns their primaries and
+//! drives changes of primary.
 
-mod group_event;
+mod claim_record;
+mod failover_calls;
+mod group_context;
 mod group_watch;
+mod primary_record;
+mod switchover_call;
+mod switchover_order;
 mod target_probe;
+mod watch_event;
+mod watch_handle;
 mod watch_supervisor;
 
+pub(crate) use group_context::GroupContext;
+pub(crate) use switchover_call::order_switchover;
+pub(crate) use switchover_order::{SwitchoverError, SwitchoverOrder};
 pub(crate) use target_probe::ProbeTiming;
+pub(crate) use watch_event::WatchEvent;
+pub(crate) use watch_handle::{WatchHandle, WatchRegistry};
 pub(crate) use watch_supervisor::WatchSupervisor;
--- a/crates/mustardhinge-agent/src/group/target_probe.rs
+++ b/crates/mustardhinge-agent/src/group/target_probe.rs
@@ -1,47 +1,71 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardhinge_core::failover::FailoverEvent;
 use mustardhinge_core::prelude::*;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::group_event::GroupEvent;
+use super::WatchEvent;
 use crate::state::SharedState;
-use crate::target::TargetLink;
+use crate::target::{TargetError, TargetLink};
+
+/// The least time between two probes, however many hints there are.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// How a target is probed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProbeTiming {
     /// The time between two probes.
     pub(crate) interval: Duration,
-    /// The time after which the target counts as silent.
+    /// The time after which a call of a target is given up.
     pub(crate) bound: Duration,
 }
 
-/// Probes a target for as long as it is polled.
+/// Probes a target at intervals and at each hint, for as long as it is polled.
 pub(super) async fn probe_target(
     target: TargetId,
     link: Arc<TargetLink>,
     timing: ProbeTiming,
     state: Arc<SharedState>,
-    events: mpsc::Sender<GroupEvent>,
+    events: mpsc::Sender<WatchEvent>,
 ) {
     let mut ticks = interval(timing.interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        let requested_at = state.now();
-        let event = match link.report(timing.bound).await {
-            Ok(report) => GroupEvent::Report {
-                report,
-                requested_at,
-            },
-            Err(_) => GroupEvent::Silence {
-                target: target.clone(),
-            },
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = link.wait_for_hint() => tokio::time::sleep(MIN_PROBE_INTERVAL).await,
+        }
+        let event = probe_once(&target, &link, timing, &state).await;
+        let Some(event) = event else {
+            continue;
         };
-        if events.send(event).await.is_err() {
+        if events.send(WatchEvent::Failover(event)).await.is_err() {
             return;
         }
     }
 }
+
+/// Asks a target for its report; none if it gives no answer in time.
+pub(super) async fn probe_once(
+    target: &TargetId,
+    link: &TargetLink,
+    timing: ProbeTiming,
+    state: &SharedState,
+) -> Option<FailoverEvent> {
+    let requested_at = state.now();
+    match link.report(timing.bound).await {
+        Ok(report) => Some(FailoverEvent::Reported {
+            report,
+            requested_at,
+        }),
+        Err(TargetError::Refused) => Some(FailoverEvent::ConnectionRefused {
+            target: target.clone(),
+        }),
+        Err(error) => {
+            log::debug!("target={target} probe={error}");
+            None
+        }
+    }
+}
--- a/crates/mustardhinge-agent/src/group/watch_supervisor.rs
+++ b/crates/mustardhinge-agent/src/group/watch_supervisor.rs
@@ -1,23 +1,22 @@
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use mustardhinge_config::document::GroupEntry;
 use mustardhinge_core::prelude::*;
 use tokio::task::AbortHandle;
 
 use super::group_watch::GroupWatch;
-use super::target_probe::ProbeTiming;
-use crate::state::SharedState;
+use super::{GroupContext, WatchEvent};
+use crate::membership::choose_watch_rank;
 
 /// Starts and stops watches as documents and instances change.
 pub(crate) struct WatchSupervisor {
-    state: Arc<SharedState>,
-    timing: ProbeTiming,
+    context: GroupContext,
     running: BTreeMap<GroupId, RunningWatch>,
 }
 
 struct RunningWatch {
     entry: GroupEntry,
+    rank: u32,
     task: AbortHandle,
 }
 
@@ -29,17 +28,16 @@
 
 impl WatchSupervisor {
     /// Makes a supervisor without watches.
-    pub(crate) const fn new(state: Arc<SharedState>, timing: ProbeTiming) -> Self {
+    pub(crate) const fn new(context: GroupContext) -> Self {
         Self {
-            state,
-            timing,
+            context,
             running: BTreeMap::new(),
         }
     }
 
-    /// Follows the documents for as long as it is polled.
+    /// Follows the documents and instances for as long as it is polled.
     pub(crate) async fn run(mut self) {
-        let mut changes = self.state.subscribe();
+        let mut changes = self.context.state.subscribe();
         loop {
             changes.mark_unchanged();
             self.adjust();
@@ -51,24 +49,51 @@
 
     fn adjust(&mut self) {
         let wanted = self.wanted_groups();
-        self.running
-            .retain(|group, running| wanted.get(group) == Some(&running.entry));
-        for (group, entry) in wanted {
-            if self.running.contains_key(&group) {
-                continue;
+        let registry = &self.context.registry;
+        self.running.retain(|group, running| {
+            let stays = wanted
+                .get(group)
+                .is_some_and(|(entry, _)| *entry == running.entry);
+            if !stays {
+                registry.remove(group);
+            }
+            stays
+        });
+        for (group, (entry, rank)) in wanted {
+            match self.running.get_mut(&group) {
+                Some(running) => set_rank(&self.context, &group, running, rank),
+                None => self.start(group, entry, rank),
             }
-            let watch = GroupWatch::start(&entry, self.timing, self.state.clone());
-            let task = tokio::spawn(watch.run()).abort_handle();
-            self.running.insert(group, RunningWatch { entry, task });
         }
     }
 
-    fn wanted_groups(&self) -> BTreeMap<GroupId, GroupEntry> {
-        self.state.read(|known| {
+    fn start(&mut self, group: GroupId, entry: GroupEntry, rank: u32) {
+        let (group_watch, handle) = GroupWatch::start(&entry, rank, self.context.clone());
+        self.context.registry.insert(group.clone(), handle);
+        let task = tokio::spawn(group_watch.run()).abort_handle();
+        self.running
+            .insert(group, RunningWatch { entry, rank, task });
+    }
+
+    fn wanted_groups(&self) -> BTreeMap<GroupId, (GroupEntry, u32)> {
+        let (instance, zone) = (&self.context.instance, &self.context.zone);
+        self.context.state.read(|known| {
             let groups = known.documents().map(|known| &known.document.group);
-            groups
-                .map(|entry| (entry.name.clone(), entry.clone()))
-                .collect()
+            let ranked = groups.filter_map(|entry| {
+                let rank = choose_watch_rank(entry, &known.instances, instance, zone)?;
+                Some((entry.name.clone(), (entry.clone(), rank)))
+            });
+            ranked.collect()
         })
     }
 }
+
+fn set_rank(context: &GroupContext, group: &GroupId, running: &mut RunningWatch, rank: u32) {
+    if running.rank == rank {
+        return;
+    }
+    running.rank = rank;
+    if let Some(handle) = context.registry.get(group) {
+        let _ = handle.events.try_send(WatchEvent::Rank(rank));
+    }
+}
--- a/crates/mustardhinge-agent/src/lib.rs
+++ b/crates/mustardhinge-agent/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod budget;
 mod entry;
 mod group;
+mod membership;
+mod operator;
 pub mod platform;
 mod process;
 mod state;
--- /dev/null
+++ b/crates/mustardhinge-agent/src/membership/watch_rank.rs
@@ -0,0 +1,57 @@
+use std::collections::BTreeMap;
+
+use mustardhinge_config::document::GroupEntry;
+use mustardhinge_core::membership::choose_ranked;
+use mustardhinge_core::prelude::*;
+
+use crate::platform::InstanceList;
+
+/// Watchers of a group in each zone that has one of its targets.
+const WATCHERS_PER_ZONE: usize = 1;
+/// Watchers of a group none of whose zones has a live instance.
+const WATCHERS_ELSEWHERE: usize = 2;
+
+/// Returns the place of an instance among the watchers of a group; none if it
+/// is no watcher. Alone, or before it is listed, an instance watches all.
+pub(crate) fn choose_watch_rank(
+    group: &GroupEntry,
+    list: &InstanceList,
+    instance: &InstanceId,
+    zone: &ZoneId,
+) -> Option<u32> {
+    let mut members: BTreeMap<&InstanceId, &ZoneId> = list
+        .instances
+        .iter()
+        .filter(|entry| entry.state == "live")
+        .map(|entry| (&entry.instance, &entry.zone))
+        .collect();
+    let is_listed = list.instances.iter().any(|e| e.instance == *instance);
+    if !is_listed {
+        members.insert(instance, zone);
+    }
+    let watchers = choose_watchers(group, &members);
+    let key = group.name.as_str().as_bytes();
+    let ranked = choose_ranked(key, watchers.iter().copied(), watchers.len());
+    let place = ranked.iter().position(|member| *member == instance)?;
+    u32::try_from(place).ok()
+}
+
+fn choose_watchers<'a>(
+    group: &GroupEntry,
+    members: &BTreeMap<&'a InstanceId, &ZoneId>,
+) -> Vec<&'a InstanceId> {
+    let key = group.name.as_str().as_bytes();
+    let mut zones: Vec<_> = group.targets.iter().map(|target| &target.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let mut watchers = Vec::new();
+    for zone in zones {
+        let in_zone = members.iter().filter(|(_, place)| **place == zone);
+        let in_zone = in_zone.map(|(member, _)| *member);
+        watchers.extend(choose_ranked(key, in_zone, WATCHERS_PER_ZONE));
+    }
+    if watchers.is_empty() {
+        watchers = choose_ranked(key, members.keys().copied(), WATCHERS_ELSEWHERE);
+    }
+    watchers
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/operator/group_endpoints.rs
@@ -0,0 +1,35 @@
+use dropshot::{HttpResponseOk, Path, RequestContext, TypedBody, endpoint};
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::operator::{SwitchoverRequest, SwitchoverResult};
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+use super::{ApiError, OperatorContext};
+use crate::group::order_switchover;
+
+/// The path of a database group.
+#[derive(Deserialize, JsonSchema)]
+pub(super) struct GroupPath {
+    group: String,
+}
+
+/// Changes the primary of a database group as planned.
+#[endpoint {
+    method = POST,
+    path = "/groups/{group}/switchover",
+}]
+pub(super) async fn switch_over(
+    request: RequestContext<OperatorContext>,
+    path: Path<GroupPath>,
+    body: TypedBody<SwitchoverRequest>,
+) -> Result<HttpResponseOk<SwitchoverResult>, ApiError> {
+    let context = request.context();
+    let group: GroupId = path
+        .into_inner()
+        .group
+        .parse()
+        .map_err(ApiError::bad_request)?;
+    let successor = body.into_inner().to;
+    let result = order_switchover(&context.state, &context.registry, group, successor).await?;
+    Ok(HttpResponseOk(result))
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/operator/update_attempt.rs
@@ -0,0 +1,159 @@
+use std::time::Duration;
+
+use mustardhinge_core::document::{SettlementStep, UpdateSettlement};
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::operator::{ErrorKind, OperatorError};
+use tokio::time::{Instant, sleep};
+
+use crate::platform::{ObjectKind, ObjectUpdate, PlatformClient, PlatformError, PutOutcome};
+
+/// How long one update may take, lost answers included.
+const UPDATE_BOUND: Duration = Duration::from_secs(5);
+/// The wait before the platform is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// When to come back after an update that has not run.
+pub(super) const RETRY_MS: u32 = 1_000;
+
+/// How one conditional update ended.
+pub(super) enum AttemptOutcome {
+    /// It is in force.
+    Accepted {
+        /// The version.
+        version: DocumentVersion,
+        /// Whether it was in force before this call.
+        already_applied: bool,
+    },
+    /// Another update is in force.
+    Conflict {
+        /// The version in force.
+        version: DocumentVersion,
+        /// Whether this one may have been in force before it.
+        superseded: bool,
+    },
+}
+
+/// One conditional update of a document, settled although answers may be lost.
+pub(super) struct UpdateAttempt<'a> {
+    platform: &'a PlatformClient,
+    service: &'a ServiceId,
+    update: ObjectUpdate,
+    settlement: UpdateSettlement,
+    was_sent: bool,
+    was_applied: bool,
+}
+
+impl<'a> UpdateAttempt<'a> {
+    /// Makes the attempt.
+    pub(super) fn new(
+        platform: &'a PlatformClient,
+        service: &'a ServiceId,
+        update: ObjectUpdate,
+    ) -> Self {
+        let operation = update.operation_id.clone();
+        Self {
+            platform,
+            service,
+            settlement: UpdateSettlement::new(operation, update.expected_version),
+            update,
+            was_sent: false,
+            was_applied: false,
+        }
+    }
+
+    /// Runs the update until its outcome is known or the time is over.
+    pub(super) async fn run(mut self) -> Result<AttemptOutcome, OperatorError> {
+        let deadline = Instant::now() + UPDATE_BOUND;
+        let mut step = SettlementStep::Send;
+        loop {
+            step = match step {
+                SettlementStep::Send => self.send().await,
+                SettlementStep::Read => self.read().await,
+                ended => return Ok(self.outcome(&ended)),
+            };
+            let is_open = matches!(step, SettlementStep::Send | SettlementStep::Read);
+            if is_open && Instant::now() + RETRY_PAUSE >= deadline {
+                return Err(self.give_up());
+            }
+            if is_open {
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    async fn send(&mut self) -> SettlementStep {
+        let name = self.service.as_str();
+        let answer = self
+            .platform
+            .put_object(ObjectKind::Service, name, &self.update)
+            .await;
+        match answer {
+            Ok(PutOutcome::Accepted(version)) => self.settlement.on_accepted(version),
+            Ok(PutOutcome::Conflict {
+                version,
+                operation_id,
+            }) => {
+                self.was_applied = !self.was_sent;
+                let operation = operation_id.unwrap_or_else(unnamed_operation);
+                self.settlement.on_conflict(version, operation)
+            }
+            Err(PlatformError::NotSent) if !self.was_sent => SettlementStep::Send,
+            Err(error) => {
+                self.was_sent |= !error.is_not_run();
+                self.settlement.on_lost()
+            }
+        }
+    }
+
+    async fn read(&mut self) -> SettlementStep {
+        let name = self.service.as_str();
+        let found = self.platform.get_object(ObjectKind::Service, name).await;
+        let Ok(found) = found else {
+            return SettlementStep::Read;
+        };
+        let found = found.map(|object| {
+            let operation = object.operation_id.unwrap_or_else(unnamed_operation);
+            (object.version, operation)
+        });
+        self.settlement.on_read(found)
+    }
+
+    fn outcome(&self, step: &SettlementStep) -> AttemptOutcome {
+        match step {
+            SettlementStep::Accepted { version } => AttemptOutcome::Accepted {
+                version: *version,
+                already_applied: self.was_applied,
+            },
+            SettlementStep::Superseded { version, .. } => AttemptOutcome::Conflict {
+                version: *version,
+                superseded: true,
+            },
+            SettlementStep::Conflict { version, .. } => AttemptOutcome::Conflict {
+                version: *version,
+                superseded: false,
+            },
+            SettlementStep::Send | SettlementStep::Read => AttemptOutcome::Conflict {
+                version: self.update.expected_version,
+                superseded: self.was_sent,
+            },
+        }
+    }
+
+    fn give_up(&self) -> OperatorError {
+        if self.was_sent {
+            let message = "the platform's answer was lost; repeat with the same operation id";
+            return OperatorError::new(ErrorKind::OutcomeUnknown, message).retry_after_ms(RETRY_MS);
+        }
+        platform_out()
+    }
+}
+
+/// Says that the platform can't be reached and nothing was changed.
+pub(super) fn platform_out() -> OperatorError {
+    let message = "the platform can't be reached; nothing was changed";
+    OperatorError::new(ErrorKind::NotRun, message).retry_after_ms(RETRY_MS)
+}
+
+/// The operation of a version that names none.
+pub(super) fn unnamed_operation() -> OperationId {
+    "unnamed".parse().expect("a fixed text that is an id")
+}
--- a/crates/mustardhinge-agent/src/process/agent_builder.rs
+++ b/crates/mustardhinge-agent/src/process/agent_builder.rs
@@ -1,17 +1,21 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::{Server, ServerConfig};
 use mustardhinge_config::settings::AgentSettings;
+use mustardhinge_core::failover::FailoverSettings;
 use mustardhinge_process::{ProcessClock, event};
 use mustardhinge_rpc::AgentApiServer;
 use tokio::task::JoinSet;
 
 use super::AgentProcess;
+use super::agent_process::AgentServers;
 use crate::budget::StaticShares;
 use crate::entry::AgentService;
-use crate::group::{ProbeTiming, WatchSupervisor};
+use crate::group::{GroupContext, ProbeTiming, WatchSupervisor};
+use crate::operator::{OperatorContext, OperatorServer};
 use crate::platform::{PlatformClient, watch_documents, watch_instances};
 use crate::state::SharedState;
 
@@ -63,42 +67,81 @@
         let settings = self.settings.context("the agent's settings are not set")?;
         let clock = self.clock.unwrap_or_else(ProcessClock::start);
         let incarnation = self.incarnation.unwrap_or_else(rand::random);
-        let state = Arc::new(SharedState::new(
+        let state = SharedState::new(
             clock,
             settings.instance.clone(),
             incarnation,
-        ));
-        let config = ServerConfig::builder()
-            .max_connections(MAX_CONNECTIONS)
-            .build();
-        let server = Server::builder()
-            .set_config(config)
-            .build(settings.listen)
-            .await
-            .with_context(|| format!("listening at {}", settings.listen))?;
+            Duration::from_millis(settings.drain_bound_ms.into()),
+        );
+        let state = Arc::new(state);
+        let context = group_context(&settings, &state, incarnation)?;
         let shares = StaticShares::new(settings.zone.clone(), incarnation, state.now());
-        let service = AgentService::new(state.clone(), shares);
-        let address = server.local_addr().context("the address listened at")?;
-        let handle: ServerHandle = server.start(service.into_rpc());
-        let tasks = start_tasks(&settings, &state)?;
+        let service = AgentService::new(state.clone(), shares, context.registry.clone());
+        let (server, address) = bind_server(settings.listen).await?;
+        let server = server.start(service.into_rpc());
+        let operator = OperatorServer::start(
+            settings.operator,
+            OperatorContext {
+                instance: settings.instance.clone(),
+                zone: settings.zone.clone(),
+                state: state.clone(),
+                platform: context.platform.clone(),
+                registry: context.registry.clone(),
+            },
+        )?;
+        let tasks = start_tasks(&state, &context);
         event::PROCESS_STARTED.log(format_args!(
-            "process=agent instance={} listen={address}",
-            settings.instance
+            "process=agent instance={} listen={address} operator={}",
+            settings.instance,
+            operator.address()
         ));
-        Ok(AgentProcess::new(address, state, handle, tasks))
+        let servers = AgentServers {
+            address,
+            server,
+            operator,
+        };
+        Ok(AgentProcess::new(servers, state, context.registry, tasks))
     }
 }
 
-fn start_tasks(settings: &AgentSettings, state: &Arc<SharedState>) -> anyhow::Result<JoinSet<()>> {
+async fn bind_server(listen: SocketAddr) -> anyhow::Result<(Server, SocketAddr)> {
+    let config = ServerConfig::builder()
+        .max_connections(MAX_CONNECTIONS)
+        .build();
+    let server = Server::builder().set_config(config).build(listen).await;
+    let server = server.with_context(|| format!("listening at {listen}"))?;
+    let address = server.local_addr().context("the address listened at")?;
+    Ok((server, address))
+}
+
+fn group_context(
+    settings: &AgentSettings,
+    state: &Arc<SharedState>,
+    incarnation: u64,
+) -> anyhow::Result<GroupContext> {
     let timeout = Duration::from_millis(settings.platform_timeout_ms.into());
-    let client = PlatformClient::new(settings.platform, timeout).context("platform client")?;
+    let platform = PlatformClient::new(settings.platform, timeout).context("platform client")?;
     let timing = ProbeTiming {
         interval: Duration::from_millis(settings.probe_interval_ms.into()),
         bound: Duration::from_millis(settings.probe_timeout_ms.into()),
     };
+    Ok(GroupContext {
+        state: state.clone(),
+        platform,
+        timing,
+        settings: FailoverSettings::new(),
+        claimant: format!("{}:{incarnation}", settings.instance),
+        registry: Arc::default(),
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+    })
+}
+
+fn start_tasks(state: &Arc<SharedState>, context: &GroupContext) -> JoinSet<()> {
+    let client = context.platform.clone();
     let mut tasks = JoinSet::new();
     tasks.spawn(watch_documents(client.clone(), state.clone()));
     tasks.spawn(watch_instances(client, state.clone()));
-    tasks.spawn(WatchSupervisor::new(state.clone(), timing).run());
-    Ok(tasks)
+    tasks.spawn(WatchSupervisor::new(context.clone()).run());
+    tasks
 }
--- a/crates/mustardhinge-agent/src/process/agent_process.rs
+++ b/crates/mustardhinge-agent/src/process/agent_process.rs
@@ -1,33 +1,55 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jsonrpsee::server::ServerHandle;
+use mustardhinge_core::drain::DrainCause;
 use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
 
 use super::AgentBuilder;
+use crate::group::WatchRegistry;
+use crate::operator::OperatorServer;
 use crate::state::SharedState;
 
+/// How long a planned stop waits for changes of primary under way.
+const HAND_OVER_BOUND: Duration = Duration::from_secs(2);
+/// The time between two looks at what is under way.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(10);
+/// How long a planned stop waits for calls under way.
+const CLOSE_BOUND: Duration = Duration::from_secs(1);
+
+/// The servers of an agent.
+pub(super) struct AgentServers {
+    /// Where the entry and other agents are served.
+    pub(super) address: SocketAddr,
+    /// The server of the entry and of other agents.
+    pub(super) server: ServerHandle,
+    /// The server of operators.
+    pub(super) operator: OperatorServer,
+}
+
 /// A running agent.
 ///
 /// Dropped, it ends at once; [`AgentProcess::stop`] ends it in order.
 pub struct AgentProcess {
-    address: SocketAddr,
+    servers: AgentServers,
     state: Arc<SharedState>,
-    server: ServerHandle,
+    registry: Arc<WatchRegistry>,
     tasks: JoinSet<()>,
 }
 
 impl AgentProcess {
     pub(super) const fn new(
-        address: SocketAddr,
+        servers: AgentServers,
         state: Arc<SharedState>,
-        server: ServerHandle,
+        registry: Arc<WatchRegistry>,
         tasks: JoinSet<()>,
     ) -> Self {
         Self {
-            address,
+            servers,
             state,
-            server,
+            registry,
             tasks,
         }
     }
@@ -41,20 +63,37 @@
     /// Returns where it listens for the entry and for other agents.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
-        self.address
+        self.servers.address
+    }
+
+    /// Returns where it serves operators.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        self.servers.operator.address()
     }
 
     /// Returns whether it knows enough to serve.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.state.read(|known| known.proven_at.is_some())
+        self.state.read(crate::state::KnownState::is_ready)
     }
 
-    /// Ends the agent.
+    /// Ends the agent: the entry hears that the instance drains, changes of
+    /// primary under way are ended, calls under way are answered, all within
+    /// bounds.
     pub async fn stop(mut self) {
+        self.state.set_drain(DrainCause::StopSignal, true);
+        let _ = timeout(HAND_OVER_BOUND, self.finish_changes()).await;
         self.tasks.shutdown().await;
-        if self.server.stop().is_ok() {
-            self.server.stopped().await;
+        let _ = timeout(CLOSE_BOUND, self.servers.operator.stop()).await;
+        if self.servers.server.stop().is_ok() {
+            let _ = timeout(CLOSE_BOUND, self.servers.server.stopped()).await;
+        }
+    }
+
+    async fn finish_changes(&self) {
+        while self.registry.is_changing() {
+            sleep(HAND_OVER_PAUSE).await;
         }
     }
 }
--- a/crates/mustardhinge-agent/src/state/group_table.rs
+++ b/crates/mustardhinge-agent/src/state/group_table.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::control::GroupState;
@@ -9,34 +10,79 @@
 /// since its last question.
 #[derive(Debug, Default)]
 pub(crate) struct GroupTable {
-    groups: BTreeMap<GroupId, (GroupState, u64)>,
+    groups: BTreeMap<GroupId, GroupRow>,
     last_change: u64,
 }
 
+#[derive(Debug)]
+struct GroupRow {
+    term: LeaderTerm,
+    primary: Option<TargetId>,
+    held_until: Option<MonotonicTime>,
+    change: u64,
+}
+
 impl GroupTable {
-    /// Takes in a state if it says more than the one known: a greater term, or
-    /// the primary of the same term. Returns whether it did.
-    pub(crate) fn offer(&mut self, offered: GroupState) -> bool {
+    /// Takes in a state if it says more than the one known: a greater term, the
+    /// primary of the same term, or a hold of writes. Returns whether it did.
+    pub(crate) fn offer(&mut self, offered: GroupState, now: MonotonicTime) -> bool {
+        let hold = Duration::from_millis(offered.writes_held_ms.into());
+        let held_until = (!hold.is_zero()).then(|| now + hold);
         let known = self.groups.get(&offered.group);
-        if known.is_some_and(|(state, _)| !is_newer(&offered, state)) {
+        if known.is_some_and(|row| !row.learns_from(&offered, now)) {
             return false;
         }
         self.last_change += 1;
-        let group = offered.group.clone();
-        self.groups.insert(group, (offered, self.last_change));
+        let row = GroupRow {
+            term: offered.term,
+            primary: offered.primary,
+            held_until,
+            change: self.last_change,
+        };
+        self.groups.insert(offered.group, row);
+        true
+    }
+
+    /// Holds the writes of a group until a time, or releases them.
+    pub(crate) fn hold_writes(&mut self, group: &GroupId, until: Option<MonotonicTime>) -> bool {
+        let Some(row) = self.groups.get_mut(group) else {
+            return false;
+        };
+        self.last_change += 1;
+        row.held_until = until;
+        row.change = self.last_change;
         true
     }
 
-    /// Goes through the groups that changed after a change, all for 0.
-    pub(crate) fn changed_after(&self, change: u64) -> impl Iterator<Item = &GroupState> {
-        self.groups
-            .values()
-            .filter(move |(_, changed)| *changed > change)
-            .map(|(state, _)| state)
+    /// Returns the groups that changed after a change, all for 0.
+    pub(crate) fn changed_after(&self, change: u64, now: MonotonicTime) -> Vec<GroupState> {
+        let rows = self.groups.iter();
+        let changed = rows.filter(|(_, row)| row.change > change);
+        changed
+            .map(|(group, row)| row.to_state(group, now))
+            .collect()
     }
 }
 
-fn is_newer(offered: &GroupState, known: &GroupState) -> bool {
-    let names_primary = known.primary.is_none() && offered.primary.is_some();
-    offered.term > known.term || (offered.term == known.term && names_primary)
+impl GroupRow {
+    fn learns_from(&self, offered: &GroupState, now: MonotonicTime) -> bool {
+        let names_primary = self.primary.is_none() && offered.primary.is_some();
+        let holds = offered.writes_held_ms > 0 && self.remaining_hold(now).is_zero();
+        offered.term > self.term || (offered.term == self.term && (names_primary || holds))
+    }
+
+    fn remaining_hold(&self, now: MonotonicTime) -> Duration {
+        let until = self.held_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_since(now))
+    }
+
+    fn to_state(&self, group: &GroupId, now: MonotonicTime) -> GroupState {
+        let held = self.remaining_hold(now).as_millis();
+        GroupState {
+            group: group.clone(),
+            term: self.term,
+            primary: self.primary.clone(),
+            writes_held_ms: u32::try_from(held).unwrap_or(u32::MAX),
+        }
+    }
 }
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use mustardhinge_core::document::AdoptionTable;
+use mustardhinge_core::drain::DrainState;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::control::ControlState;
 
@@ -19,7 +22,7 @@
     /// Whether the platform answered the last call.
     pub(crate) is_platform_reachable: bool,
     /// Whether this instance is leaving.
-    pub(crate) is_draining: bool,
+    pub(crate) drain: DrainState,
     /// The documents in force.
     pub(crate) documents: AdoptionTable<AdoptedDocument>,
     /// The primaries.
@@ -30,14 +33,14 @@
 
 impl KnownState {
     /// Makes the state of an agent that knows nothing.
-    pub(crate) fn new(incarnation: u64) -> Self {
+    pub(crate) fn new(incarnation: u64, drain_bound: Duration) -> Self {
         Self {
             incarnation,
             revision: 1,
             store_revision: 0,
             proven_at: None,
             is_platform_reachable: false,
-            is_draining: false,
+            drain: DrainState::new(drain_bound),
             documents: AdoptionTable::default(),
             groups: GroupTable::default(),
             instances: InstanceList {
@@ -59,6 +62,17 @@
         Some(known.document.as_ref())
     }
 
+    /// Returns whether the list says that an instance is leaving.
+    pub(crate) fn is_leaving(&self, instance: &InstanceId) -> bool {
+        let mut instances = self.instances.instances.iter();
+        instances.any(|entry| entry.instance == *instance && entry.state == "leaving")
+    }
+
+    /// Returns whether it was once proven that the documents are current.
+    pub(crate) const fn is_ready(&self) -> bool {
+        self.proven_at.is_some()
+    }
+
     /// Returns the age of the newest proof that the documents are current.
     pub(crate) fn proof_age_ms(&self, now: MonotonicTime) -> Option<u32> {
         let age = now.saturating_since(self.proven_at?);
@@ -71,9 +85,9 @@
             agent_incarnation: self.incarnation,
             revision: self.revision,
             proof_age_ms: self.proof_age_ms(now),
-            draining: self.is_draining,
+            draining: self.drain.is_draining(),
             services: self.documents().map(AdoptedDocument::to_state).collect(),
-            groups: self.groups.changed_after(0).cloned().collect(),
+            groups: self.groups.changed_after(0, now),
         }
     }
 }
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::document::AdoptionOutcome;
+use mustardhinge_core::drain::DrainCause;
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::{ProcessClock, event};
 use mustardhinge_rpc::control::{ControlRequest, ControlState, GroupState};
@@ -23,8 +24,13 @@
 
 impl SharedState {
     /// Makes the state of an agent that knows nothing.
-    pub(crate) fn new(clock: ProcessClock, instance: InstanceId, incarnation: u64) -> Self {
-        let known = KnownState::new(incarnation);
+    pub(crate) fn new(
+        clock: ProcessClock,
+        instance: InstanceId,
+        incarnation: u64,
+        drain_bound: Duration,
+    ) -> Self {
+        let known = KnownState::new(incarnation, drain_bound);
         Self {
             clock,
             instance,
@@ -99,17 +105,50 @@
     /// Takes in the platform's list of instances.
     pub(crate) fn take_instances(&self, list: InstanceList) {
         self.update(|known| {
-            let own = list.instances.iter().find(|e| e.instance == self.instance);
-            known.is_draining |= own.is_some_and(|entry| entry.state == "leaving");
             let changed = known.instances != list;
             known.instances = list;
             changed
         });
+        let is_leaving = self.read(|known| known.is_leaving(&self.instance));
+        self.set_drain(DrainCause::InstanceList, is_leaving);
+    }
+
+    /// Starts to drain for a cause, or takes the cause back.
+    pub(crate) fn set_drain(&self, cause: DrainCause, is_draining: bool) {
+        let now = self.now();
+        let changed = self.update(|known| {
+            let before = known.drain.is_draining();
+            if is_draining {
+                known.drain.start(cause, now);
+            } else {
+                known.drain.stop(cause);
+            }
+            known.drain.is_draining() != before
+        });
+        if changed {
+            let log_event = if is_draining {
+                event::DRAIN_STARTED
+            } else {
+                event::DRAIN_ENDED
+            };
+            log_event.log(format_args!("cause={cause}"));
+        }
+    }
+
+    /// Adopts one document; returns whether it was newer.
+    pub(crate) fn adopt(&self, document: AdoptedDocument) -> bool {
+        self.update(|known| adopt_document(known, document))
     }
 
     /// Takes in what was seen of a database group.
     pub(crate) fn take_group(&self, state: GroupState) -> bool {
-        self.update(|known| known.groups.offer(state))
+        let now = self.now();
+        self.update(|known| known.groups.offer(state, now))
+    }
+
+    /// Holds the writes of a group until a time, or releases them.
+    pub(crate) fn hold_writes(&self, group: &GroupId, until: Option<MonotonicTime>) {
+        self.update(|known| known.groups.hold_writes(group, until));
     }
 
     /// Returns the control state as soon as it is newer than the one known to
--- /dev/null
+++ b/crates/mustardhinge-agent/src/target/target_error.rs
@@ -0,0 +1,16 @@
+/// Why a target gave no report.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum TargetError {
+    /// No connection came about, or it broke.
+    #[error("no connection")]
+    NotConnected,
+    /// The target's host refused the connection: its process is gone.
+    #[error("connection refused")]
+    Refused,
+    /// No answer came in time.
+    #[error("no answer in time")]
+    Silent,
+    /// The target answered something else.
+    #[error("{0}")]
+    BadAnswer(String),
+}
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -28,4 +28,13 @@
     PLATFORM_LOST = 3002, Warn, "platform not reached";
     DOCUMENT_ADOPTED = 3003, Info, "document adopted";
     DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
+    DRAIN_STARTED = 3005, Info, "drain started";
+    DRAIN_ENDED = 3006, Info, "drain taken back";
+    PEER_LOST = 3007, Warn, "agent of another instance not reached";
+    UPDATE_ACCEPTED = 3008, Info, "document update accepted";
+    UPDATE_REFUSED = 3009, Info, "document update refused";
+    PRIMARY_SUSPECTED = 4001, Warn, "primary suspected";
+    TERM_STARTED = 4002, Warn, "new term begun";
+    TERM_ABANDONED = 4003, Warn, "new term abandoned";
+    PRIMARY_PROMOTED = 4004, Info, "primary promoted";
 }
--- a/crates/mustardhinge-rpc/src/control/group_state.rs
+++ b/crates/mustardhinge-rpc/src/control/group_state.rs
@@ -10,4 +10,8 @@
     pub term: LeaderTerm,
     /// The primary of that term, once promoted.
     pub primary: Option<TargetId>,
+    /// How long no new write may be sent to the group, in milliseconds from the
+    /// answer, unless a greater term comes sooner; 0 if writes may be sent.
+    #[serde(default)]
+    pub writes_held_ms: u32,
 }
