--- a/crates/mustardhinge-agent/src/target/target_error.rs
+++ b/crates/mustardhinge-agent/src/target/target_error.rs
@@ -4,6 +4,9 @@
     /// No connection came about, or it broke.
     #[error("no connection")]
     NotConnected,
+    /// The target's host refused the connection: its process is gone.
+    #[error("connection refused")]
+    Refused,
     /// No answer came in time.
     #[error("no answer in time")]
     Silent,
