--- /dev/null
+++ b/crates/mustardhinge-bench/src/plot/mod.rs
@@ -0,0 +1,7 @@
+//! Pictures of a run's history, as SVG files.
+
+mod chart_file;
+mod history_charts;
+
+pub use chart_file::{ChartLine, ChartPage};
+pub use history_charts::plot_history;
--- /dev/null
+++ b/crates/mustardhinge-bench/src/report/mod.rs
@@ -0,0 +1,15 @@
+//! The figures of a run, one JSON line each, and their comparison.
+
+mod figure_comparison;
+mod figure_spread;
+mod report_reader;
+mod run_figures;
+mod run_report;
+mod share_figure;
+
+pub use figure_comparison::FigureComparison;
+pub use figure_spread::FigureSpread;
+pub use report_reader::read_reports;
+pub use run_figures::{CustomerFigures, RunFigures};
+pub use run_report::RunReport;
+pub use share_figure::divide_counts;
--- /dev/null
+++ b/crates/mustardhinge-bench/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the bench, by feature.
+
+mod builders;
+mod planted_faults;
+mod reports;
