--- a/crates/mustardhinge-bench/src/lib.rs
+++ b/crates/mustardhinge-bench/src/lib.rs
@@ -5,6 +5,9 @@
 //! prints a report.
 
 pub mod check;
+pub mod cli;
 pub mod history;
+pub mod load;
 pub mod plot;
 pub mod report;
+pub mod run;
--- /dev/null
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -0,0 +1,57 @@
+//! The binary `mustardhinge-bench`.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+use std::process::ExitCode;
+
+use anyhow::{Context, bail};
+use mustardhinge_bench::cli::{BenchCommand, HELP};
+use mustardhinge_bench::history::RunHistory;
+use mustardhinge_bench::plot::plot_history;
+use mustardhinge_bench::report::{FigureComparison, read_reports};
+use mustardhinge_process::args::USAGE_EXIT_CODE;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os().skip(1).collect();
+    let command = match BenchCommand::parse(arguments) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("mustardhinge-bench: {error:#}; see --help");
+            return ExitCode::from(USAGE_EXIT_CODE);
+        }
+    };
+    match execute(command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("mustardhinge-bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(command: BenchCommand) -> anyhow::Result<ExitCode> {
+    match command {
+        BenchCommand::Help => print!("{HELP}"),
+        BenchCommand::Version => println!("mustardhinge-bench {}", env!("CARGO_PKG_VERSION")),
+        BenchCommand::Compare { left, right } => {
+            let comparison = FigureComparison::new(&read_reports(&left)?, &read_reports(&right)?);
+            print!("{comparison}");
+        }
+        BenchCommand::Plot { history, out } => {
+            for path in plot_history(&read_history(&history)?, &out)? {
+                println!("{}", path.display());
+            }
+        }
+        BenchCommand::Run(_) | BenchCommand::Replay { .. } | BenchCommand::Record { .. } => {
+            bail!("not yet built")
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read_history(path: &Path) -> anyhow::Result<RunHistory> {
+    let file = File::open(path).with_context(|| path.display().to_string())?;
+    serde_json::from_reader(BufReader::new(file))
+        .with_context(|| format!("{}: no history", path.display()))
+}
--- a/crates/mustardhinge-bench/tests/suite/main.rs
+++ b/crates/mustardhinge-bench/tests/suite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the bench, by feature.
 
 mod builders;
+mod command_line;
+mod load;
 mod planted_faults;
 mod reports;
