Replay traces into the core's decisions

A trace is a versioned file of JSON lines: a header that names the decision and its setup, then inputs with their times.

--- a/crates/mustardhinge-bench/src/lib.rs
+++ b/crates/mustardhinge-bench/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod plot;
 pub mod report;
 pub mod run;
+pub mod trace;
--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -10,6 +10,7 @@
 use mustardhinge_bench::history::RunHistory;
 use mustardhinge_bench::plot::plot_history;
 use mustardhinge_bench::report::{FigureComparison, read_reports};
+use mustardhinge_bench::trace::{compare_steps, read_steps, replay_trace, write_steps};
 use mustardhinge_process::args::USAGE_EXIT_CODE;
 
 fn main() -> ExitCode {
@@ -43,9 +44,17 @@
                 println!("{}", path.display());
             }
         }
-        BenchCommand::Run(_) | BenchCommand::Replay { .. } | BenchCommand::Record { .. } => {
-            bail!("not yet built")
+        BenchCommand::Replay { trace, expect } => {
+            let differences = compare_steps(&read_steps(&expect)?, &replay_trace(&trace)?);
+            for difference in &differences {
+                println!("{difference}");
+            }
+            if !differences.is_empty() {
+                return Ok(ExitCode::FAILURE);
+            }
         }
+        BenchCommand::Record { trace, out } => write_steps(&replay_trace(&trace)?, &out)?,
+        BenchCommand::Run(_) => bail!("not yet built"),
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/mustardhinge-bench/tests/suite/main.rs
+++ b/crates/mustardhinge-bench/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod load;
 mod planted_faults;
 mod reports;
+mod traces;
