--- a/crates/mustardhinge-bench/src/cli/bench_command.rs
+++ b/crates/mustardhinge-bench/src/cli/bench_command.rs
@@ -5,6 +5,7 @@
 use pico_args::Arguments;
 
 use super::RunOptions;
+use crate::slope::SlopeName;
 
 /// The help text.
 pub const HELP: &str = "\
@@ -17,6 +18,7 @@
   mustardhinge-bench record TRACE --out FILE
   mustardhinge-bench compare A.jsonl B.jsonl
   mustardhinge-bench plot HISTORY --out FOLDER
+  mustardhinge-bench slope groups|documents
   mustardhinge-bench --help | --version
 
 Faults: none, primary-kill, primary-cut, primary-freeze, silent-connections,
@@ -58,6 +60,8 @@
         /// The other file.
         right: PathBuf,
     },
+    /// Measure a slope; one JSON line for each size.
+    Slope(SlopeName),
     /// Plot a history.
     Plot {
         /// The history.
@@ -96,6 +100,7 @@
                 left: arguments.free_from_str()?,
                 right: arguments.free_from_str()?,
             },
+            "slope" => Self::Slope(arguments.free_from_str()?),
             "plot" => Self::Plot {
                 out: arguments.value_from_str("--out")?,
                 history: arguments.free_from_str()?,
--- a/crates/mustardhinge-bench/src/lib.rs
+++ b/crates/mustardhinge-bench/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod plot;
 pub mod report;
 pub mod run;
+pub mod slope;
 pub mod trace;
--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -54,6 +54,11 @@
             }
         }
         BenchCommand::Record { trace, out } => write_steps(&replay_trace(&trace)?, &out)?,
+        BenchCommand::Slope(name) => {
+            for point in name.measure()? {
+                println!("{}", serde_json::to_string(&point)?);
+            }
+        }
         BenchCommand::Run(_) => bail!("not yet built"),
     }
     Ok(ExitCode::SUCCESS)
