Hold acknowledgement, promotion and floors against random runs

A group of 3 or 5 servers as pure state, two failover machines and an instance's trackers run random schedules with lost, late and doubled messages, pauses, restarts, cut links, servers down and the store out. Each run ends with all faults healed, after which a write has to be acknowledged.

Cause of one fault found by it: a primary that had been idle for longer than the stall limit was taken for stalled at its first write, since the standstill was counted from the last replicated entry. It is counted from the moment at which the primary got ahead now.

Each rule has a planted fault that the same check finds: acknowledgement at the primary alone, by offset without the term, choice by offset, promotion on one grant, two claimants of one name, floors from older reports.

--- a/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
+++ b/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
@@ -62,7 +62,7 @@
         if watch.is_silent(settings, now) {
             return Some(FailoverCause::PrimarySilent);
         }
-        if watch.is_stalled(view, settings, now) {
+        if watch.is_stalled(settings, now) {
             return Some(FailoverCause::ReplicationStalled);
         }
         (is_stranded > settings.get_repair_limit()).then_some(FailoverCause::ServerStranded)
--- a/crates/mustardhinge-core/src/failover/primary_watch.rs
+++ b/crates/mustardhinge-core/src/failover/primary_watch.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::ids::{InstanceId, TargetId};
-use crate::replication::{GroupView, ServerReport};
+use crate::replication::ServerReport;
 use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
 
 use super::FailoverSettings;
@@ -19,6 +19,8 @@
     refused_at: Option<MonotonicTime>,
     replicated: LogPosition,
     replicated_at: MonotonicTime,
+    written: LogPosition,
+    ahead_since: Option<MonotonicTime>,
     peers_heard_at: BTreeMap<InstanceId, MonotonicTime>,
 }
 
@@ -32,21 +34,26 @@
             refused_at: None,
             replicated: LogPosition::default(),
             replicated_at: now,
+            written: LogPosition::default(),
+            ahead_since: None,
             peers_heard_at: BTreeMap::new(),
         }
     }
 
     /// Takes in a report of any server of the group.
     pub(super) fn observe(&mut self, report: &ServerReport, now: MonotonicTime) {
+        let held = report.held_in(self.term).unwrap_or_default();
         if report.target == self.target {
             self.heard_at = now;
             self.refused_at = None;
-            return;
-        }
-        let held = report.held_in(self.term);
-        if let Some(held) = held.filter(|held| *held > self.replicated) {
+            self.written = self.written.max(held);
+        } else if held > self.replicated {
             self.replicated = held;
             self.replicated_at = now;
+            self.ahead_since = None;
+        }
+        if self.written > self.replicated {
+            self.ahead_since.get_or_insert(now);
         }
     }
 
@@ -71,6 +78,7 @@
         self.heard_at = now;
         self.refused_at = None;
         self.replicated_at = now;
+        self.ahead_since = None;
     }
 
     /// Returns when the primary last answered here.
@@ -98,17 +106,10 @@
 
     /// Returns whether the primary has written, but no replica got anything
     /// of it for long.
-    pub(super) fn is_stalled(
-        &self,
-        view: &GroupView,
-        settings: &FailoverSettings,
-        now: MonotonicTime,
-    ) -> bool {
-        let primary = view.report(&self.target);
-        let last = primary.and_then(|timed| timed.report.held_in(self.term));
-        let is_ahead = last.is_some_and(|last| last > self.replicated);
-        let standstill = now.saturating_since(self.replicated_at);
-        is_ahead && standstill > settings.get_stall_limit()
+    pub(super) fn is_stalled(&self, settings: &FailoverSettings, now: MonotonicTime) -> bool {
+        let limit = settings.get_stall_limit();
+        self.ahead_since
+            .is_some_and(|since| now.saturating_since(since) > limit)
     }
 
     fn is_heard_elsewhere(&self, limit: Duration, now: MonotonicTime) -> bool {
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/group/group_harness.rs
@@ -0,0 +1,454 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardhinge_core::failover::{
+    ClaimAnswer, FailoverAction, FailoverEvent, FailoverMachine, FailoverSettings,
+};
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::{
+    AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker, ServerReport,
+};
+
+use super::model_group::{ModelEntry, index_of, target};
+use super::{ModelGroup, PlantedFault, ScheduleStep};
+
+/// The time between two ticks of an agent.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A message that may be late, lost or doubled.
+#[derive(Clone, Debug)]
+enum Message {
+    Call(usize, u64, FailoverAction),
+    Answer(u64, FailoverEvent),
+    Report(ServerReport, MonotonicTime),
+}
+
+#[derive(Clone, Debug)]
+struct Agent {
+    machine: FailoverMachine,
+    claimant: u64,
+    paused_until: MonotonicTime,
+    links: Vec<bool>,
+}
+
+/// A group, two agents and an instance's trackers, with all rules checked at
+/// each step.
+pub(crate) struct GroupHarness {
+    pub(crate) group: ModelGroup,
+    pub(crate) now: MonotonicTime,
+    fault: PlantedFault,
+    agents: Vec<Agent>,
+    messages: Vec<Message>,
+    is_store_up: bool,
+    claimed: LeaderTerm,
+    next_claimant: u64,
+    acks: AckTracker,
+    open_writes: BTreeMap<mustardhinge_core::replication::AckKey, (LogPosition, ModelEntry)>,
+    acked: Vec<(LogPosition, ModelEntry)>,
+    promoted: BTreeMap<LeaderTerm, (usize, Vec<ModelEntry>)>,
+    grants: BTreeMap<(u64, LeaderTerm), Vec<ServerReport>>,
+    floors: FloorTracker,
+    floor_bound: BTreeMap<mustardhinge_core::replication::RoundNumber, usize>,
+    violations: Vec<String>,
+}
+
+impl GroupHarness {
+    pub(crate) fn new(servers: usize, fault: PlantedFault) -> Self {
+        let group = ModelGroup::new(servers);
+        let members = group.members();
+        let now = MonotonicTime::from_millis(1_000);
+        let mut harness = Self {
+            now,
+            fault,
+            agents: Vec::new(),
+            messages: Vec::new(),
+            is_store_up: true,
+            claimed: LeaderTerm::new(1),
+            next_claimant: 0,
+            acks: AckTracker::new(members.clone(), Duration::from_secs(60)),
+            open_writes: BTreeMap::new(),
+            acked: Vec::new(),
+            promoted: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            floors: FloorTracker::new(members, FloorSettings::new()),
+            floor_bound: BTreeMap::new(),
+            violations: Vec::new(),
+            group,
+        };
+        harness.agents = (0..2).map(|rank| harness.new_agent(rank)).collect();
+        harness
+    }
+
+    /// Runs a schedule, then heals everything; returns the numbers of
+    /// acknowledged writes and promotions, or all that was violated.
+    pub(crate) fn run(mut self, steps: &[ScheduleStep]) -> Result<(usize, usize), Vec<String>> {
+        self.advance(60, true);
+        for step in steps {
+            self.step(step);
+        }
+        self.heal();
+        if self.violations.is_empty() {
+            return Ok((self.acked.len(), self.promoted.len()));
+        }
+        Err(self.violations)
+    }
+
+    pub(crate) fn step(&mut self, step: &ScheduleStep) {
+        let servers = self.group.servers.len();
+        match *step {
+            ScheduleStep::Write { server } => self.write(server % servers),
+            ScheduleStep::Replicate { server, count } => {
+                self.group.replicate(server % servers, count);
+            }
+            ScheduleStep::ReportToTrackers { server } => self.report(server % servers),
+            ScheduleStep::JoinFloor => self.join_floor(),
+            ScheduleStep::Deliver { index, keep } => self.deliver(index, keep),
+            ScheduleStep::Lose { index } => {
+                if !self.messages.is_empty() {
+                    self.messages.remove(index % self.messages.len());
+                }
+            }
+            ScheduleStep::Advance { millis, deliver } => self.advance(millis, deliver),
+            ScheduleStep::PauseAgent { agent, millis } => {
+                self.agents[agent].paused_until = self.now + Duration::from_millis(millis);
+            }
+            ScheduleStep::RestartAgent { agent } => self.agents[agent] = self.new_agent(agent),
+            ScheduleStep::ToggleServer { server } => {
+                let server = &mut self.group.servers[server % servers];
+                server.is_up = !server.is_up;
+            }
+            ScheduleStep::ToggleLink { agent, server } => {
+                let link = &mut self.agents[agent].links[server % servers];
+                *link = !*link;
+            }
+            ScheduleStep::ToggleStore => self.is_store_up = !self.is_store_up,
+            ScheduleStep::Switchover { agent } => {
+                let successor = None;
+                self.give(agent, FailoverEvent::SwitchoverRequested { successor });
+            }
+        }
+    }
+
+    /// Ends all faults and checks that the group takes writes again.
+    fn heal(&mut self) {
+        self.is_store_up = true;
+        self.messages.clear();
+        for server in &mut self.group.servers {
+            server.is_up = true;
+        }
+        for agent in &mut self.agents {
+            agent.links.fill(true);
+            agent.paused_until = self.now;
+        }
+        self.advance(4_000, true);
+        let acked = self.acked.len();
+        for server in 0..self.group.servers.len() {
+            self.write(server);
+        }
+        self.advance(1_000, true);
+        if self.acked.len() == acked {
+            let reports = (0..self.group.servers.len()).map(|server| self.group.report(server));
+            let reports: Vec<_> = reports.collect();
+            let phases = self.agents.iter().map(|agent| agent.machine.phase());
+            let phases: Vec<_> = phases.collect();
+            let stuck =
+                format!("no write is acknowledged after the faults: {reports:#?} {phases:?}");
+            self.violations.push(stuck);
+        }
+    }
+
+    fn new_agent(&mut self, rank: usize) -> Agent {
+        self.next_claimant += 1;
+        let rank = u32::try_from(rank).unwrap();
+        let members = self.group.members();
+        let settings = FailoverSettings::new();
+        let seed = self.next_claimant;
+        Agent {
+            machine: FailoverMachine::new(members, rank, settings, seed, self.now),
+            claimant: self.next_claimant,
+            paused_until: self.now,
+            links: vec![true; self.group.servers.len()],
+        }
+    }
+
+    /// Returns the name that an agent gives to the servers.
+    fn name(&self, claimant: u64) -> u64 {
+        if self.fault == PlantedFault::SharedClaimant {
+            return 0;
+        }
+        claimant
+    }
+
+    pub(crate) fn advance(&mut self, millis: u64, deliver: bool) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + TICK;
+            for agent in 0..self.agents.len() {
+                self.probe(agent);
+                self.give(agent, FailoverEvent::Tick);
+            }
+            let mut rounds = if deliver { 8 } else { 0 };
+            while rounds > 0 && !self.messages.is_empty() {
+                rounds -= 1;
+                for message in std::mem::take(&mut self.messages) {
+                    self.handle(message);
+                }
+            }
+            if deliver {
+                self.exchange();
+            }
+            let actions = self.floors.expire(self.now);
+            self.take_floors(actions);
+        }
+    }
+
+    /// Lets replication and the instance's reports run freely for a moment.
+    fn exchange(&mut self) {
+        for server in 0..self.group.servers.len() {
+            self.group.replicate(server, usize::MAX);
+            self.report(server);
+        }
+    }
+
+    fn probe(&mut self, agent: usize) {
+        for server in 0..self.group.servers.len() {
+            if self.agents[agent].links[server] && self.group.servers[server].is_up {
+                let event = FailoverEvent::Reported {
+                    report: self.group.report(server),
+                    requested_at: self.now,
+                };
+                self.give(agent, event);
+            }
+        }
+    }
+
+    fn give(&mut self, agent: usize, event: FailoverEvent) {
+        if self.now < self.agents[agent].paused_until {
+            return;
+        }
+        let claimant = self.agents[agent].claimant;
+        if let FailoverEvent::FenceAnswered {
+            term,
+            report,
+            granted: true,
+        } = &event
+        {
+            self.note_grant(agent, *term, report.clone());
+        }
+        let actions = self.agents[agent].machine.handle(event, self.now);
+        for action in actions {
+            match action {
+                FailoverAction::HoldWrites { .. } => {
+                    let event = FailoverEvent::WritesDrained;
+                    self.messages.push(Message::Answer(claimant, event));
+                }
+                action => self.messages.push(Message::Call(agent, claimant, action)),
+            }
+        }
+    }
+
+    fn note_grant(&mut self, agent: usize, term: LeaderTerm, report: ServerReport) {
+        let claimant = self.agents[agent].claimant;
+        let grants = self.grants.entry((claimant, term)).or_default();
+        let is_first = grants.is_empty();
+        grants.push(report.clone());
+        if self.fault == PlantedFault::PromoteOnOneGrant && is_first {
+            let target = report.target;
+            let call = FailoverAction::Promote { target, term };
+            self.messages.push(Message::Call(agent, claimant, call));
+        }
+    }
+
+    fn deliver(&mut self, index: usize, keep: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = index % self.messages.len();
+        let message = if keep {
+            self.messages[index].clone()
+        } else {
+            self.messages.remove(index)
+        };
+        self.handle(message);
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Call(agent, claimant, action) => self.call(agent, claimant, action),
+            Message::Answer(claimant, event) => {
+                let is_receiver = |agent: &Agent| agent.claimant == claimant;
+                if let Some(agent) = self.agents.iter().position(is_receiver) {
+                    self.give(agent, event);
+                }
+            }
+            Message::Report(report, requested_at) => self.take_report(report, requested_at),
+        }
+    }
+
+    fn call(&mut self, agent: usize, claimant: u64, action: FailoverAction) {
+        let name = self.name(claimant);
+        let event = match action {
+            FailoverAction::Claim { term } if self.is_store_up => {
+                let is_won = term > self.claimed;
+                self.claimed = self.claimed.max(term);
+                let lost = ClaimAnswer::Lost { term: self.claimed };
+                let answer = if is_won { ClaimAnswer::Won } else { lost };
+                FailoverEvent::ClaimAnswered { term, answer }
+            }
+            FailoverAction::Publish { term, .. } if self.is_store_up => {
+                let is_published = true;
+                FailoverEvent::PublishAnswered { term, is_published }
+            }
+            FailoverAction::RequestReport { target } if self.is_reachable(agent, &target) => {
+                FailoverEvent::Reported {
+                    report: self.group.report(index_of(&target)),
+                    requested_at: self.now,
+                }
+            }
+            FailoverAction::Fence { target, term } if self.is_reachable(agent, &target) => {
+                let granted = self.group.fence(index_of(&target), term, name);
+                let report = self.group.report(index_of(&target));
+                FailoverEvent::FenceAnswered {
+                    term,
+                    report,
+                    granted,
+                }
+            }
+            FailoverAction::Promote { target, term } if self.is_reachable(agent, &target) => {
+                let server = self.chosen(claimant, term, index_of(&target));
+                let (granted, is_new) = self.group.promote(server, term, name);
+                if is_new {
+                    self.note_promotion(server, term);
+                }
+                let report = self.group.report(server);
+                FailoverEvent::PromoteAnswered {
+                    term,
+                    report,
+                    granted,
+                }
+            }
+            FailoverAction::Follow {
+                target,
+                term,
+                primary,
+            } if self.is_reachable(agent, &target) => {
+                self.group
+                    .follow(index_of(&target), term, index_of(&primary));
+                return;
+            }
+            _ => return,
+        };
+        self.messages.push(Message::Answer(claimant, event));
+    }
+
+    fn is_reachable(&self, agent: usize, target: &TargetId) -> bool {
+        let server = index_of(target);
+        self.agents[agent].links[server] && self.group.servers[server].is_up
+    }
+
+    /// Returns the server to promote, which a planted fault may change.
+    fn chosen(&self, claimant: u64, term: LeaderTerm, server: usize) -> usize {
+        let grants = self.grants.get(&(claimant, term));
+        match grants {
+            Some(grants) if self.fault == PlantedFault::ChooseByOffset => {
+                let best = grants.iter().max_by_key(|report| report.last.offset);
+                best.map_or(server, |report| index_of(&report.target))
+            }
+            _ => server,
+        }
+    }
+
+    fn note_promotion(&mut self, server: usize, term: LeaderTerm) {
+        let log = self.group.servers[server].log.clone();
+        for (position, entry) in &self.acked {
+            if entry.term < term && !log.contains(entry) {
+                let lost = format!("{position} was lost: it is not in the log of term {term}");
+                self.violations.push(lost);
+            }
+        }
+        if let Some((other, _)) = self.promoted.insert(term, (server, log)) {
+            let twice = format!("{other} and {server} were promoted in term {term}");
+            self.violations.push(twice);
+        }
+    }
+
+    fn write(&mut self, server: usize) {
+        let Some((position, entry)) = self.group.write(server) else {
+            return;
+        };
+        if self.fault == PlantedFault::AckAtPrimary {
+            self.acknowledge(position, entry);
+            return;
+        }
+        match self.acks.begin(&target(server), position, self.now) {
+            AckStart::Waiting(key) => {
+                self.open_writes.insert(key, (position, entry));
+            }
+            AckStart::Resolved(AckOutcome::Acknowledged) => self.acknowledge(position, entry),
+            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
+        }
+    }
+
+    fn acknowledge(&mut self, position: LogPosition, entry: ModelEntry) {
+        for (term, (_, log)) in &self.promoted {
+            if entry.term < *term && !log.contains(&entry) {
+                let late =
+                    format!("{position} was lost: it was acknowledged, but term {term} lacks it");
+                self.violations.push(late);
+            }
+        }
+        self.acked.push((position, entry));
+    }
+
+    fn report(&mut self, server: usize) {
+        if self.group.servers[server].is_up {
+            let report = self.group.report(server);
+            self.messages.push(Message::Report(report, self.now));
+        }
+    }
+
+    fn take_report(&mut self, mut report: ServerReport, requested_at: MonotonicTime) {
+        let requested_at = match self.fault {
+            PlantedFault::StaleFloorReports => self.now,
+            _ => requested_at,
+        };
+        let actions = self.floors.observe(&report, requested_at, self.now);
+        self.take_floors(actions);
+        if self.fault == PlantedFault::AckByOffset {
+            let open = self.open_writes.values().next();
+            let term = open.map_or(report.term, |(position, _)| position.term);
+            report.term = term;
+            report.last.term = term;
+        }
+        for (key, outcome) in self.acks.observe(&report) {
+            let write = self.open_writes.remove(&key);
+            if let (AckOutcome::Acknowledged, Some((position, entry))) = (outcome, write) {
+                self.acknowledge(position, entry);
+            }
+        }
+    }
+
+    fn join_floor(&mut self) {
+        // Reports of the same moment may have been asked for before the read.
+        self.now = self.now + Duration::from_micros(1);
+        let (round, action) = self.floors.join(self.now);
+        self.floor_bound.insert(round, self.acked.len());
+        self.take_floors(action.into_iter().collect());
+    }
+
+    fn take_floors(&mut self, actions: Vec<FloorAction>) {
+        for action in actions {
+            let FloorAction::Yield { round, floor } = action else {
+                continue;
+            };
+            let bound = self.floor_bound.remove(&round).unwrap_or(0);
+            let passed = self.acked[..bound]
+                .iter()
+                .find(|(position, _)| *position > floor);
+            if let Some((position, _)) = passed {
+                self.violations
+                    .push(format!("floor {floor} is before {position}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/group/schedule_step.rs
@@ -0,0 +1,48 @@
+use proptest::prelude::*;
+
+/// One step of a random schedule; indexes are taken modulo what there is.
+#[derive(Clone, Debug)]
+pub(crate) enum ScheduleStep {
+    Write { server: usize },
+    Replicate { server: usize, count: usize },
+    ReportToTrackers { server: usize },
+    JoinFloor,
+    Deliver { index: usize, keep: bool },
+    Lose { index: usize },
+    Advance { millis: u64, deliver: bool },
+    PauseAgent { agent: usize, millis: u64 },
+    RestartAgent { agent: usize },
+    ToggleServer { server: usize },
+    ToggleLink { agent: usize, server: usize },
+    ToggleStore,
+    Switchover { agent: usize },
+}
+
+/// Makes schedules of up to `max_steps` steps.
+pub(crate) fn schedule(max_steps: usize) -> impl Strategy<Value = Vec<ScheduleStep>> {
+    proptest::collection::vec(step(), max_steps / 2..max_steps)
+}
+
+fn step() -> impl Strategy<Value = ScheduleStep> {
+    use ScheduleStep as Step;
+    let (server, agent, position) = (0..5_usize, 0..2_usize, any::<usize>());
+    prop_oneof![
+        20 => server.clone().prop_map(|server| Step::Write { server }),
+        10 => (server.clone(), 1..4_usize)
+            .prop_map(|(server, count)| Step::Replicate { server, count }),
+        10 => server.clone().prop_map(|server| Step::ReportToTrackers { server }),
+        4 => Just(Step::JoinFloor),
+        20 => (position, any::<bool>()).prop_map(|(index, keep)| Step::Deliver { index, keep }),
+        4 => position.prop_map(|index| Step::Lose { index }),
+        14 => (20..500_u64, any::<bool>())
+            .prop_map(|(millis, deliver)| Step::Advance { millis, deliver }),
+        2 => (agent.clone(), 100..900_u64)
+            .prop_map(|(agent, millis)| Step::PauseAgent { agent, millis }),
+        1 => agent.clone().prop_map(|agent| Step::RestartAgent { agent }),
+        4 => server.clone().prop_map(|server| Step::ToggleServer { server }),
+        3 => (agent.clone(), server)
+            .prop_map(|(agent, server)| Step::ToggleLink { agent, server }),
+        1 => Just(Step::ToggleStore),
+        1 => agent.prop_map(|agent| Step::Switchover { agent }),
+    ]
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the decisions, by feature.
 
+mod group;
+mod replication;
+mod safety;
 mod units;
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/safety.rs
@@ -0,0 +1,98 @@
+//! Rules of acknowledgement, promotion and floors, held against random runs.
+
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::{Config, TestCaseError, TestRng, TestRunner};
+
+use crate::group::{GroupHarness, PlantedFault, ScheduleStep, schedule};
+
+/// What a violation says that lost an acknowledged write.
+const LOST: &str = "was lost";
+
+/// Runs random schedules and returns the first violation whose text holds
+/// `wanted`.
+fn find_violation(servers: usize, fault: PlantedFault, cases: u32, wanted: &str) -> Option<String> {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&schedule(160), |steps: Vec<ScheduleStep>| {
+        let run = GroupHarness::new(servers, fault).run(&steps);
+        let violations = run.err().unwrap_or_default();
+        let found = violations.into_iter().find(|text| text.contains(wanted));
+        found.map_or(Ok(()), |text| Err(TestCaseError::fail(text)))
+    });
+    result.err().map(|failure| failure.to_string())
+}
+
+#[test]
+fn three_servers_lose_nothing_acknowledged() {
+    assert_eq!(find_violation(3, PlantedFault::None, 300, ""), None);
+}
+
+#[test]
+fn five_servers_lose_nothing_acknowledged() {
+    assert_eq!(find_violation(5, PlantedFault::None, 200, ""), None);
+}
+
+#[test]
+fn the_schedules_promote_and_acknowledge() {
+    let mut runner = TestRunner::deterministic();
+    let (mut acked, mut promotions) = (0, 0);
+    for _ in 0..50 {
+        let steps = schedule(160).new_tree(&mut runner).unwrap().current();
+        let run = GroupHarness::new(3, PlantedFault::None)
+            .run(&steps)
+            .unwrap();
+        acked += run.0;
+        promotions += run.1;
+    }
+    assert!(
+        acked > 250 && promotions > 50,
+        "{acked} writes, {promotions} promotions"
+    );
+}
+
+#[test]
+fn an_acknowledgement_at_the_primary_alone_is_found() {
+    let found = find_violation(3, PlantedFault::AckAtPrimary, 400, LOST);
+    assert!(found.is_some());
+}
+
+#[test]
+fn an_acknowledgement_by_offset_is_found() {
+    let found = find_violation(3, PlantedFault::AckByOffset, 400, LOST);
+    assert!(found.is_some());
+}
+
+#[test]
+fn a_choice_by_offset_is_found() {
+    let found = find_violation(3, PlantedFault::ChooseByOffset, 3_000, LOST);
+    assert!(found.is_some());
+}
+
+#[test]
+fn a_promotion_on_one_grant_is_found() {
+    let found = find_violation(3, PlantedFault::PromoteOnOneGrant, 400, LOST);
+    assert!(found.is_some());
+}
+
+#[test]
+fn claimants_of_one_name_are_found() {
+    let found = find_violation(
+        5,
+        PlantedFault::SharedClaimant,
+        3_000,
+        "were promoted in term",
+    );
+    assert!(found.is_some());
+}
+
+#[test]
+fn a_floor_from_older_reports_is_found() {
+    let found = find_violation(3, PlantedFault::StaleFloorReports, 1_000, "is before");
+    assert!(found.is_some());
+}
