Test changes of primary, routes, connections and retries case by case

One machine and a group that answers within 2 ms of model time show when a change begins, when it does not, and what each fault at each step leads to. Routes, connections, limits, retries and recorded requests have tests of their rules and properties.

In model time a kill is published within 300 ms with the store up or silent, and a switchover holds writes for less than 100 ms; these are bounds of the tests, not measurements of processes.

--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/connection.rs
@@ -0,0 +1,115 @@
+//! Health of connections, and their limits.
+
+use std::time::Duration;
+
+use mustardhinge_core::connection::{
+    AnswerVerdict, ConnectionHealth, HealthSettings, LimitError, PoolAction, PoolDemand, PoolLimit,
+    ReuseVerdict,
+};
+use mustardhinge_core::prelude::*;
+use proptest::prelude::*;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+/// A connection that opened at 10 ms.
+fn open() -> ConnectionHealth {
+    let mut health = ConnectionHealth::new(HealthSettings::new(), at(0));
+    assert!(health.complete(at(10)));
+    health
+}
+
+#[test]
+fn an_overdue_answer_closes_its_connection() {
+    let mut health = open();
+    assert!(health.send(at(100), at(20)));
+    assert_eq!(health.check(at(99)), AnswerVerdict::WaitUntil(at(100)));
+    assert_eq!(health.check(at(100)), AnswerVerdict::Close);
+    assert!(!health.complete(at(101)));
+    assert_eq!(health.reuse(at(101)), ReuseVerdict::Unusable);
+}
+
+#[test]
+fn a_late_answer_closes_its_connection_also_unchecked() {
+    let mut health = open();
+    assert!(health.send(at(100), at(20)));
+    assert!(!health.complete(at(100)));
+    assert!(!health.send(at(300), at(101)));
+}
+
+#[test]
+fn a_connection_carries_one_request_at_a_time() {
+    let mut health = open();
+    assert!(health.send(at(100), at(20)));
+    assert!(!health.send(at(100), at(21)));
+    assert_eq!(health.reuse(at(21)), ReuseVerdict::Unusable);
+    assert!(health.complete(at(30)));
+    assert_eq!(health.reuse(at(30)), ReuseVerdict::Ready);
+}
+
+#[test]
+fn an_answer_that_nobody_asked_for_closes_the_connection() {
+    let mut health = open();
+    assert!(!health.complete(at(20)));
+    assert_eq!(health.reuse(at(20)), ReuseVerdict::Unusable);
+}
+
+#[test]
+fn a_connection_is_proved_after_a_pause_within_a_bound() {
+    let mut health = open();
+    assert_eq!(health.reuse(at(509)), ReuseVerdict::Ready);
+    assert_eq!(health.reuse(at(510)), ReuseVerdict::ProveFirst);
+    assert!(health.prove(at(510)));
+    assert_eq!(health.check(at(609)), AnswerVerdict::WaitUntil(at(610)));
+    assert_eq!(health.check(at(610)), AnswerVerdict::Close);
+}
+
+#[test]
+fn an_opening_has_a_bound() {
+    let mut health = ConnectionHealth::new(HealthSettings::new(), at(0));
+    assert_eq!(health.reuse(at(1)), ReuseVerdict::Unusable);
+    assert_eq!(health.check(at(250)), AnswerVerdict::Close);
+}
+
+#[test]
+fn limits_that_cannot_be_shared_are_errors() {
+    assert_eq!(PoolLimit::new(30, 5, 0), Err(LimitError::NoInstances));
+    let error = PoolLimit::new(10, 5, 8).unwrap_err();
+    assert!(matches!(
+        error,
+        LimitError::TooFewConnections { connections: 6, .. }
+    ));
+}
+
+#[test]
+fn connections_are_opened_ahead_of_need_and_closed_after_it() {
+    let limit = PoolLimit::new(30, 5, 7).unwrap();
+    assert_eq!(limit.connections(), 3);
+    let window = Duration::from_millis(100);
+    let mut demand = PoolDemand::new(limit, window, at(0));
+    assert_eq!(demand.action(0), PoolAction::Open(1));
+    demand.observe(1, at(10));
+    assert_eq!(demand.action(1), PoolAction::Open(1));
+    demand.observe(7, at(20));
+    assert_eq!(demand.action(2), PoolAction::Open(1));
+    demand.observe(0, at(100));
+    assert_eq!(demand.action(3), PoolAction::Keep);
+    demand.observe(0, at(200));
+    assert_eq!(demand.action(3), PoolAction::CloseIdle(2));
+}
+
+proptest! {
+    #[test]
+    fn the_instances_together_stay_within_the_targets_limit(
+        connections in 1..200_u32,
+        slots in 1..40_u32,
+        instances in 1..60_u32,
+    ) {
+        if let Ok(limit) = PoolLimit::new(connections, slots, instances) {
+            let all = limit.connections() * instances + PoolLimit::CONTROL_CONNECTIONS;
+            prop_assert!(all <= connections);
+            prop_assert!(limit.slots() >= 1 && limit.slots() <= limit.connections());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/failover/change.rs
@@ -0,0 +1,140 @@
+//! What a change does, step by step, with faults at each.
+
+use mustardhinge_core::failover::{FailoverAction, FailoverCause, FailoverEvent, FailoverPhase};
+
+use super::failover_rig::{is_claim, is_promote, is_publish};
+use super::{FailoverRig, StoreState};
+use crate::group::target;
+
+#[test]
+fn a_killed_primary_is_replaced_in_under_a_second() {
+    for store in [StoreState::Up, StoreState::Silent] {
+        let mut rig = FailoverRig::new(3, 0);
+        rig.store = store;
+        rig.kill(0);
+        let waited = rig.run_until(is_publish);
+        assert!(waited < 300, "{store:?}: {waited} ms");
+    }
+}
+
+#[test]
+fn the_server_with_the_newest_log_is_promoted() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.replicating = false;
+    rig.group.write(0).unwrap();
+    rig.group.replicate(2, 1);
+    rig.kill(0);
+    rig.run_until(is_publish);
+    assert_eq!(rig.promoted(), vec![2]);
+}
+
+#[test]
+fn the_other_servers_follow_at_once_and_the_old_primary_when_it_returns() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.replicating = false;
+    let (_, lost) = rig.group.write(0).unwrap();
+    rig.kill(0);
+    rig.run_until(is_publish);
+    rig.replicating = true;
+    rig.run(50);
+    let primary = target(rig.promoted()[0]);
+    let follower = 3 - rig.promoted()[0];
+    assert_eq!(rig.group.report(follower).primary, Some(primary.clone()));
+    rig.revive(0);
+    rig.run(100);
+    assert_eq!(rig.group.report(0).primary, Some(primary));
+    assert!(!rig.group.servers[0].log.contains(&lost));
+}
+
+#[test]
+fn a_lost_claim_leaves_the_term_to_the_other_agent() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.store = StoreState::Lost;
+    rig.freeze(0);
+    rig.run(390);
+    assert!(rig.has_done(is_claim));
+    assert!(!rig.has_done(|action| matches!(action, FailoverAction::Fence { .. })));
+    rig.store = StoreState::Up;
+    rig.run_until(is_promote);
+    assert!(rig.machine.timeline().unwrap().term.get() >= 3);
+}
+
+#[test]
+fn a_candidate_that_dies_is_replaced_in_a_new_term() {
+    let mut rig = FailoverRig::new(5, 0);
+    rig.kill(0);
+    rig.run_until(is_promote);
+    let first = rig.promoted()[0];
+    rig.kill(first);
+    rig.lose_answers();
+    rig.run(1_000);
+    let promoted = rig.promoted();
+    assert_ne!(promoted.last(), Some(&first));
+    let timeline = rig.machine.timeline().unwrap();
+    assert_eq!(timeline.cause, FailoverCause::NoPrimary);
+    assert!(timeline.promoted_at.is_some());
+    assert!(timeline.term.get() >= 3);
+}
+
+#[test]
+fn a_promotion_whose_answer_was_lost_is_found_by_a_report() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.kill(0);
+    rig.run_until(is_promote);
+    rig.lose_answers();
+    rig.losing_answers = true;
+    rig.run(30);
+    assert!(rig.has_done(is_publish));
+    let timeline = rig.machine.timeline().unwrap();
+    assert!(timeline.promoted_at.is_some());
+}
+
+#[test]
+fn a_publication_is_repeated_until_the_store_has_it() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.store = StoreState::Silent;
+    rig.kill(0);
+    rig.run_until(is_publish);
+    rig.run(1_000);
+    assert!(rig.machine.timeline().unwrap().published_at.is_none());
+    rig.store = StoreState::Up;
+    rig.run(300);
+    assert!(rig.machine.timeline().unwrap().published_at.is_some());
+}
+
+#[test]
+fn a_claimant_paused_at_any_step_does_not_go_on_with_its_term() {
+    let phases = [
+        FailoverPhase::Claiming,
+        FailoverPhase::Fencing,
+        FailoverPhase::Promoting,
+    ];
+    for phase in phases {
+        let mut rig = FailoverRig::new(3, 0);
+        rig.freeze(0);
+        while rig.machine.phase() != phase {
+            rig.run(1);
+        }
+        let term = rig.machine.timeline().unwrap().term;
+        rig.pause(2_000);
+        rig.actions.clear();
+        rig.give(FailoverEvent::Tick);
+        rig.run(250);
+        let goes_on = rig.has_done(|action| match action {
+            FailoverAction::Fence { term: other, .. }
+            | FailoverAction::Promote { term: other, .. } => *other == term,
+            _ => false,
+        });
+        assert!(!goes_on, "{phase}");
+    }
+}
+
+#[test]
+fn a_suspected_primary_that_grants_the_term_is_passed_over() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    rig.run_until(is_claim);
+    rig.revive(0);
+    rig.run_until(is_promote);
+    assert_ne!(rig.promoted(), vec![0]);
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/failover/failover_rig.rs
@@ -0,0 +1,244 @@
+use std::time::Duration;
+
+use mustardhinge_core::failover::{
+    ClaimAnswer, FailoverAction, FailoverEvent, FailoverMachine, FailoverSettings,
+};
+use mustardhinge_core::prelude::*;
+
+use crate::group::{ModelGroup, index_of, target};
+
+/// The time that a call and its answer take together.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+/// The time between two probes of each server.
+const PROBE_INTERVAL_MS: u64 = 20;
+/// The name that the machine's agent gives to the servers.
+const CLAIMANT: u64 = 1;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreState {
+    Up,
+    Silent,
+    Lost,
+}
+
+/// One machine, and a group that answers its calls after a round trip.
+pub(crate) struct FailoverRig {
+    pub(crate) group: ModelGroup,
+    pub(crate) machine: FailoverMachine,
+    pub(crate) now: MonotonicTime,
+    pub(crate) store: StoreState,
+    pub(crate) refusing: Vec<usize>,
+    pub(crate) replicating: bool,
+    pub(crate) losing_answers: bool,
+    pub(crate) draining: bool,
+    pub(crate) actions: Vec<(MonotonicTime, FailoverAction)>,
+    pending: Vec<(MonotonicTime, FailoverEvent)>,
+}
+
+impl FailoverRig {
+    /// Makes a rig that has watched the group for a while.
+    pub(crate) fn new(servers: usize, rank: u32) -> Self {
+        let group = ModelGroup::new(servers);
+        let now = MonotonicTime::from_millis(1_000);
+        let settings = FailoverSettings::new();
+        let machine = FailoverMachine::new(group.members(), rank, settings, 7, now);
+        let mut rig = Self {
+            group,
+            machine,
+            now,
+            store: StoreState::Up,
+            refusing: Vec::new(),
+            replicating: true,
+            losing_answers: false,
+            draining: true,
+            actions: Vec::new(),
+            pending: Vec::new(),
+        };
+        rig.run(1_000);
+        rig.actions.clear();
+        rig
+    }
+
+    /// Lets time go on, a millisecond at a time.
+    pub(crate) fn run(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.step();
+        }
+    }
+
+    /// Lets time go on until the machine has done something; returns how long
+    /// that took, in milliseconds.
+    pub(crate) fn run_until(&mut self, is_wanted: impl Fn(&FailoverAction) -> bool) -> u64 {
+        for waited in 0..10_000 {
+            if self.actions.iter().any(|(_, action)| is_wanted(action)) {
+                return waited;
+            }
+            self.step();
+        }
+        panic!("not done within 10 s: {:?}", self.actions);
+    }
+
+    /// Stops a server whose host refuses connections from then on.
+    pub(crate) fn kill(&mut self, server: usize) {
+        self.group.servers[server].is_up = false;
+        self.refusing.push(server);
+    }
+
+    /// Stops a server without a sign.
+    pub(crate) fn freeze(&mut self, server: usize) {
+        self.group.servers[server].is_up = false;
+    }
+
+    pub(crate) fn revive(&mut self, server: usize) {
+        self.group.servers[server].is_up = true;
+        self.refusing.retain(|refusing| *refusing != server);
+    }
+
+    pub(crate) fn give(&mut self, event: FailoverEvent) {
+        for action in self.machine.handle(event, self.now) {
+            self.actions.push((self.now, action.clone()));
+            let answer = self.call(action);
+            let answer = answer.filter(|_| !self.losing_answers);
+            let due = self.now + ROUND_TRIP;
+            self.pending.extend(answer.map(|event| (due, event)));
+        }
+    }
+
+    /// Returns the servers that the machine has promoted.
+    pub(crate) fn promoted(&self) -> Vec<usize> {
+        let promoted = self.actions.iter().filter_map(|(_, action)| match action {
+            FailoverAction::Promote { target, .. } => Some(index_of(target)),
+            _ => None,
+        });
+        promoted.collect()
+    }
+
+    pub(crate) fn has_done(&self, is_wanted: impl Fn(&FailoverAction) -> bool) -> bool {
+        self.actions.iter().any(|(_, action)| is_wanted(action))
+    }
+
+    /// Holds back time and events for a while, as if the process was paused.
+    pub(crate) fn pause(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    /// Loses the answers that are under way.
+    pub(crate) fn lose_answers(&mut self) {
+        self.pending.clear();
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(1);
+        let now = self.now;
+        let is_due = |(due, _): &(MonotonicTime, FailoverEvent)| *due <= now;
+        let due: Vec<_> = self.pending.extract_if(.., |entry| is_due(entry)).collect();
+        for (_, event) in due {
+            self.give(event);
+        }
+        if self.replicating {
+            for server in 0..self.group.servers.len() {
+                self.group.replicate(server, usize::MAX);
+            }
+        }
+        if now.as_micros().is_multiple_of(PROBE_INTERVAL_MS * 1_000) {
+            self.probe();
+        }
+        self.give(FailoverEvent::Tick);
+    }
+
+    fn probe(&mut self) {
+        for server in 0..self.group.servers.len() {
+            let target = target(server);
+            if self.group.servers[server].is_up {
+                let report = self.group.report(server);
+                let requested_at = self.now;
+                self.give(FailoverEvent::Reported {
+                    report,
+                    requested_at,
+                });
+            } else if self.refusing.contains(&server) {
+                self.give(FailoverEvent::ConnectionRefused { target });
+            }
+        }
+    }
+
+    fn call(&mut self, action: FailoverAction) -> Option<FailoverEvent> {
+        match action {
+            FailoverAction::Claim { term } => self.claim(term),
+            FailoverAction::Publish { term, .. } => {
+                let is_published = true;
+                let event = FailoverEvent::PublishAnswered { term, is_published };
+                (self.store == StoreState::Up).then_some(event)
+            }
+            FailoverAction::HoldWrites { .. } => {
+                self.draining.then_some(FailoverEvent::WritesDrained)
+            }
+            FailoverAction::RequestReport { target } => {
+                let server = self.reach(&target)?;
+                let report = self.group.report(server);
+                let requested_at = self.now;
+                Some(FailoverEvent::Reported {
+                    report,
+                    requested_at,
+                })
+            }
+            FailoverAction::Fence { target, term } => {
+                let server = self.reach(&target)?;
+                let granted = self.group.fence(server, term, CLAIMANT);
+                let report = self.group.report(server);
+                Some(FailoverEvent::FenceAnswered {
+                    term,
+                    report,
+                    granted,
+                })
+            }
+            FailoverAction::Promote { target, term } => {
+                let server = self.reach(&target)?;
+                let (granted, _) = self.group.promote(server, term, CLAIMANT);
+                let report = self.group.report(server);
+                Some(FailoverEvent::PromoteAnswered {
+                    term,
+                    report,
+                    granted,
+                })
+            }
+            FailoverAction::Follow {
+                target,
+                term,
+                primary,
+            } => {
+                let server = self.reach(&target)?;
+                self.group.follow(server, term, index_of(&primary));
+                None
+            }
+            FailoverAction::ReleaseWrites | FailoverAction::RefuseSwitchover(_) => None,
+        }
+    }
+
+    fn claim(&self, term: LeaderTerm) -> Option<FailoverEvent> {
+        let answer = match self.store {
+            StoreState::Up => ClaimAnswer::Won,
+            StoreState::Silent => return None,
+            StoreState::Lost => ClaimAnswer::Lost { term },
+        };
+        Some(FailoverEvent::ClaimAnswered { term, answer })
+    }
+
+    fn reach(&self, target: &TargetId) -> Option<usize> {
+        let server = index_of(target);
+        self.group.servers[server].is_up.then_some(server)
+    }
+}
+
+pub(crate) fn is_claim(action: &FailoverAction) -> bool {
+    matches!(action, FailoverAction::Claim { .. })
+}
+
+pub(crate) fn is_promote(action: &FailoverAction) -> bool {
+    matches!(action, FailoverAction::Promote { .. })
+}
+
+pub(crate) fn is_publish(action: &FailoverAction) -> bool {
+    matches!(action, FailoverAction::Publish { .. })
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
@@ -0,0 +1,150 @@
+//! When a change begins, and when it does not.
+
+use mustardhinge_core::failover::{FailoverCause, FailoverEvent, FailoverPhase};
+
+use super::FailoverRig;
+use super::failover_rig::{is_claim, is_promote};
+use crate::group::target;
+
+#[test]
+fn a_silent_primary_is_replaced() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    let waited = rig.run_until(is_claim);
+    assert!((300..400).contains(&waited), "{waited} ms");
+    let timeline = rig.machine.timeline().unwrap();
+    assert_eq!(timeline.cause, FailoverCause::PrimarySilent);
+}
+
+#[test]
+fn a_primary_whose_host_refuses_is_replaced_sooner() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.kill(0);
+    let waited = rig.run_until(is_claim);
+    assert!((60..150).contains(&waited), "{waited} ms");
+}
+
+#[test]
+fn a_primary_that_still_replicates_is_left_alone() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.run(20);
+    for _ in 0..100 {
+        // The primary is cut off from this agent only.
+        rig.group.write(0).unwrap();
+        for replica in 1..3 {
+            rig.group.replicate(replica, usize::MAX);
+        }
+        rig.group.servers[0].is_up = false;
+        rig.run(49);
+        rig.group.servers[0].is_up = true;
+    }
+    assert!(!rig.has_done(is_claim));
+}
+
+#[test]
+fn a_primary_with_lagging_replicas_is_left_alone() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.replicating = false;
+    rig.group.write(0).unwrap();
+    rig.run(4_000);
+    assert!(!rig.has_done(is_claim));
+}
+
+#[test]
+fn a_primary_that_writes_after_a_long_rest_is_left_alone() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.run(6_000);
+    rig.replicating = false;
+    rig.group.write(0).unwrap();
+    rig.run(1_000);
+    assert!(!rig.has_done(is_claim));
+}
+
+#[test]
+fn a_primary_cut_off_from_its_replicas_is_replaced() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.replicating = false;
+    rig.group.write(0).unwrap();
+    let waited = rig.run_until(is_claim);
+    assert!((5_000..5_200).contains(&waited), "{waited} ms");
+    let timeline = rig.machine.timeline().unwrap();
+    assert_eq!(timeline.cause, FailoverCause::ReplicationStalled);
+}
+
+#[test]
+fn a_primary_heard_by_another_instance_is_replaced_later() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    let heard = FailoverEvent::PeerObserved {
+        observer: "entry-5".parse().unwrap(),
+        target: target(0),
+        answered: true,
+    };
+    for _ in 0..19 {
+        rig.give(heard.clone());
+        rig.run(100);
+    }
+    assert!(!rig.has_done(is_claim));
+    rig.give(heard.clone());
+    rig.run(200);
+    assert!(rig.has_done(is_claim));
+}
+
+#[test]
+fn an_agent_that_was_paused_observes_silence_anew() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.pause(5_000);
+    for replica in 1..3 {
+        let report = rig.group.report(replica);
+        let requested_at = rig.now;
+        rig.give(FailoverEvent::Reported {
+            report,
+            requested_at,
+        });
+    }
+    assert!(!rig.has_done(is_claim));
+    rig.run(1_000);
+    assert!(!rig.has_done(is_claim));
+}
+
+#[test]
+fn an_agent_without_a_majority_does_nothing() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    rig.freeze(1);
+    rig.run(5_000);
+    assert!(!rig.has_done(is_claim));
+}
+
+#[test]
+fn agents_of_a_lower_rank_act_later() {
+    let mut rig = FailoverRig::new(3, 2);
+    rig.freeze(0);
+    let waited = rig.run_until(is_claim);
+    assert!((600..700).contains(&waited), "{waited} ms");
+}
+
+#[test]
+fn a_group_whose_claimant_died_gets_a_primary() {
+    let mut rig = FailoverRig::new(3, 0);
+    let term = rig.group.report(0).term.next();
+    for server in 0..2 {
+        assert!(rig.group.fence(server, term, 99));
+    }
+    rig.run(100);
+    assert_eq!(rig.machine.phase(), FailoverPhase::Watching);
+    rig.run_until(is_promote);
+    let timeline = rig.machine.timeline().unwrap();
+    assert_eq!(timeline.cause, FailoverCause::NoPrimary);
+    assert_eq!(timeline.term, term.next());
+}
+
+#[test]
+fn a_stranded_server_is_brought_back_under_its_primary() {
+    let mut rig = FailoverRig::new(3, 0);
+    let term = rig.group.report(0).term.next();
+    assert!(rig.group.fence(2, term, 99));
+    rig.run(3_000);
+    assert_eq!(rig.promoted(), vec![0]);
+    assert_eq!(rig.group.report(2).primary, Some(target(0)));
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/failover/switchover.rs
@@ -0,0 +1,91 @@
+//! Planned changes.
+
+use mustardhinge_core::failover::{FailoverAction, FailoverEvent, SwitchoverRefusal};
+
+use super::FailoverRig;
+use super::failover_rig::{is_claim, is_promote};
+use crate::group::target;
+
+fn request(rig: &mut FailoverRig, successor: Option<usize>) {
+    rig.give(FailoverEvent::SwitchoverRequested {
+        successor: successor.map(target),
+    });
+}
+
+fn is_hold(action: &FailoverAction) -> bool {
+    matches!(action, FailoverAction::HoldWrites { .. })
+}
+
+fn is_release(action: &FailoverAction) -> bool {
+    *action == FailoverAction::ReleaseWrites
+}
+
+fn refusal(rig: &FailoverRig) -> Option<SwitchoverRefusal> {
+    rig.actions.iter().find_map(|(_, action)| match action {
+        FailoverAction::RefuseSwitchover(refusal) => Some(*refusal),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_switchover_holds_writes_for_less_than_100_ms() {
+    let mut rig = FailoverRig::new(3, 1);
+    request(&mut rig, Some(2));
+    rig.run_until(is_hold);
+    let held = rig.run_until(is_release);
+    assert!(held < 100, "{held} ms");
+    assert_eq!(rig.promoted(), vec![2]);
+    rig.run(50);
+    assert_eq!(rig.group.report(0).primary, Some(target(2)));
+    assert_eq!(refusal(&rig), None);
+}
+
+#[test]
+fn a_switchover_waits_for_the_successors_log() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.replicating = false;
+    rig.group.write(0).unwrap();
+    rig.group.replicate(1, 1);
+    request(&mut rig, Some(2));
+    rig.run(100);
+    assert!(!rig.has_done(is_promote));
+    rig.group.replicate(2, 1);
+    rig.run(20);
+    assert_eq!(rig.promoted(), vec![2]);
+}
+
+#[test]
+fn a_switchover_whose_writes_do_not_end_is_given_up() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.draining = false;
+    request(&mut rig, None);
+    rig.run(600);
+    assert!(rig.has_done(is_release));
+    assert!(!rig.has_done(is_promote));
+    assert_eq!(refusal(&rig), Some(SwitchoverRefusal::DrainTimedOut));
+    assert_eq!(rig.machine.primary().unwrap().target, target(0));
+}
+
+#[test]
+fn a_switchover_without_successor_or_primary_is_refused() {
+    let mut rig = FailoverRig::new(3, 0);
+    request(&mut rig, Some(0));
+    assert_eq!(refusal(&rig), Some(SwitchoverRefusal::NoSuccessor));
+    let mut rig = FailoverRig::new(3, 0);
+    request(&mut rig, None);
+    request(&mut rig, None);
+    assert_eq!(refusal(&rig), Some(SwitchoverRefusal::ChangeUnderWay));
+}
+
+#[test]
+fn a_primary_that_dies_during_a_switchover_is_replaced() {
+    let mut rig = FailoverRig::new(3, 0);
+    request(&mut rig, Some(2));
+    rig.run_until(is_hold);
+    rig.kill(0);
+    rig.actions.clear();
+    rig.run(1_500);
+    assert!(rig.has_done(is_claim) || rig.has_done(is_promote));
+    assert!(rig.has_done(is_release));
+    assert_ne!(rig.machine.primary().unwrap().target, target(0));
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -1,12 +1,16 @@
 //! Tests of the decisions, by feature.
 
 mod budget_ledger;
+mod connection;
 mod document;
 mod drain;
+mod failover;
 mod group;
 mod key;
 mod membership;
 mod queue;
 mod replication;
+mod retry;
+mod routing;
 mod safety;
 mod units;
