--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -33,7 +33,6 @@
     PLATFORM_LOST = 3002, Warn, "platform not reached";
     DOCUMENT_ADOPTED = 3003, Info, "document adopted";
     DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
-    TARGET_JOINED = 5001, Info, "target joined its group";
     DRAIN_STARTED = 3005, Info, "drain started";
     DRAIN_ENDED = 3006, Info, "drain taken back";
     PEER_LOST = 3007, Warn, "agent of another instance not reached";
@@ -43,4 +42,5 @@
     TERM_STARTED = 4002, Warn, "new term begun";
     TERM_ABANDONED = 4003, Warn, "new term abandoned";
     PRIMARY_PROMOTED = 4004, Info, "primary promoted";
+    TARGET_JOINED = 5001, Info, "target joined its group";
 }
