Cut callers with their entry, and charge nobody for open routes

Cause, both seen in new tests of failures: an entry dropped as by a crash left its callers' tasks running, which kept a target's row locks (the next writer got 08007 after 5 s); and a read on an open route was refused for the customer's budget while the agent was away, though routes open to all must be served then.

Callers' tasks now belong to the listener and end with it. Work on open routes takes nobody's budget.

--- a/crates/mustardhinge-demo/src/main.rs
+++ b/crates/mustardhinge-demo/src/main.rs
@@ -49,10 +49,20 @@
         .start()
         .await?;
     fleet.wait_until_ready(STEP_BOUND).await?;
-    let first = DemoCaller::connect(fleet.instances[0].address, &service, None).await?;
-    let token = confirm_and_read(&fleet, &service, &first, count).await?;
-    lose_primary(&fleet, &first, count).await?;
-    read_after(&fleet, &service, &token, count).await
+    let outcome = drive(&fleet, &service, count).await;
+    fleet.shutdown().await;
+    outcome
+}
+
+async fn drive(
+    fleet: &SmallFleet,
+    service: &ServiceId,
+    count: &mut DemoCount,
+) -> anyhow::Result<()> {
+    let first = DemoCaller::connect(fleet.instances[0].address, service, None).await?;
+    let token = confirm_and_read(fleet, service, &first, count).await?;
+    lose_primary(fleet, &first, count).await?;
+    read_after(fleet, service, &token, count).await
 }
 
 async fn confirm_and_read(
--- a/crates/mustardhinge-entry/src/process/listener.rs
+++ b/crates/mustardhinge-entry/src/process/listener.rs
@@ -5,6 +5,7 @@
 use mustardhinge_process::event;
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use super::EntryShared;
@@ -35,21 +36,26 @@
 }
 
 impl CallerListener {
-    /// Accepts connections until the task is dropped.
+    /// Accepts connections until the task is dropped, and the callers' tasks
+    /// with it.
     pub(super) async fn run(self, listener: TcpListener) {
+        let mut callers = JoinSet::new();
         loop {
-            match listener.accept().await {
-                Ok((tcp, _)) => self.start_caller(tcp),
-                Err(error) => {
-                    let cause = error.to_string();
-                    event::CALLER_NOT_ACCEPTED.log(format_args!("error={cause:?}"));
-                    sleep(ACCEPT_PAUSE).await;
-                }
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((tcp, _)) => self.start_caller(tcp, &mut callers),
+                    Err(error) => {
+                        let cause = error.to_string();
+                        event::CALLER_NOT_ACCEPTED.log(format_args!("error={cause:?}"));
+                        sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                Some(_) = callers.join_next() => {}
             }
         }
     }
 
-    fn start_caller(&self, tcp: TcpStream) {
+    fn start_caller(&self, tcp: TcpStream, callers: &mut JoinSet<()>) {
         let Some(count) = self.shared.try_enter(self.max_callers) else {
             let limit = self.max_callers;
             event::CALLER_NOT_ACCEPTED.log(format_args!("max_callers={limit}"));
@@ -57,7 +63,7 @@
         };
         let _ = tcp.set_nodelay(true);
         let listener = self.clone();
-        tokio::spawn(async move {
+        callers.spawn(async move {
             let _ = listener.serve(tcp).await;
             drop(count);
         });
--- a/crates/mustardhinge-entry/src/serve/admission.rs
+++ b/crates/mustardhinge-entry/src/serve/admission.rs
@@ -137,13 +137,15 @@
         self.check_key(&service, request)
     }
 
+    /// Takes one request from the customer's budget; work on routes open to all
+    /// is nobody's.
     async fn check_budget(
         &self,
         service: &ServiceRuntime,
         customer: &CustomerId,
         request: &CallerRequest,
     ) -> Result<(), RequestEnd> {
-        if request.only_prepares() || self.customer.is_none() {
+        if request.only_prepares() || is_open(service, request) {
             return Ok(());
         }
         let admitted = self
--- /dev/null
+++ b/crates/mustardhinge-entry/tests/suite/faults.rs
@@ -0,0 +1,134 @@
+use std::time::{Duration, Instant};
+
+use mustardhinge_fleet::SmallFleet;
+use tokio_postgres::Client;
+
+use super::cluster::{
+    TEST_BOUND, caller, connect, detail, first_column, haulage, haulage_fleet, start,
+};
+
+async fn confirm(client: &Client, key: &str) -> Result<(), tokio_postgres::Error> {
+    let text =
+        format!("/*request_id='r-{key}'*/ INSERT INTO discharges (k, v) VALUES ('{key}', 'done')");
+    client.simple_query(&text).await.map(drop)
+}
+
+/// Confirms again and again until it succeeds.
+async fn confirm_until_done(client: &Client, key: &str) {
+    let started_at = Instant::now();
+    while let Err(error) = confirm(client, key).await {
+        assert!(started_at.elapsed() < TEST_BOUND, "{error:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn all_keys(client: &Client) -> Vec<String> {
+    let mut keys = first_column(client, "SELECT k FROM discharges").await;
+    keys.sort();
+    keys
+}
+
+#[tokio::test]
+async fn a_frozen_primary_is_replaced_and_nothing_confirmed_is_lost() {
+    let fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    confirm(&client, "d1").await.unwrap();
+    let old = fleet.group("haulage-1").first();
+    old.set_frozen(true);
+    confirm_until_done(&client, "d2").await;
+    let other = connect(&caller(fleet.instances[1].address)).await.unwrap();
+    assert_eq!(all_keys(&other).await, ["d1", "d2"]);
+}
+
+#[tokio::test]
+async fn a_primary_that_comes_back_follows() {
+    let fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    confirm(&client, "d1").await.unwrap();
+    let old = fleet.group("haulage-1").first();
+    old.set_down(true);
+    confirm_until_done(&client, "d2").await;
+    old.set_down(false);
+    let started_at = Instant::now();
+    while old.value_of("discharges", "d2").is_none() {
+        assert!(started_at.elapsed() < TEST_BOUND, "{:?}", old.report());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(all_keys(&client).await, ["d1", "d2"]);
+}
+
+#[tokio::test]
+async fn connections_that_fall_silent_cost_one_bounded_wait() {
+    let fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    confirm(&client, "d1").await.unwrap();
+    first_column(&client, "SELECT 1").await;
+    for target in &fleet.group("haulage-1").targets {
+        target.silence_connections();
+    }
+    assert_eq!(all_keys(&client).await, ["d1"]);
+    confirm_until_done(&client, "d2").await;
+    assert_eq!(all_keys(&client).await, ["d1", "d2"]);
+}
+
+#[tokio::test]
+async fn reads_go_on_while_a_replica_is_frozen() {
+    let fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    confirm(&client, "d1").await.unwrap();
+    for number in 1..3 {
+        let replica = &fleet.group("haulage-1").targets[number];
+        replica.set_frozen(true);
+        assert_eq!(all_keys(&client).await, ["d1"]);
+        replica.set_frozen(false);
+        let started_at = Instant::now();
+        while all_keys(&client).await != ["d1"] {
+            assert!(started_at.elapsed() < TEST_BOUND);
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_entry_killed_in_a_transaction_leaves_nothing() {
+    let mut fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    client.simple_query("BEGIN").await.unwrap();
+    let insert = "INSERT INTO moves (k, v) VALUES ('m1', 'a')";
+    client.simple_query(insert).await.unwrap();
+    fleet.instances[0].kill();
+    let other = connect(&caller(fleet.instances[1].address)).await.unwrap();
+    let insert = "INSERT INTO moves (k, v) VALUES ('m1', 'b')";
+    other.simple_query(insert).await.unwrap();
+    assert_eq!(first_column(&other, "SELECT v FROM moves").await, ["b"]);
+}
+
+#[tokio::test]
+async fn without_its_agent_an_entry_serves_open_routes_only() {
+    let mut fleet = haulage_fleet().await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    client.simple_query("SELECT 1").await.unwrap();
+    fleet.instances[0].agent = None;
+    let started_at = Instant::now();
+    let refused = loop {
+        match client.simple_query("SELECT 1").await {
+            Err(error) if detail(&error).contains("reason=key_unproven") => break error,
+            _ => assert!(started_at.elapsed() < TEST_BOUND),
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert!(detail(&refused).contains("outcome=not_run"));
+    let open = "/*route='site-status'*/ SELECT v FROM sites WHERE k = 's1'";
+    client.simple_query(open).await.unwrap();
+}
+
+#[tokio::test]
+async fn keyed_work_goes_on_while_the_platform_is_down() {
+    let fleet = start(SmallFleet::builder().service(haulage()).instances(3)).await;
+    fleet.platform.set_down(true);
+    let bound = Duration::from_millis(haulage().limits.key_proof_ms.into());
+    tokio::time::sleep(bound + Duration::from_secs(1)).await;
+    for (number, instance) in fleet.instances.iter().enumerate() {
+        let client = connect(&caller(instance.address)).await.unwrap();
+        confirm(&client, &format!("d{number}")).await.unwrap();
+    }
+}
--- a/crates/mustardhinge-entry/tests/suite/main.rs
+++ b/crates/mustardhinge-entry/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod cluster;
+mod faults;
 mod keys;
 mod sessions;
 mod statements;
--- a/crates/mustardhinge-fleet/src/fleet_builder.rs
+++ b/crates/mustardhinge-fleet/src/fleet_builder.rs
@@ -183,7 +183,7 @@
             zone,
             address: entry.address(),
             agent_address: agent.address(),
-            operator_address: agent.address(),
+            operator_address: agent.operator_address(),
             agent: Some(agent),
             entry: Some(entry),
         })
--- a/crates/mustardhinge-fleet/src/small_fleet.rs
+++ b/crates/mustardhinge-fleet/src/small_fleet.rs
@@ -82,6 +82,17 @@
         Ok(number - 1)
     }
 
+    /// Stops the instances as planned, then the stand-ins.
+    pub async fn shutdown(mut self) {
+        for instance in &mut self.instances {
+            instance.stop().await;
+        }
+        for group in std::mem::take(&mut self.groups).into_values() {
+            group.shutdown().await;
+        }
+        self.platform.shutdown().await;
+    }
+
     /// Stores a changed document, as an operator's update that succeeded.
     ///
     /// # Errors
