Test the agent against the stand-ins

Failover with the primary killed or frozen and the store up, down, silent or slow; an old primary that comes back; agents in three zones; documents, proof, and the operator API with lost answers, races and outages.

The stand-in resets connections instead of refusing them when down, so that the shorter bound for refused connections is not exercised here.

--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -1,4 +1,8 @@
 //! Tests of the agent, by feature.
 
 mod cold_start;
+mod documents;
+mod failover;
+mod operator_api;
+mod scaffold;
 mod static_shares;
