--- a/crates/mustardhinge-agent/src/budget/static_shares.rs
+++ b/crates/mustardhinge-agent/src/budget/static_shares.rs
@@ -57,7 +57,7 @@
         let empty = || ShareLedger::empty(self.epoch, limit, started_at);
         let ledger = self.ledgers.entry(key).or_insert_with(empty);
         ledger.set_limit(limit, now);
-        ledger.answer(&request.ask, ShareLedger::GRANT_VALID_MS, now)
+        ledger.answer(&request.ask, now)
     }
 }
 
--- a/crates/mustardhinge-agent/src/group/group_context.rs
+++ b/crates/mustardhinge-agent/src/group/group_context.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 
 use mustardhinge_core::failover::FailoverSettings;
-use mustardhinge_core::prelude::*;
 
 use super::{ProbeTiming, WatchRegistry};
 use crate::platform::PlatformClient;
@@ -22,8 +21,4 @@
     pub(crate) claimant: String,
     /// The watches that run.
     pub(crate) registry: Arc<WatchRegistry>,
-    /// The instance of the agent.
-    pub(crate) instance: InstanceId,
-    /// The availability zone of the instance.
-    pub(crate) zone: ZoneId,
 }
--- a/crates/mustardhinge-agent/src/group/group_watch.rs
+++ b/crates/mustardhinge-agent/src/group/group_watch.rs
@@ -8,6 +8,7 @@
 use mustardhinge_core::replication::GroupMembers;
 use mustardhinge_process::event;
 use mustardhinge_rpc::control::GroupState;
+use mustardhinge_rpc::peer::PrimaryQuestion;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
@@ -16,12 +17,17 @@
 use super::target_probe::probe_target;
 use super::watch_handle::WatchView;
 use super::{GroupContext, SwitchoverError, SwitchoverOrder, WatchEvent, WatchHandle};
+use crate::peer::ask_watchers;
 use crate::target::TargetLink;
 
 /// Events that wait for the watch before probes are held up.
 const EVENT_QUEUE: usize = 256;
 /// The time between two looks at a group in which nothing happens.
 const TICK: Duration = Duration::from_millis(20);
+/// The silence of the primary after which the other watchers are asked.
+const QUESTION_SILENCE: Duration = Duration::from_millis(150);
+/// The time between two questions about the primary.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 /// The time that entries get to hear of a hold and to end their writes.
 const DRAIN_WAIT: Duration = Duration::from_millis(30);
 
@@ -33,6 +39,7 @@
     sender: mpsc::Sender<WatchEvent>,
     view: watch::Sender<WatchView>,
     switchover: Option<oneshot::Sender<Result<(LeaderTerm, TargetId), SwitchoverError>>>,
+    asked_at: MonotonicTime,
     tasks: JoinSet<()>,
 }
 
@@ -73,6 +80,7 @@
             sender,
             view,
             switchover: None,
+            asked_at: now,
             tasks: JoinSet::new(),
         };
         group_watch.start_probes();
@@ -89,7 +97,10 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                _ = ticks.tick() => self.advance(FailoverEvent::Tick),
+                _ = ticks.tick() => {
+                    self.advance(FailoverEvent::Tick);
+                    self.ask_about_primary();
+                }
             }
             while self.tasks.try_join_next().is_some() {}
         }
@@ -128,6 +139,25 @@
         self.finish_switchover();
     }
 
+    /// Asks the other watchers about a primary that is silent here.
+    fn ask_about_primary(&mut self) {
+        let now = self.calls.context.state.now();
+        let view = self.machine.view();
+        let Some(primary) = self.machine.primary().map(|report| report.target.clone()) else {
+            return;
+        };
+        let is_due = now.saturating_since(self.asked_at) >= QUESTION_INTERVAL;
+        if !is_due || !view.is_silent(&primary, now, QUESTION_SILENCE) {
+            return;
+        }
+        self.asked_at = now;
+        let question = PrimaryQuestion {
+            group: self.calls.group.clone(),
+            target: primary,
+        };
+        ask_watchers(&self.calls.context.state, &question, &self.sender);
+    }
+
     fn start_switchover(&mut self, order: SwitchoverOrder) {
         self.answer_switchover(Err(SwitchoverError::NotWatched));
         self.switchover = Some(order.reply);
--- a/crates/mustardhinge-agent/src/group/watch_supervisor.rs
+++ b/crates/mustardhinge-agent/src/group/watch_supervisor.rs
@@ -76,11 +76,12 @@
     }
 
     fn wanted_groups(&self) -> BTreeMap<GroupId, (GroupEntry, u32)> {
-        let (instance, zone) = (&self.context.instance, &self.context.zone);
+        let state = &self.context.state;
         self.context.state.read(|known| {
             let groups = known.documents().map(|known| &known.document.group);
             let ranked = groups.filter_map(|entry| {
-                let rank = choose_watch_rank(entry, &known.instances, instance, zone)?;
+                let rank =
+                    choose_watch_rank(entry, &known.instances, &state.instance, &state.zone)?;
                 Some((entry.name.clone(), (entry.clone(), rank)))
             });
             ranked.collect()
--- a/crates/mustardhinge-agent/src/lib.rs
+++ b/crates/mustardhinge-agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod group;
 mod membership;
 mod operator;
+mod peer;
 pub mod platform;
 mod process;
 mod state;
--- /dev/null
+++ b/crates/mustardhinge-agent/src/membership/agent_role.rs
@@ -0,0 +1,100 @@
+use std::collections::BTreeSet;
+
+use mustardhinge_core::membership::choose_ranked;
+use mustardhinge_core::prelude::*;
+
+use crate::peer::PeerAddress;
+use crate::state::{KnownState, SharedState};
+
+/// Agents of a zone that exchange with the same agent above them.
+const FAN_OUT: usize = 8;
+
+/// With whom an agent exchanges.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AgentRole {
+    /// It speaks for its zone to the platform, and exchanges with agents that
+    /// speak for others.
+    Holder(Vec<PeerAddress>),
+    /// It exchanges with the agent above it in its zone.
+    Member(Vec<PeerAddress>),
+}
+
+impl AgentRole {
+    /// Returns whether the agent speaks for its zone.
+    pub(crate) const fn is_holder(&self) -> bool {
+        matches!(self, Self::Holder(_))
+    }
+
+    /// Returns with whom it exchanges.
+    pub(crate) fn into_peers(self) -> Vec<PeerAddress> {
+        match self {
+            Self::Holder(peers) | Self::Member(peers) => peers,
+        }
+    }
+}
+
+/// Chooses the role of this agent by rendezvous over the instances that are
+/// worth asking. Alone in its zone, an agent speaks for it.
+pub(crate) fn choose_role(
+    known: &KnownState,
+    state: &SharedState,
+    now: MonotonicTime,
+) -> AgentRole {
+    let own = &state.instance;
+    let ranked = rank_zone(known, &state.zone, Some(own), now);
+    let place = ranked.iter().position(|member| member == own);
+    match place {
+        Some(place) if place > 0 => {
+            let parent = &ranked[(place - 1) / FAN_OUT];
+            AgentRole::Member(find_address(known, parent).into_iter().collect())
+        }
+        _ => AgentRole::Holder(partner_holders(known, &state.zone, now)),
+    }
+}
+
+/// Returns the usable instances of a zone, the one that speaks for it first.
+pub(crate) fn rank_zone(
+    known: &KnownState,
+    zone: &ZoneId,
+    own: Option<&InstanceId>,
+    now: MonotonicTime,
+) -> Vec<InstanceId> {
+    let mut members: BTreeSet<_> = known.members.usable_in(zone, now).collect();
+    let is_leaving = own.is_some_and(|own| known.is_leaving(own));
+    if !is_leaving || members.is_empty() {
+        members.extend(own);
+    }
+    let count = members.len();
+    let ranked = choose_ranked(zone.as_str().as_bytes(), members, count);
+    ranked.into_iter().cloned().collect()
+}
+
+/// Returns the agents that speak for the zones 1, 2, 4, … places after the own
+/// one, so that news reaches every zone in a few steps.
+fn partner_holders(known: &KnownState, own_zone: &ZoneId, now: MonotonicTime) -> Vec<PeerAddress> {
+    let mut zones: Vec<_> = known.members.zones();
+    if !zones.contains(&own_zone) {
+        zones.push(own_zone);
+        zones.sort_unstable();
+    }
+    let own_place = zones.iter().position(|zone| *zone == own_zone);
+    let own_place = own_place.unwrap_or_default();
+    let distances = std::iter::successors(Some(1), |distance| Some(distance * 2));
+    let distances = distances.take_while(|distance| *distance < zones.len());
+    let partners = distances.map(|distance| zones[(own_place + distance) % zones.len()]);
+    partners
+        .filter_map(|zone| rank_zone(known, zone, None, now).into_iter().next())
+        .filter_map(|holder| find_address(known, &holder))
+        .collect()
+}
+
+/// Returns where an instance's agent listens.
+pub(crate) fn find_address(known: &KnownState, instance: &InstanceId) -> Option<PeerAddress> {
+    let mut entries = known.instances.instances.iter();
+    let entry = entries.find(|entry| entry.instance == *instance)?;
+    Some(PeerAddress {
+        instance: Some(instance.clone()),
+        zone: Some(entry.zone.clone()),
+        address: entry.agent_address,
+    })
+}
--- a/crates/mustardhinge-agent/src/membership/watch_rank.rs
+++ b/crates/mustardhinge-agent/src/membership/watch_rank.rs
@@ -1,10 +1,9 @@
 use std::collections::BTreeMap;
 
 use mustardhinge_config::document::GroupEntry;
-use mustardhinge_core::membership::choose_ranked;
+use mustardhinge_core::membership::{InstanceState, choose_ranked};
 use mustardhinge_core::prelude::*;
-
-use crate::platform::InstanceList;
+use mustardhinge_rpc::peer::InstanceList;
 
 /// Watchers of a group in each zone that has one of its targets.
 const WATCHERS_PER_ZONE: usize = 1;
@@ -19,24 +18,32 @@
     instance: &InstanceId,
     zone: &ZoneId,
 ) -> Option<u32> {
-    let mut members: BTreeMap<&InstanceId, &ZoneId> = list
-        .instances
-        .iter()
-        .filter(|entry| entry.state == "live")
-        .map(|entry| (&entry.instance, &entry.zone))
-        .collect();
-    let is_listed = list.instances.iter().any(|e| e.instance == *instance);
-    if !is_listed {
-        members.insert(instance, zone);
-    }
-    let watchers = choose_watchers(group, &members);
-    let key = group.name.as_str().as_bytes();
-    let ranked = choose_ranked(key, watchers.iter().copied(), watchers.len());
-    let place = ranked.iter().position(|member| *member == instance)?;
+    let watchers = choose_watchers(group, list, Some((instance, zone)));
+    let place = watchers.iter().position(|member| member == instance)?;
     u32::try_from(place).ok()
 }
 
-fn choose_watchers<'a>(
+/// Returns the watchers of a group, the one that acts first in front; `own` is
+/// counted in while the list does not name it.
+pub(crate) fn choose_watchers(
+    group: &GroupEntry,
+    list: &InstanceList,
+    own: Option<(&InstanceId, &ZoneId)>,
+) -> Vec<InstanceId> {
+    let is_listed = |instance: &InstanceId| list.instances.iter().any(|e| e.instance == *instance);
+    let live = list.instances.iter();
+    let live = live.filter(|entry| entry.state == InstanceState::Live);
+    let mut members: BTreeMap<&InstanceId, &ZoneId> =
+        live.map(|entry| (&entry.instance, &entry.zone)).collect();
+    members.extend(own.filter(|(instance, _)| !is_listed(instance)));
+    let key = group.name.as_str().as_bytes();
+    let watchers = choose_per_zone(group, &members);
+    let count = watchers.len();
+    let ranked = choose_ranked(key, watchers, count);
+    ranked.into_iter().cloned().collect()
+}
+
+fn choose_per_zone<'a>(
     group: &GroupEntry,
     members: &BTreeMap<&'a InstanceId, &ZoneId>,
 ) -> Vec<&'a InstanceId> {
--- a/crates/mustardhinge-agent/src/operator/group_endpoints.rs
+++ b/crates/mustardhinge-agent/src/operator/group_endpoints.rs
@@ -1,11 +1,12 @@
 use dropshot::{HttpResponseOk, Path, RequestContext, TypedBody, endpoint};
 use mustardhinge_core::prelude::*;
-use mustardhinge_rpc::operator::{SwitchoverRequest, SwitchoverResult};
+use mustardhinge_rpc::operator::{ErrorKind, SwitchoverRequest, SwitchoverResult};
 use schemars::JsonSchema;
 use serde::Deserialize;
 
 use super::{ApiError, OperatorContext};
 use crate::group::order_switchover;
+use crate::peer::forward_switchover;
 
 /// The path of a database group.
 #[derive(Deserialize, JsonSchema)]
@@ -29,7 +30,13 @@
         .group
         .parse()
         .map_err(ApiError::bad_request)?;
-    let successor = body.into_inner().to;
-    let result = order_switchover(&context.state, &context.registry, group, successor).await?;
+    let order = body.into_inner();
+    let (state, registry) = (&context.state, &context.registry);
+    let result = match order_switchover(state, registry, group.clone(), order.to.clone()).await {
+        Err(error) if error.kind == ErrorKind::NotRun => {
+            forward_switchover(state, &group, &order).await?
+        }
+        ended => ended?,
+    };
     Ok(HttpResponseOk(result))
 }
--- a/crates/mustardhinge-agent/src/operator/operator_context.rs
+++ b/crates/mustardhinge-agent/src/operator/operator_context.rs
@@ -1,7 +1,5 @@
 use std::sync::Arc;
 
-use mustardhinge_core::prelude::*;
-
 use super::DocumentWriter;
 use crate::group::WatchRegistry;
 use crate::platform::PlatformClient;
@@ -9,10 +7,6 @@
 
 /// What the endpoints work with.
 pub(crate) struct OperatorContext {
-    /// The instance of the agent.
-    pub(crate) instance: InstanceId,
-    /// The availability zone of the instance.
-    pub(crate) zone: ZoneId,
     /// What the agent knows.
     pub(crate) state: Arc<SharedState>,
     /// The platform.
--- a/crates/mustardhinge-agent/src/operator/status_report.rs
+++ b/crates/mustardhinge-agent/src/operator/status_report.rs
@@ -19,15 +19,15 @@
     let groups = groups.map(|group| describe_group(context, group, now));
     let groups = groups.collect();
     context.state.read(|known| AgentStatus {
-        instance: context.instance.clone(),
-        zone: context.zone.clone(),
-        ready: known.is_ready(),
+        instance: context.state.instance.clone(),
+        zone: context.state.zone.clone(),
+        ready: known.is_ready(now),
         draining: known.drain.is_draining(),
         proof_age_ms: known.proof_age_ms(now),
         platform_reachable: known.is_platform_reachable,
         services: summarize_services(known),
         groups,
-        peers: Vec::new(),
+        peers: known.peers.values().cloned().collect(),
     })
 }
 
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/exchange_answer.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::peer::{ExchangeReply, ExchangeRequest, PeerDocument};
+
+use crate::state::{AdoptedDocument, KnownState, SharedState, millis};
+
+/// The longest wait that another agent may ask for.
+const MAX_EXCHANGE_WAIT: Duration = Duration::from_secs(5);
+
+/// Answers an exchange as soon as there is something new, or the wait is over.
+pub(super) async fn answer_exchange(
+    state: &SharedState,
+    request: &ExchangeRequest,
+) -> ExchangeReply {
+    let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_EXCHANGE_WAIT);
+    let mut changes = state.subscribe();
+    let mut proofs = state.subscribe_proofs();
+    let is_new = state.read(|known| has_news(known, request));
+    if !is_new {
+        tokio::select! {
+            _ = changes.changed() => {}
+            _ = proofs.changed() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+    }
+    let now = state.now();
+    state.read(|known| make_reply(state, known, request, now))
+}
+
+fn has_news(known: &KnownState, request: &ExchangeRequest) -> bool {
+    known.store_revision > request.store_revision
+        || known.instances.revision > request.list_revision
+        || known.incarnation != request.peer_incarnation
+        || known.groups.last_change() > request.group_change
+}
+
+fn make_reply(
+    state: &SharedState,
+    known: &KnownState,
+    request: &ExchangeRequest,
+    now: MonotonicTime,
+) -> ExchangeReply {
+    let is_same_start = known.incarnation == request.peer_incarnation;
+    let group_change = if is_same_start {
+        request.group_change
+    } else {
+        0
+    };
+    let is_newer = |document: &&AdoptedDocument| document.version.get() > request.store_revision;
+    let documents = known.documents().filter(is_newer);
+    let list = &known.instances;
+    ExchangeReply {
+        incarnation: known.incarnation,
+        instance: state.instance.clone(),
+        zone: state.zone.clone(),
+        store_revision: known.store_revision,
+        documents: documents.map(to_peer_document).collect(),
+        list: (list.revision > request.list_revision).then(|| list.clone()),
+        group_change: known.groups.last_change(),
+        groups: known.groups.changed_after(group_change, now),
+        proof_age_ms: known.proof.store_proof_age(now).map(millis),
+        outages: known.proof.outages(now),
+    }
+}
+
+fn to_peer_document(document: &AdoptedDocument) -> PeerDocument {
+    PeerDocument {
+        version: document.version,
+        operation_id: document.operation_id.clone(),
+        text: document.text.clone(),
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/exchange_loop.rs
@@ -0,0 +1,198 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::event;
+use mustardhinge_rpc::PeerApiClient;
+use mustardhinge_rpc::operator::PeerSummary;
+use mustardhinge_rpc::peer::{ExchangeReply, ExchangeRequest, PROTOCOL_VERSION};
+use rand::RngExt;
+
+use crate::state::{AdoptedDocument, SharedState, millis};
+
+/// The time after which a call of another agent is given up, beside its wait.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The greatest wait before an agent that did not answer is asked again.
+const RETRY_WAIT: Duration = Duration::from_millis(300);
+
+/// Another agent to exchange with.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct PeerAddress {
+    /// Its instance; none if only the address is known.
+    pub(crate) instance: Option<InstanceId>,
+    /// Its availability zone, if it is known.
+    pub(crate) zone: Option<ZoneId>,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+}
+
+/// The exchanges with one other agent.
+pub(super) struct ExchangeLoop {
+    state: Arc<SharedState>,
+    peer: PeerAddress,
+    client: HttpClient,
+    wait: Duration,
+    peer_incarnation: u64,
+    peer_change: u64,
+    sent_change: u64,
+    is_reached: bool,
+}
+
+impl ExchangeLoop {
+    /// Makes the exchanges with an agent; each call waits up to `wait` for
+    /// something new. None if no client can be made.
+    pub(super) fn new(state: Arc<SharedState>, peer: PeerAddress, wait: Duration) -> Option<Self> {
+        let client = HttpClient::builder()
+            .request_timeout(wait + PEER_TIMEOUT)
+            .build(format!("http://{}", peer.address))
+            .ok()?;
+        Some(Self {
+            state,
+            peer,
+            client,
+            wait,
+            peer_incarnation: 0,
+            peer_change: 0,
+            sent_change: 0,
+            is_reached: true,
+        })
+    }
+
+    /// Exchanges for as long as it is polled.
+    pub(super) async fn run(mut self) {
+        loop {
+            if !self.exchange_once(self.wait).await {
+                let jitter = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(RETRY_WAIT.mul_f64(jitter)).await;
+            }
+        }
+    }
+
+    /// Exchanges once, cut short when a group changes here; returns whether the
+    /// agent answered.
+    pub(super) async fn exchange_once(&mut self, wait: Duration) -> bool {
+        let asked_at = self.state.now();
+        let mut changes = self.state.subscribe();
+        let (request, change) = self.make_request(wait, asked_at);
+        let answer = tokio::select! {
+            answer = self.client.exchange(request) => answer,
+            () = wait_for_groups(&self.state, &mut changes, change) => return true,
+        };
+        match answer {
+            Ok(Ok(reply)) => {
+                self.sent_change = change;
+                self.take_reply(reply, asked_at);
+                true
+            }
+            Ok(Err(_)) => self.note_failure("other_protocol"),
+            Err(_) => self.note_failure("no_answer"),
+        }
+    }
+
+    fn make_request(&self, wait: Duration, now: MonotonicTime) -> (ExchangeRequest, u64) {
+        self.state.read(|known| {
+            let request = ExchangeRequest {
+                protocol: PROTOCOL_VERSION,
+                instance: self.state.instance.clone(),
+                store_revision: known.store_revision,
+                list_revision: known.instances.revision,
+                peer_incarnation: self.peer_incarnation,
+                group_change: self.peer_change,
+                groups: known.groups.changed_after(self.sent_change, now),
+                wait_ms: millis(wait),
+            };
+            (request, known.groups.last_change())
+        })
+    }
+
+    fn take_reply(&mut self, reply: ExchangeReply, asked_at: MonotonicTime) {
+        count_exchange("answered");
+        if reply.incarnation != self.peer_incarnation {
+            self.peer_incarnation = reply.incarnation;
+            self.sent_change = 0;
+        }
+        self.peer_change = reply.group_change;
+        self.is_reached = true;
+        let parse = |document: &mustardhinge_rpc::peer::PeerDocument| {
+            let operation = document.operation_id.clone();
+            AdoptedDocument::parse(document.version, operation, &document.text).ok()
+        };
+        let documents = reply.documents.iter().filter_map(parse).collect();
+        self.state.adopt_all(documents, reply.store_revision);
+        if let Some(list) = reply.list {
+            self.state.take_instances(list);
+        }
+        for group in reply.groups {
+            self.state.take_group(group);
+        }
+        self.take_proof(&reply.outages, reply.proof_age_ms, asked_at);
+        self.note_answer(&reply.instance, reply.zone);
+    }
+
+    fn take_proof(
+        &self,
+        outages: &[mustardhinge_rpc::peer::StoreOutage],
+        proof_age_ms: Option<u32>,
+        asked_at: MonotonicTime,
+    ) {
+        self.state.update_proof(|known| {
+            known.proof.record_peer_outages(outages, asked_at);
+            if let Some(age_ms) = proof_age_ms {
+                known.proof.record_peer(asked_at, age_ms);
+            }
+        });
+    }
+
+    fn note_answer(&self, instance: &InstanceId, zone: ZoneId) {
+        let summary = PeerSummary {
+            instance: instance.clone(),
+            zone,
+            address: self.peer.address.to_string(),
+            reachable: true,
+        };
+        self.state.update(|known| {
+            known.members.on_answer(instance);
+            known.peers.insert(instance.clone(), summary);
+            false
+        });
+    }
+
+    fn note_failure(&mut self, reason: &'static str) -> bool {
+        count_exchange(reason);
+        let now = self.state.now();
+        if let Some(instance) = &self.peer.instance {
+            self.state.update(|known| {
+                known.members.on_failure(instance, now);
+                if let Some(summary) = known.peers.get_mut(instance) {
+                    summary.reachable = false;
+                }
+                false
+            });
+        }
+        if self.is_reached {
+            let address = self.peer.address;
+            event::PEER_LOST.log(format_args!("address={address} reason={reason}"));
+        }
+        self.is_reached = false;
+        false
+    }
+}
+
+/// Waits until a group has changed after a change.
+async fn wait_for_groups(
+    state: &SharedState,
+    changes: &mut tokio::sync::watch::Receiver<u64>,
+    change: u64,
+) {
+    while state.read(|known| known.groups.last_change()) <= change {
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+fn count_exchange(result: &'static str) {
+    metrics::counter!("mustardhinge_peer_exchanges_total", "result" => result).increment(1);
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Exchanges what is known with a few agents of other instances.
+
+mod exchange_answer;
+mod exchange_loop;
+mod peer_calls;
+mod peer_service;
+mod role_supervisor;
+
+pub(crate) use exchange_loop::PeerAddress;
+pub(crate) use peer_calls::{ask_watchers, forward_switchover};
+pub(crate) use peer_service::PeerService;
+pub(crate) use role_supervisor::RoleSupervisor;
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/peer_calls.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use mustardhinge_core::failover::FailoverEvent;
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::PeerApiClient;
+use mustardhinge_rpc::operator::{ErrorKind, OperatorError, SwitchoverRequest, SwitchoverResult};
+use mustardhinge_rpc::peer::PrimaryQuestion;
+use tokio::sync::mpsc;
+
+use super::PeerAddress;
+use crate::group::WatchEvent;
+use crate::membership::{choose_watchers, find_address};
+use crate::state::SharedState;
+
+/// The time after which a watcher's answer no longer counts.
+const QUESTION_BOUND: Duration = Duration::from_millis(150);
+/// The time after which a switchover elsewhere is given up waiting for.
+const SWITCHOVER_BOUND: Duration = Duration::from_secs(6);
+
+/// Makes a client of another agent's calls.
+pub(crate) fn make_client(peer: &PeerAddress, bound: Duration) -> Option<HttpClient> {
+    let url = format!("http://{}", peer.address);
+    HttpClient::builder().request_timeout(bound).build(url).ok()
+}
+
+/// Asks the other watchers of a group whether they still hear a target.
+pub(crate) fn ask_watchers(
+    state: &Arc<SharedState>,
+    question: &PrimaryQuestion,
+    events: &mpsc::Sender<WatchEvent>,
+) {
+    for watcher in other_watchers(state, &question.group) {
+        let (question, events) = (question.clone(), events.clone());
+        tokio::spawn(async move {
+            if let Some(event) = ask_watcher(&watcher, question).await {
+                let _ = events.send(WatchEvent::Failover(event)).await;
+            }
+        });
+    }
+}
+
+async fn ask_watcher(watcher: &PeerAddress, question: PrimaryQuestion) -> Option<FailoverEvent> {
+    let client = make_client(watcher, QUESTION_BOUND)?;
+    let target = question.target.clone();
+    let answer = client.hears_target(question).await.ok()?;
+    Some(FailoverEvent::PeerObserved {
+        observer: answer.instance,
+        target,
+        answered: answer.answered?,
+    })
+}
+
+/// Has another watcher of a group change its primary.
+///
+/// # Errors
+///
+/// Fails with what the operator is told.
+pub(crate) async fn forward_switchover(
+    state: &Arc<SharedState>,
+    group: &GroupId,
+    request: &SwitchoverRequest,
+) -> Result<SwitchoverResult, OperatorError> {
+    for watcher in other_watchers(state, group) {
+        let Some(client) = make_client(&watcher, SWITCHOVER_BOUND) else {
+            continue;
+        };
+        match client.switch_over(group.clone(), request.clone()).await {
+            Ok(Err(error)) if error.kind == ErrorKind::NotRun => {}
+            Ok(ended) => return ended,
+            Err(jsonrpsee::core::ClientError::RequestTimeout) => return Err(lost_outcome(group)),
+            Err(_) => {}
+        }
+    }
+    let message = format!("no agent that watches group {group} was reached");
+    Err(OperatorError::new(ErrorKind::NotRun, message).retry_after_ms(1_000))
+}
+
+fn lost_outcome(group: &GroupId) -> OperatorError {
+    let message = format!("the switchover of {group} has not ended in time; look at the status");
+    OperatorError::new(ErrorKind::OutcomeUnknown, message)
+}
+
+fn other_watchers(state: &SharedState, group: &GroupId) -> Vec<PeerAddress> {
+    state.read(|known| {
+        let mut groups = known.documents().map(|known| &known.document.group);
+        let Some(entry) = groups.find(|entry| entry.name == *group) else {
+            return Vec::new();
+        };
+        let watchers = choose_watchers(entry, &known.instances, None);
+        let others = watchers
+            .iter()
+            .filter(|watcher| **watcher != state.instance);
+        others
+            .filter_map(|watcher| find_address(known, watcher))
+            .collect()
+    })
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/peer_service.rs
@@ -0,0 +1,77 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::{RpcResult, async_trait};
+use mustardhinge_core::budget::LedgerError;
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::PeerApiServer;
+use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
+use mustardhinge_rpc::operator::{OperatorError, SwitchoverRequest, SwitchoverResult};
+use mustardhinge_rpc::peer::{
+    ExchangeReply, ExchangeRequest, PROTOCOL_VERSION, PeerError, PrimaryAnswer, PrimaryQuestion,
+};
+
+use super::exchange_answer::answer_exchange;
+use crate::group::{WatchRegistry, order_switchover};
+use crate::state::SharedState;
+
+/// The silence after which a target no longer counts as heard.
+const HEARD_BOUND: Duration = Duration::from_millis(300);
+
+/// Answers agents of other instances.
+pub(crate) struct PeerService {
+    state: Arc<SharedState>,
+    registry: Arc<WatchRegistry>,
+}
+
+impl PeerService {
+    /// Makes the service.
+    pub(crate) const fn new(state: Arc<SharedState>, registry: Arc<WatchRegistry>) -> Self {
+        Self { state, registry }
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for PeerService {
+    async fn exchange(
+        &self,
+        request: ExchangeRequest,
+    ) -> RpcResult<Result<ExchangeReply, PeerError>> {
+        if request.protocol != PROTOCOL_VERSION {
+            metrics::counter!("mustardhinge_peer_refusals_total", "reason" => "other_protocol")
+                .increment(1);
+            return Ok(Err(PeerError::OtherProtocol));
+        }
+        for group in &request.groups {
+            self.state.take_group(group.clone());
+        }
+        Ok(Ok(answer_exchange(&self.state, &request).await))
+    }
+
+    async fn hears_target(&self, question: PrimaryQuestion) -> RpcResult<PrimaryAnswer> {
+        let now = self.state.now();
+        let handle = self.registry.get(&question.group);
+        let answered = handle.map(|handle| {
+            let view = handle.view.borrow();
+            !view.reports.is_silent(&question.target, now, HEARD_BOUND)
+        });
+        Ok(PrimaryAnswer {
+            instance: self.state.instance.clone(),
+            answered,
+        })
+    }
+
+    async fn switch_over(
+        &self,
+        group: GroupId,
+        request: SwitchoverRequest,
+    ) -> RpcResult<Result<SwitchoverResult, OperatorError>> {
+        Ok(order_switchover(&self.state, &self.registry, group, request.to).await)
+    }
+
+    async fn lend_budget(&self, _request: BudgetRequest) -> RpcResult<BudgetGrant> {
+        Ok(BudgetGrant {
+            result: Err(LedgerError::NotHolder),
+        })
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/peer/role_supervisor.rs
@@ -0,0 +1,123 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::exchange_loop::{ExchangeLoop, PeerAddress};
+use crate::membership::choose_role;
+use crate::platform::{PlatformClient, watch_documents, watch_instances};
+use crate::state::SharedState;
+
+/// The time between two looks at who is there.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Starts and stops the agent's exchanges and its watches of the platform as
+/// instances come and go.
+pub(crate) struct RoleSupervisor {
+    state: Arc<SharedState>,
+    platform: PlatformClient,
+    bootstrap: Vec<SocketAddr>,
+    wait: Duration,
+    exchanges: BTreeMap<PeerAddress, AbortHandle>,
+    watches: JoinSet<()>,
+}
+
+impl RoleSupervisor {
+    /// Makes a supervisor; each exchange waits up to `wait` for something new.
+    pub(crate) fn new(
+        state: Arc<SharedState>,
+        platform: PlatformClient,
+        bootstrap: Vec<SocketAddr>,
+        wait: Duration,
+    ) -> Self {
+        Self {
+            state,
+            platform,
+            bootstrap,
+            wait,
+            exchanges: BTreeMap::new(),
+            watches: JoinSet::new(),
+        }
+    }
+
+    /// Follows the list of instances for as long as it is polled.
+    pub(crate) async fn run(mut self) {
+        let mut changes = self.state.subscribe();
+        let mut ticks = interval(REVIEW_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            self.review();
+            tokio::select! {
+                _ = changes.changed() => {}
+                _ = ticks.tick() => {}
+            }
+        }
+    }
+
+    fn review(&mut self) {
+        let now = self.state.now();
+        let role = self
+            .state
+            .read(|known| choose_role(known, &self.state, now));
+        let is_listed = self.state.read(|known| known.instances.revision > 0);
+        self.set_watches(role.is_holder() || !is_listed);
+        let mut wanted = role.into_peers();
+        if !is_listed {
+            wanted.extend(self.bootstrap_peers());
+        }
+        self.set_exchanges(&wanted);
+    }
+
+    fn set_watches(&mut self, is_watching: bool) {
+        if !is_watching {
+            self.watches.abort_all();
+            while self.watches.try_join_next().is_some() {}
+            return;
+        }
+        if self.watches.is_empty() {
+            let (platform, state) = (self.platform.clone(), self.state.clone());
+            self.watches.spawn(watch_documents(platform, state));
+            let (platform, state) = (self.platform.clone(), self.state.clone());
+            self.watches.spawn(watch_instances(platform, state));
+        }
+    }
+
+    fn set_exchanges(&mut self, wanted: &[PeerAddress]) {
+        self.exchanges.retain(|peer, task| {
+            let stays = wanted.contains(peer);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for peer in wanted {
+            if self.exchanges.contains_key(peer) {
+                continue;
+            }
+            let exchange = ExchangeLoop::new(self.state.clone(), peer.clone(), self.wait);
+            if let Some(exchange) = exchange {
+                let task = tokio::spawn(exchange.run()).abort_handle();
+                self.exchanges.insert(peer.clone(), task);
+            }
+        }
+    }
+
+    fn bootstrap_peers(&self) -> impl Iterator<Item = PeerAddress> {
+        self.bootstrap.iter().map(|address| PeerAddress {
+            instance: None,
+            zone: None,
+            address: *address,
+        })
+    }
+}
+
+impl Drop for RoleSupervisor {
+    fn drop(&mut self) {
+        for task in self.exchanges.values() {
+            task.abort();
+        }
+    }
+}
--- a/crates/mustardhinge-agent/src/platform/document_watch.rs
+++ b/crates/mustardhinge-agent/src/platform/document_watch.rs
@@ -23,7 +23,7 @@
                 state.take_documents(&list, asked_at);
             }
             Err(error) => {
-                state.note_platform_failure(&error);
+                state.note_platform_failure(&error, asked_at);
                 let wait = backoff.next_wait(&mut rand::rng());
                 tokio::time::sleep(wait).await;
             }
--- a/crates/mustardhinge-agent/src/platform/mod.rs
+++ b/crates/mustardhinge-agent/src/platform/mod.rs
@@ -1,7 +1,6 @@
 //! Calls of the platform's object API, each with a bounded wait and counted.
 
 mod document_watch;
-mod instance_list;
 mod instance_watch;
 mod object_kind;
 mod object_list;
@@ -15,7 +14,7 @@
 pub(crate) use document_watch::watch_documents;
 pub(crate) use instance_watch::watch_instances;
 
-pub use instance_list::{InstanceEntry, InstanceList};
+pub use mustardhinge_rpc::peer::{InstanceEntry, InstanceList};
 pub use object_kind::ObjectKind;
 pub use object_list::ObjectList;
 pub use object_update::ObjectUpdate;
--- a/crates/mustardhinge-agent/src/process/agent_builder.rs
+++ b/crates/mustardhinge-agent/src/process/agent_builder.rs
@@ -7,7 +7,7 @@
 use mustardhinge_config::settings::AgentSettings;
 use mustardhinge_core::failover::FailoverSettings;
 use mustardhinge_process::{ProcessClock, event};
-use mustardhinge_rpc::AgentApiServer;
+use mustardhinge_rpc::{AgentApiServer, PeerApiServer};
 use tokio::task::JoinSet;
 
 use super::AgentProcess;
@@ -16,8 +16,9 @@
 use crate::entry::AgentService;
 use crate::group::{GroupContext, ProbeTiming, WatchSupervisor};
 use crate::operator::{OperatorContext, OperatorServer};
-use crate::platform::{PlatformClient, watch_documents, watch_instances};
-use crate::state::SharedState;
+use crate::peer::{PeerService, RoleSupervisor};
+use crate::platform::PlatformClient;
+use crate::state::{KnownState, ProofState, SharedState};
 
 /// Connections that the entry and other agents may hold at once.
 const MAX_CONNECTIONS: u32 = 512;
@@ -67,29 +68,26 @@
         let settings = self.settings.context("the agent's settings are not set")?;
         let clock = self.clock.unwrap_or_else(ProcessClock::start);
         let incarnation = self.incarnation.unwrap_or_else(rand::random);
-        let state = SharedState::new(
-            clock,
-            settings.instance.clone(),
-            incarnation,
-            Duration::from_millis(settings.drain_bound_ms.into()),
-        );
-        let state = Arc::new(state);
+        let state = Arc::new(make_state(&settings, clock, incarnation));
         let context = group_context(&settings, &state, incarnation)?;
         let shares = StaticShares::new(settings.zone.clone(), incarnation, state.now());
         let service = AgentService::new(state.clone(), shares, context.registry.clone());
         let (server, address) = bind_server(settings.listen).await?;
-        let server = server.start(service.into_rpc());
+        let mut methods = service.into_rpc();
+        let peer_service = PeerService::new(state.clone(), context.registry.clone());
+        methods
+            .merge(peer_service.into_rpc())
+            .context("calls of other agents")?;
+        let server = server.start(methods);
         let operator = OperatorServer::start(
             settings.operator,
             OperatorContext {
-                instance: settings.instance.clone(),
-                zone: settings.zone.clone(),
                 state: state.clone(),
                 platform: context.platform.clone(),
                 registry: context.registry.clone(),
             },
         )?;
-        let tasks = start_tasks(&state, &context);
+        let tasks = start_tasks(&settings, &state, &context);
         event::PROCESS_STARTED.log(format_args!(
             "process=agent instance={} listen={address} operator={}",
             settings.instance,
@@ -132,16 +130,31 @@
         settings: FailoverSettings::new(),
         claimant: format!("{}:{incarnation}", settings.instance),
         registry: Arc::default(),
-        instance: settings.instance.clone(),
-        zone: settings.zone.clone(),
     })
 }
 
-fn start_tasks(state: &Arc<SharedState>, context: &GroupContext) -> JoinSet<()> {
-    let client = context.platform.clone();
+fn make_state(settings: &AgentSettings, clock: ProcessClock, incarnation: u64) -> SharedState {
+    let proof = ProofState::new(settings.zone_count as usize);
+    let drain_bound = Duration::from_millis(settings.drain_bound_ms.into());
+    let known = KnownState::new(incarnation, proof, drain_bound);
+    SharedState::new(
+        clock,
+        settings.instance.clone(),
+        settings.zone.clone(),
+        known,
+    )
+}
+
+fn start_tasks(
+    settings: &AgentSettings,
+    state: &Arc<SharedState>,
+    context: &GroupContext,
+) -> JoinSet<()> {
+    let wait = Duration::from_millis(settings.peer_interval_ms.into());
+    let platform = context.platform.clone();
+    let roles = RoleSupervisor::new(state.clone(), platform, settings.peers.clone(), wait);
     let mut tasks = JoinSet::new();
-    tasks.spawn(watch_documents(client.clone(), state.clone()));
-    tasks.spawn(watch_instances(client, state.clone()));
+    tasks.spawn(roles.run());
     tasks.spawn(WatchSupervisor::new(context.clone()).run());
     tasks
 }
--- a/crates/mustardhinge-agent/src/process/agent_process.rs
+++ b/crates/mustardhinge-agent/src/process/agent_process.rs
@@ -75,7 +75,8 @@
     /// Returns whether it knows enough to serve.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.state.read(crate::state::KnownState::is_ready)
+        let now = self.state.now();
+        self.state.read(|known| known.is_ready(now))
     }
 
     /// Ends the agent: the entry hears that the instance drains, changes of
--- a/crates/mustardhinge-agent/src/state/group_table.rs
+++ b/crates/mustardhinge-agent/src/state/group_table.rs
@@ -54,6 +54,11 @@
         true
     }
 
+    /// Returns the number of the newest change.
+    pub(crate) const fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
     /// Returns the groups that changed after a change, all for 0.
     pub(crate) fn changed_after(&self, change: u64, now: MonotonicTime) -> Vec<GroupState> {
         let rows = self.groups.iter();
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -1,12 +1,18 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mustardhinge_core::document::AdoptionTable;
 use mustardhinge_core::drain::DrainState;
+use mustardhinge_core::membership::{InstanceState, MemberEntry, MembershipView};
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::control::ControlState;
+use mustardhinge_rpc::operator::PeerSummary;
+use mustardhinge_rpc::peer::InstanceList;
 
-use super::{AdoptedDocument, GroupTable};
-use crate::platform::InstanceList;
+use super::{AdoptedDocument, GroupTable, ProofState};
+
+/// How long a failed call counts against an instance.
+const PEER_SILENCE: Duration = Duration::from_secs(3);
 
 /// Everything that the agent knows.
 #[derive(Debug)]
@@ -17,8 +23,8 @@
     pub(crate) revision: u64,
     /// Every document change of the store up to this revision is known.
     pub(crate) store_revision: u64,
-    /// When the newest proof that the documents are current was asked for.
-    pub(crate) proven_at: Option<MonotonicTime>,
+    /// Proof that the documents are current.
+    pub(crate) proof: ProofState,
     /// Whether the platform answered the last call.
     pub(crate) is_platform_reachable: bool,
     /// Whether this instance is leaving.
@@ -29,24 +35,27 @@
     pub(crate) groups: GroupTable,
     /// The platform's list of instances.
     pub(crate) instances: InstanceList,
+    /// The list, corrected by what was seen of the instances.
+    pub(crate) members: MembershipView,
+    /// The agents with which this one exchanges state.
+    pub(crate) peers: BTreeMap<InstanceId, PeerSummary>,
 }
 
 impl KnownState {
     /// Makes the state of an agent that knows nothing.
-    pub(crate) fn new(incarnation: u64, drain_bound: Duration) -> Self {
+    pub(crate) fn new(incarnation: u64, proof: ProofState, drain_bound: Duration) -> Self {
         Self {
             incarnation,
             revision: 1,
             store_revision: 0,
-            proven_at: None,
+            proof,
             is_platform_reachable: false,
             drain: DrainState::new(drain_bound),
             documents: AdoptionTable::default(),
             groups: GroupTable::default(),
-            instances: InstanceList {
-                revision: 0,
-                instances: Vec::new(),
-            },
+            instances: InstanceList::default(),
+            members: MembershipView::new(PEER_SILENCE),
+            peers: BTreeMap::new(),
         }
     }
 
@@ -62,20 +71,38 @@
         Some(known.document.as_ref())
     }
 
+    /// Takes in a list of instances that is no older than the one known;
+    /// returns whether anything changed.
+    pub(crate) fn take_list(&mut self, list: InstanceList) -> bool {
+        if list.revision < self.instances.revision || list == self.instances {
+            return false;
+        }
+        let members = list.instances.iter().map(|entry| {
+            let member = MemberEntry {
+                zone: entry.zone.clone(),
+                state: entry.state,
+            };
+            (entry.instance.clone(), member)
+        });
+        self.members.on_list(list.revision, members);
+        self.instances = list;
+        true
+    }
+
     /// Returns whether the list says that an instance is leaving.
     pub(crate) fn is_leaving(&self, instance: &InstanceId) -> bool {
-        let mut instances = self.instances.instances.iter();
-        instances.any(|entry| entry.instance == *instance && entry.state == "leaving")
+        let member = self.members.get_member(instance);
+        member.is_some_and(|member| member.state == InstanceState::Leaving)
     }
 
     /// Returns whether it was once proven that the documents are current.
-    pub(crate) const fn is_ready(&self) -> bool {
-        self.proven_at.is_some()
+    pub(crate) fn is_ready(&self, now: MonotonicTime) -> bool {
+        self.proof_age_ms(now).is_some()
     }
 
     /// Returns the age of the newest proof that the documents are current.
     pub(crate) fn proof_age_ms(&self, now: MonotonicTime) -> Option<u32> {
-        let age = now.saturating_since(self.proven_at?);
+        let age = self.proof.proof_age(self.store_revision, now)?;
         Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
     }
 
--- /dev/null
+++ b/crates/mustardhinge-agent/src/state/proof_state.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardhinge_core::key::{OutageEvidence, ProofClock};
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::peer::StoreOutage;
+
+/// The bounds that are tried for the age of the zones' findings.
+const OUTAGE_BOUNDS_MS: [u64; 6] = [500, 1_000, 1_500, 2_000, 2_500, 3_000];
+
+/// Proof that the documents are current, and the zones that find the store out.
+#[derive(Debug)]
+pub(crate) struct ProofState {
+    clock: ProofClock,
+    outages: BTreeMap<ZoneId, OutageEvidence>,
+}
+
+impl ProofState {
+    /// Makes the state of an agent without proof, in a fleet of so many zones.
+    pub(crate) const fn new(zone_count: usize) -> Self {
+        Self {
+            clock: ProofClock::new(zone_count),
+            outages: BTreeMap::new(),
+        }
+    }
+
+    /// Records that the store answered a question asked at `asked_at`.
+    pub(crate) fn record_store(&mut self, zone: &ZoneId, asked_at: MonotonicTime) {
+        self.clock.record_proof(asked_at);
+        self.clear_outage(zone);
+    }
+
+    /// Records the proof of an agent that was asked at `asked_at`.
+    pub(crate) fn record_peer(&mut self, asked_at: MonotonicTime, age_ms: u32) {
+        let age = Duration::from_millis(age_ms.into());
+        self.clock.record_relayed_proof(asked_at, age);
+    }
+
+    /// Records that a zone finds the store out.
+    pub(crate) fn record_outage(&mut self, zone: &ZoneId, evidence: OutageEvidence) {
+        let known = self.outages.get(zone);
+        if known.is_some_and(|known| known.asked_at >= evidence.asked_at) {
+            return;
+        }
+        self.outages.insert(zone.clone(), evidence);
+        self.clock.record_outage(zone.clone(), evidence);
+    }
+
+    /// Records what another agent, asked at `asked_at`, knows of outages.
+    pub(crate) fn record_peer_outages(&mut self, outages: &[StoreOutage], asked_at: MonotonicTime) {
+        for outage in outages {
+            let age = Duration::from_millis(outage.age_ms.into());
+            let evidence = OutageEvidence {
+                asked_at: asked_at - age,
+                known_revision: outage.store_revision,
+            };
+            self.record_outage(&outage.zone, evidence);
+        }
+    }
+
+    /// Records that a zone reaches the store.
+    pub(crate) fn clear_outage(&mut self, zone: &ZoneId) {
+        self.outages.remove(zone);
+        self.clock.clear_outage(zone);
+    }
+
+    /// Returns the zones' findings, to be passed on.
+    pub(crate) fn outages(&self, now: MonotonicTime) -> Vec<StoreOutage> {
+        let outage = |(zone, evidence): (&ZoneId, &OutageEvidence)| StoreOutage {
+            zone: zone.clone(),
+            age_ms: millis(now.saturating_since(evidence.asked_at)),
+            store_revision: evidence.known_revision,
+        };
+        self.outages.iter().map(outage).collect()
+    }
+
+    /// Returns the age of the newest proof by an answer of the store.
+    pub(crate) fn store_proof_age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.clock.get_proof_age(now)
+    }
+
+    /// Returns the age of the newest proof: an answer of the store, or the
+    /// finding of a majority of zones that it is out.
+    pub(crate) fn proof_age(&self, store_revision: u64, now: MonotonicTime) -> Option<Duration> {
+        let answered = self.store_proof_age(now);
+        let bounds = OUTAGE_BOUNDS_MS.into_iter().map(Duration::from_millis);
+        let mut outages =
+            bounds.filter(|bound| self.clock.is_store_out(store_revision, *bound, now));
+        answered.into_iter().chain(outages.next()).min()
+    }
+}
+
+/// Returns a time in milliseconds.
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -3,38 +3,46 @@
 
 use mustardhinge_core::document::AdoptionOutcome;
 use mustardhinge_core::drain::DrainCause;
+use mustardhinge_core::key::OutageEvidence;
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::{ProcessClock, event};
 use mustardhinge_rpc::control::{ControlRequest, ControlState, GroupState};
+use mustardhinge_rpc::peer::InstanceList;
 use tokio::sync::watch;
 
+use super::document_check::parse_documents;
 use super::{AdoptedDocument, KnownState};
-use crate::platform::{InstanceList, ObjectList, PlatformError, StoredObject};
+use crate::platform::{ObjectList, PlatformError};
 
 /// The longest wait that an entry may ask for.
 const MAX_CONTROL_WAIT: Duration = Duration::from_secs(10);
 
-/// The agent's knowledge, shared by its tasks, with a signal for each change.
+/// The agent's knowledge, shared by its tasks, with signals for its changes.
 pub(crate) struct SharedState {
     clock: ProcessClock,
-    instance: InstanceId,
+    /// The instance of the agent.
+    pub(crate) instance: InstanceId,
+    /// The availability zone of the instance.
+    pub(crate) zone: ZoneId,
     known: Mutex<KnownState>,
     changed: watch::Sender<u64>,
+    proven: watch::Sender<u64>,
 }
 
 impl SharedState {
-    /// Makes the state of an agent that knows nothing.
+    /// Makes the state of an agent.
     pub(crate) fn new(
         clock: ProcessClock,
         instance: InstanceId,
-        incarnation: u64,
-        drain_bound: Duration,
+        zone: ZoneId,
+        known: KnownState,
     ) -> Self {
-        let known = KnownState::new(incarnation, drain_bound);
         Self {
             clock,
             instance,
+            zone,
             changed: watch::Sender::new(known.revision),
+            proven: watch::Sender::new(0),
             known: Mutex::new(known),
         }
     }
@@ -44,11 +52,18 @@
         self.clock.now()
     }
 
-    /// Returns a receiver that wakes at each change.
+    /// Returns a receiver that wakes at each change that the entry has to hear
+    /// of.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
     }
 
+    /// Returns a receiver that wakes at each new proof that the documents are
+    /// current, or finding that the store is out.
+    pub(crate) fn subscribe_proofs(&self) -> watch::Receiver<u64> {
+        self.proven.subscribe()
+    }
+
     /// Looks at what is known.
     pub(crate) fn read<T>(&self, look: impl FnOnce(&KnownState) -> T) -> T {
         look(&self.lock())
@@ -66,6 +81,12 @@
         changed
     }
 
+    /// Changes the proof that the documents are current.
+    pub(crate) fn update_proof(&self, change: impl FnOnce(&mut KnownState)) {
+        change(&mut self.lock());
+        self.proven.send_modify(|count| *count += 1);
+    }
+
     /// Returns the store revision up to which all documents are known.
     pub(crate) fn known_revision(&self) -> u64 {
         self.read(|known| known.store_revision)
@@ -73,42 +94,54 @@
 
     /// Adopts the documents of an answer of the store.
     pub(crate) fn take_documents(&self, list: &ObjectList, asked_at: MonotonicTime) {
-        let parsed: Vec<_> = list.objects.iter().filter_map(parse_document).collect();
+        self.adopt_all(parse_documents(&list.objects), list.revision);
         let reached_before = self.read(|known| known.is_platform_reachable);
-        self.update(|known| {
-            let mut changed = false;
-            for document in parsed {
-                changed |= adopt_document(known, document);
-            }
-            known.store_revision = known.store_revision.max(list.revision);
-            known.proven_at = known.proven_at.max(Some(asked_at));
+        self.update_proof(|known| {
+            known.proof.record_store(&self.zone, asked_at);
             known.is_platform_reachable = true;
-            changed
         });
         if !reached_before {
             event::PLATFORM_REACHED.log(format_args!("revision={}", list.revision));
         }
     }
 
-    /// Notes that a call of the platform gave no answer.
-    pub(crate) fn note_platform_failure(&self, error: &PlatformError) {
+    /// Notes that a call of the platform begun at `asked_at` gave no answer.
+    pub(crate) fn note_platform_failure(&self, error: &PlatformError, asked_at: MonotonicTime) {
         let reached_before = self.read(|known| known.is_platform_reachable);
-        self.update(|known| {
+        self.update_proof(|known| {
+            let evidence = OutageEvidence {
+                asked_at,
+                known_revision: known.store_revision,
+            };
+            known.proof.record_outage(&self.zone, evidence);
             known.is_platform_reachable = false;
-            false
         });
         if reached_before {
             event::PLATFORM_LOST.log(format_args!("reason={}", error.label()));
         }
     }
 
-    /// Takes in the platform's list of instances.
-    pub(crate) fn take_instances(&self, list: InstanceList) {
+    /// Adopts documents that together with those known are all up to a revision
+    /// of the store.
+    pub(crate) fn adopt_all(&self, documents: Vec<AdoptedDocument>, store_revision: u64) {
         self.update(|known| {
-            let changed = known.instances != list;
-            known.instances = list;
+            let mut changed = false;
+            for document in documents {
+                changed |= adopt_document(known, document);
+            }
+            known.store_revision = known.store_revision.max(store_revision);
             changed
         });
+    }
+
+    /// Adopts one document; returns whether it was newer.
+    pub(crate) fn adopt(&self, document: AdoptedDocument) -> bool {
+        self.update(|known| adopt_document(known, document))
+    }
+
+    /// Takes in a list of instances.
+    pub(crate) fn take_instances(&self, list: InstanceList) {
+        self.update(|known| known.take_list(list));
         let is_leaving = self.read(|known| known.is_leaving(&self.instance));
         self.set_drain(DrainCause::InstanceList, is_leaving);
     }
@@ -125,19 +158,15 @@
             }
             known.drain.is_draining() != before
         });
-        if changed {
-            let log_event = if is_draining {
-                event::DRAIN_STARTED
-            } else {
-                event::DRAIN_ENDED
-            };
-            log_event.log(format_args!("cause={cause}"));
+        if !changed {
+            return;
         }
-    }
-
-    /// Adopts one document; returns whether it was newer.
-    pub(crate) fn adopt(&self, document: AdoptedDocument) -> bool {
-        self.update(|known| adopt_document(known, document))
+        let log_event = if is_draining {
+            event::DRAIN_STARTED
+        } else {
+            event::DRAIN_ENDED
+        };
+        log_event.log(format_args!("cause={cause}"));
     }
 
     /// Takes in what was seen of a database group.
@@ -179,28 +208,3 @@
     }
     adopted
 }
-
-fn parse_document(object: &StoredObject) -> Option<AdoptedDocument> {
-    let text = object.value.as_str().unwrap_or_default();
-    let parsed = AdoptedDocument::parse(object.version, object.operation_id.clone(), text);
-    match parsed {
-        Ok(document) if document.document.service.as_str() == object.name => Some(document),
-        Ok(document) => {
-            let service = &document.document.service;
-            log_rejected(object, &format!("its service is {service}"));
-            None
-        }
-        Err(findings) => {
-            log_rejected(object, &format!("{} findings", findings.len()));
-            None
-        }
-    }
-}
-
-fn log_rejected(object: &StoredObject, reason: &str) {
-    metrics::counter!("mustardhinge_documents_rejected_total").increment(1);
-    let (name, version) = (&object.name, object.version);
-    event::DOCUMENT_REJECTED.log(format_args!(
-        "object={name} version={version} reason={reason:?}"
-    ));
-}
--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -4,5 +4,6 @@
 mod documents;
 mod failover;
 mod operator_api;
+mod peers;
 mod scaffold;
 mod static_shares;
--- /dev/null
+++ b/crates/mustardhinge-agent/tests/suite/peers.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use mustardhinge_agent::AgentProcess;
+use mustardhinge_rpc::control::ControlState;
+use mustardhinge_standins::platform::CallKind;
+use tokio::time::sleep;
+
+use super::scaffold::{Fleet, control_state, wait_for_primary, wait_for_state};
+
+fn has_rate(state: &ControlState, rate: &str) -> bool {
+    let service = state.services.first();
+    service.is_some_and(|service| service.document.customers[0].rate.to_string() == rate)
+}
+
+async fn wait_for_rate(agent: &AgentProcess, rate: &str) {
+    wait_for_state(agent, rate, |state| has_rate(state, rate)).await;
+}
+
+async fn start_instances(fleet: &Fleet, count: usize) -> Vec<AgentProcess> {
+    let mut agents = Vec::new();
+    for number in 0..count {
+        let name = format!("i-{number}");
+        agents.push(fleet.start_instance(&name, number % 3, "").await);
+    }
+    for agent in &agents {
+        wait_for_rate(agent, "40/s").await;
+    }
+    agents
+}
+
+/// Returns the platform's calls in a second.
+async fn count_calls(fleet: &Fleet) -> u64 {
+    let before = fleet.platform.calls().total();
+    sleep(Duration::from_secs(1)).await;
+    fleet.platform.calls().total() - before
+}
+
+#[tokio::test]
+async fn platform_calls_do_not_grow_with_instances() {
+    let fleet = Fleet::start().await;
+    let agents = start_instances(&fleet, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    let few = count_calls(&fleet).await;
+    let mut more = start_instances_from(&fleet, 3, 18).await;
+    more.extend(agents);
+    sleep(Duration::from_secs(2)).await;
+    let many = count_calls(&fleet).await;
+    eprintln!("platform calls in 1 s: 3 instances {few}, 18 instances {many}");
+    assert!(many <= few + 3, "3 instances {few}, 18 instances {many}");
+    assert!(fleet.platform.calls().of(CallKind::Watch) > 0);
+}
+
+async fn start_instances_from(fleet: &Fleet, from: usize, to: usize) -> Vec<AgentProcess> {
+    let mut agents = Vec::new();
+    for number in from..to {
+        let name = format!("i-{number}");
+        agents.push(fleet.start_instance(&name, number % 3, "").await);
+    }
+    agents
+}
+
+#[tokio::test]
+async fn a_change_reaches_every_instance_with_proof() {
+    let fleet = Fleet::start().await;
+    let agents = start_instances(&fleet, 7).await;
+    sleep(Duration::from_secs(1)).await;
+    let version = fleet
+        .platform
+        .object("service", "haulage-1")
+        .unwrap()
+        .version;
+    fleet.put_document(version, "second", &fleet.document("41/s"));
+    for agent in &agents {
+        wait_for_rate(agent, "41/s").await;
+        let state = control_state(agent).await;
+        assert!(state.proof_age_ms < Some(2_000), "{:?}", state.proof_age_ms);
+    }
+}
+
+#[tokio::test]
+async fn an_instance_starts_from_its_peers_while_the_store_is_out() {
+    let fleet = Fleet::start().await;
+    let agents = start_instances(&fleet, 3).await;
+    wait_for_primary(&agents[0], 0).await;
+    fleet.platform.set_frozen(true);
+    let peers = format!("peers = ['{}']", agents[0].address());
+    let late = fleet.start_instance("late", 1, &peers).await;
+    wait_for_rate(&late, "40/s").await;
+    wait_for_primary(&late, 0).await;
+}
+
+#[tokio::test]
+async fn keys_keep_their_proof_while_a_majority_of_zones_finds_the_store_out() {
+    let fleet = Fleet::start().await;
+    let agents = start_instances(&fleet, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.platform.set_frozen(true);
+    sleep(Duration::from_secs(5)).await;
+    for agent in &agents {
+        let state = control_state(agent).await;
+        assert!(
+            state.proof_age_ms <= Some(2_500),
+            "{:?}",
+            state.proof_age_ms
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_instance_cut_off_from_store_and_peers_has_no_fresh_proof() {
+    let fleet = Fleet::start().await;
+    let mut agents = start_instances(&fleet, 3).await;
+    sleep(Duration::from_secs(1)).await;
+    let alone = agents.remove(0);
+    for agent in agents {
+        agent.stop().await;
+    }
+    fleet.platform.set_frozen(true);
+    sleep(Duration::from_secs(4)).await;
+    let state = control_state(&alone).await;
+    assert!(state.proof_age_ms > Some(2_500), "{:?}", state.proof_age_ms);
+}
+
+#[tokio::test]
+async fn a_new_primary_reaches_instances_that_do_not_watch_the_group() {
+    let fleet = Fleet::start().await;
+    let agents = start_instances(&fleet, 7).await;
+    let (term, primary) = wait_for_primary(&agents[6], 0).await;
+    fleet.platform.set_frozen(true);
+    fleet.target(&primary).set_down(true);
+    for agent in &agents {
+        wait_for_primary(agent, term.get()).await;
+    }
+}
--- a/crates/mustardhinge-config/src/settings/agent_settings.rs
+++ b/crates/mustardhinge-config/src/settings/agent_settings.rs
@@ -12,11 +12,12 @@
 const ADDRESS_ADVICE: &str = "give an IP number and a port, such as 10.0.1.7:7000";
 const ID_ADVICE: &str = "give letters, digits, '-', '_', '.' or ':'";
 
+const DEFAULT_ZONE_COUNT: u32 = 3;
 const DEFAULT_DRAIN_BOUND_MS: u32 = 30_000;
 const DEFAULT_PROBE_INTERVAL_MS: u32 = 100;
 const DEFAULT_PROBE_TIMEOUT_MS: u32 = 250;
 const DEFAULT_PLATFORM_TIMEOUT_MS: u32 = 1_000;
-const DEFAULT_PEER_INTERVAL_MS: u32 = 250;
+const DEFAULT_PEER_INTERVAL_MS: u32 = 500;
 
 /// The settings of an agent process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +32,9 @@
     pub operator: SocketAddr,
     /// Where it serves its metrics; none if they are not served.
     pub metrics: Option<SocketAddr>,
+    /// The number of availability zones of the fleet, over which majorities of
+    /// zones are counted.
+    pub zone_count: u32,
     /// Where the platform's object API is.
     pub platform: SocketAddr,
     /// Agents to start from while the platform is out.
@@ -45,7 +49,8 @@
     pub probe_timeout_ms: u32,
     /// The time after which a call of the platform is given up, in milliseconds.
     pub platform_timeout_ms: u32,
-    /// The time between two exchanges with another agent, in milliseconds.
+    /// The longest time between two exchanges with another agent, in
+    /// milliseconds.
     pub peer_interval_ms: u32,
     /// How customers' rates are divided over the instances.
     pub budget_policy: BudgetPolicy,
@@ -76,6 +81,7 @@
         let listen = reader.text("listen", ADDRESS_ADVICE);
         let operator = reader.text("operator", ADDRESS_ADVICE);
         let metrics = reader.optional_text("metrics", ADDRESS_ADVICE);
+        let zone_count = reader.number("zone_count", 1..=1_000, DEFAULT_ZONE_COUNT);
         let platform = read_platform(reader);
         let peers = read_peers(reader);
         let log_level = read_log_level(reader);
@@ -88,6 +94,7 @@
             listen: listen?,
             operator: operator?,
             metrics,
+            zone_count,
             platform: platform?,
             peers,
             log_level,
--- a/crates/mustardhinge-fleet/src/fleet_builder.rs
+++ b/crates/mustardhinge-fleet/src/fleet_builder.rs
@@ -211,6 +211,7 @@
             listen: any_port(),
             operator: any_port(),
             metrics: None,
+            zone_count: 3,
             platform,
             peers,
             log_level: "warn".to_owned(),
--- a/crates/mustardhinge-agent/src/platform/instance_list.rs
+++ b/crates/mustardhinge-rpc/src/peer/instance_list.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use mustardhinge_core::membership::InstanceState;
 use mustardhinge_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -12,12 +13,12 @@
     pub zone: ZoneId,
     /// Where its agent listens.
     pub agent_address: SocketAddr,
-    /// `live` or `leaving`.
-    pub state: String,
+    /// Whether it is leaving.
+    pub state: InstanceState,
 }
 
 /// The platform's list of instances, which lags.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceList {
     /// The revision of the list.
     pub revision: u64,
