--- a/crates/mustardhinge-agent/tests/suite/static_shares.rs
+++ b/crates/mustardhinge-agent/tests/suite/static_shares.rs
@@ -49,13 +49,18 @@
 fn an_instance_lends_its_even_part() {
     let mut shares = shares();
     let mut request = request("muscat-1", "seeb");
-    let since_start = ask(&mut shares, &request, 1_200).unwrap();
-    assert_eq!(since_start.granted, SHARE_RATE + 1);
-    (request.ask.sequence, request.ask.ledger_epoch) = (2, since_start.ledger_epoch);
-    request.ask.held = since_start.granted;
-    let at_once = ask(&mut shares, &request, 1_200).unwrap();
-    assert_eq!(at_once.granted, 0);
-    (request.ask.sequence, request.ask.held) = (3, 0);
+    let early = ask(&mut shares, &request, 1_200).unwrap();
+    assert_eq!(early.granted, SHARE_RATE + 1, "1.2 s at 5/s");
+    request.ask.sequence = 2;
+    request.ask.ledger_epoch = early.ledger_epoch;
+    request.ask.spent_total = u64::from(early.granted);
+    let second_later = ask(&mut shares, &request, 2_200).unwrap();
+    let room = SHARE_BURST - early.granted;
+    assert_eq!(
+        second_later.granted, room,
+        "lent requests take up burst until reported spent"
+    );
+    request.ask.sequence = 3;
     (request.ask.waiting, request.ask.wanted) = (0, 0);
     assert_eq!(ask(&mut shares, &request, 30_000).unwrap().granted, 0);
     request.ask.sequence = 4;
