--- a/crates/mustardhinge-agent/src/target/target_connection.rs
+++ b/crates/mustardhinge-agent/src/target/target_connection.rs
@@ -1,5 +1,9 @@
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage};
 
@@ -16,7 +20,12 @@
 
 impl TargetConnection {
     /// Opens a connection.
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, TargetError> {
+    ///
+    /// `closed` is notified when it ends.
+    pub(super) async fn open(
+        address: SocketAddr,
+        closed: Arc<Notify>,
+    ) -> Result<Self, TargetError> {
         let mut config = Config::new();
         config
             .host(address.ip().to_string())
@@ -25,9 +34,10 @@
             .dbname(TARGET_USER)
             .application_name("mustardhinge-agent");
         let connected = config.connect(NoTls).await;
-        let (client, connection) = connected.map_err(|_| TargetError::NotConnected)?;
+        let (client, connection) = connected.map_err(|error| connect_error(&error))?;
         let driver = tokio::spawn(async move {
             let _ = connection.await;
+            closed.notify_one();
         });
         Ok(Self {
             client,
@@ -66,3 +76,13 @@
         self.driver.abort();
     }
 }
+
+fn connect_error(error: &tokio_postgres::Error) -> TargetError {
+    let cause = error
+        .source()
+        .and_then(|cause| cause.downcast_ref::<io::Error>());
+    match cause.map(io::Error::kind) {
+        Some(io::ErrorKind::ConnectionRefused) => TargetError::Refused,
+        _ => TargetError::NotConnected,
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-bench/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the bench, by feature.
+
+mod builders;
+mod command_line;
+mod load;
+mod planted_faults;
+mod reports;
+mod traces;
