Check the budget's window rule under faults, and mend the lease

A model of one ledger under messages in any order, and a small fleet with losses, repetitions, delays, pauses, deaths, outages, cuts and changed limits, are checked over the windows of every length. The fleet also checks that no two agents hold the same part of a share. Faults planted at the interfaces must be found: lapses ignored, returned requests kept, repeated messages answered again, late answers used, leases ignored, early takeovers, membership trusted instead of the lease.

The check found a fault. Both the holder and the one before it may write that the holder gets the floor. The two records were equal, so a holder whose write came too late took the other's for its own, and counted its lease from the sending of its own write, seconds too late: two agents held the flexible part. A record now names its writer, which with the number identifies the write. The directed test of this is in the tests of leases.

--- a/crates/mustardhinge-core/src/budget/lease/lease_keeper.rs
+++ b/crates/mustardhinge-core/src/budget/lease/lease_keeper.rs
@@ -144,7 +144,7 @@
         let next = if is_holder {
             self.holder_record(sighting, is_idle, now)?
         } else if self.may_return_floor(record, is_idle) {
-            record.with_floor()
+            record.next(&self.holder).with_floor()
         } else {
             self.takeover_record(sighting, rank, now)?
         };
@@ -176,14 +176,14 @@
     ) -> Option<LeaseRecord> {
         let record = &sighting.record;
         if self.is_leaving && is_idle {
-            return Some(record.released());
+            return Some(record.next(&self.holder).released());
         }
         if !record.has_floor() && sighting.is_floor_free(now) {
-            return Some(record.with_floor());
+            return Some(record.next(&self.holder).with_floor());
         }
         let own = self.own?;
         let is_due = now.saturating_since(own.renewed_at) >= self.terms.renewal_period();
-        is_due.then(|| record.renewed())
+        is_due.then(|| record.next(&self.holder))
     }
 
     fn takeover_record(
@@ -196,9 +196,13 @@
         if self.is_leaving || free_for < Self::RANK_DELAY * rank {
             return None;
         }
-        let with_floor = sighting.is_floor_free(now);
-        let holder = self.holder.clone();
-        Some(sighting.record.taken_over(holder, self.terms, with_floor))
+        let next = sighting.record.next(&self.holder);
+        let next = next.with_holder(self.holder.clone(), self.terms);
+        Some(if sighting.is_floor_free(now) {
+            next.with_floor()
+        } else {
+            next
+        })
     }
 
     /// Settles the write in flight by a record that is newer than it expected:
--- a/crates/mustardhinge-core/src/budget/lease/lease_record.rs
+++ b/crates/mustardhinge-core/src/budget/lease/lease_record.rs
@@ -15,6 +15,8 @@
     pub epoch: u64,
     /// Grows with each write.
     pub renewal: u64,
+    /// Who wrote the record: the holder, or one before it that gives the floor up.
+    pub writer: HolderId,
     /// The epoch whose holder may use the floor; smaller than `epoch` as long as a
     /// holder before may still do so.
     pub floor_epoch: u64,
@@ -29,58 +31,59 @@
 impl LeaseRecord {
     /// Makes the first record of a zone.
     #[must_use]
-    pub const fn first(holder: HolderId, terms: LeaseTerms) -> Self {
+    pub fn first(holder: HolderId, terms: LeaseTerms) -> Self {
         Self {
-            holder: Some(holder),
+            holder: Some(holder.clone()),
             epoch: 1,
             renewal: 1,
+            writer: holder,
             floor_epoch: 1,
             floor_term: terms.floor,
             terms,
         }
     }
 
-    /// Returns the record of the holder's next renewal.
+    /// Returns the record of the next write, by `writer`.
+    ///
+    /// Writer and number identify the write: what a writer finds in the store is
+    /// its own write only if both are the same. Another one may have written the
+    /// same change before.
     #[must_use]
-    pub(crate) fn renewed(&self) -> Self {
+    pub(crate) fn next(&self, writer: &HolderId) -> Self {
         Self {
             renewal: self.renewal + 1,
+            writer: writer.clone(),
             ..self.clone()
         }
     }
 
-    /// Returns the record of the next holder; the floor comes along if nobody may
-    /// use it any more.
+    /// Returns the record with `holder` as the next holder, in an epoch of its own.
     #[must_use]
-    pub(crate) fn taken_over(&self, holder: HolderId, terms: LeaseTerms, with_floor: bool) -> Self {
-        let next = Self {
+    pub(crate) fn with_holder(self, holder: HolderId, terms: LeaseTerms) -> Self {
+        Self {
             holder: Some(holder),
             epoch: self.epoch + 1,
-            renewal: self.renewal + 1,
             terms,
-            ..self.clone()
-        };
-        if with_floor { next.with_floor() } else { next }
+            ..self
+        }
     }
 
     /// Returns the record with the floor given to the present holder.
     #[must_use]
-    pub(crate) fn with_floor(&self) -> Self {
+    pub(crate) fn with_floor(self) -> Self {
         Self {
-            renewal: self.renewal + 1,
             floor_epoch: self.epoch,
             floor_term: self.terms.floor,
-            ..self.clone()
+            ..self
         }
     }
 
     /// Returns the record of a share given back.
     #[must_use]
-    pub(crate) fn released(&self) -> Self {
+    pub(crate) fn released(self) -> Self {
         Self {
             holder: None,
-            renewal: self.renewal + 1,
-            ..self.clone()
+            ..self
         }
     }
 
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/agent.rs
@@ -0,0 +1,118 @@
+//! An agent: keeps its zone's lease, and the ledgers while it holds the share.
+
+use std::time::Duration;
+
+use mustardhinge_core::budget::lease::{HolderId, LeaseKeeper, LeaseStanding, LeaseTerms};
+use mustardhinge_core::budget::zone::ZoneLedger;
+use mustardhinge_core::budget::{BudgetAnswer, BudgetAsk, LedgerError};
+use mustardhinge_core::prelude::*;
+
+use super::event::{StoreAnswer, StoreCall};
+use super::faults::PlantedFault;
+
+pub(super) struct Agent {
+    pub(super) zone: usize,
+    pub(super) incarnation: u64,
+    pub(super) offset: u64,
+    pub(super) paused_until: u64,
+    pub(super) frozen: u64,
+    pub(super) adopted: usize,
+    keeper: LeaseKeeper,
+    ledger: ZoneLedger,
+    zones: Vec<ZoneId>,
+    planted: PlantedFault,
+}
+
+impl Agent {
+    pub(super) fn new(
+        zone: usize,
+        holder: HolderId,
+        zones: Vec<ZoneId>,
+        terms: LeaseTerms,
+        planted: PlantedFault,
+    ) -> Self {
+        Self {
+            zone,
+            incarnation: holder.incarnation,
+            offset: 0,
+            paused_until: 0,
+            frozen: 0,
+            adopted: 0,
+            keeper: LeaseKeeper::new(holder, terms),
+            ledger: ZoneLedger::new(zones[zone].clone()),
+            zones,
+            planted,
+        }
+    }
+
+    pub(super) const fn ledger_mut(&mut self) -> &mut ZoneLedger {
+        &mut self.ledger
+    }
+
+    pub(super) fn on_store(&mut self, answer: StoreAnswer, now: MonotonicTime) {
+        if let Some((version, record)) = answer.lease {
+            self.keeper.on_record(version, &record, now);
+        }
+        if let Some((version, record)) = answer.budget {
+            self.ledger
+                .on_record(version, record)
+                .expect("a sound record");
+        }
+    }
+
+    /// Returns the next calls to the store; `rank` is the place in the zone.
+    pub(super) fn tick(&mut self, rank: u32, now: MonotonicTime) -> Vec<StoreCall> {
+        let standing = self.standing(now);
+        let is_idle = self.ledger.lent(now) == 0;
+        let keeper_now = match self.planted {
+            PlantedFault::EarlyTakeover => now + Duration::from_secs(60),
+            _ => now,
+        };
+        let lease = self.keeper.step(rank, is_idle, keeper_now);
+        let budget = self.ledger.step(standing, &self.zones, now);
+        let lease = lease.map(|write| StoreCall::WriteLease(write.expected, write.record));
+        let budget = budget.map(|write| StoreCall::WriteBudget(write.expected, write.record));
+        let calls: Vec<_> = lease.into_iter().chain(budget).collect();
+        if calls.is_empty() {
+            vec![StoreCall::Read]
+        } else {
+            calls
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        customer: &CustomerId,
+        ask: &BudgetAsk,
+        now: MonotonicTime,
+    ) -> Result<BudgetAnswer, LedgerError> {
+        let standing = self.standing(now);
+        self.ledger.answer(customer, ask, standing, now)
+    }
+
+    pub(super) fn standing(&self, now: MonotonicTime) -> Option<LeaseStanding> {
+        let read_at = match self.planted {
+            PlantedFault::LeaseIgnored => now - Duration::from_micros(self.frozen),
+            _ => now,
+        };
+        let standing = self.keeper.standing(read_at);
+        match self.planted {
+            PlantedFault::LeaseIgnored => standing.map(|standing| LeaseStanding {
+                flexible_until: standing.flexible_until + Duration::from_micros(self.frozen),
+                floor_until: standing
+                    .floor_until
+                    .map(|end| end + Duration::from_micros(self.frozen)),
+                ..standing
+            }),
+            PlantedFault::TrustedMembership => self.keeper.get_record().map(|record| {
+                let forever = MonotonicTime::from_micros(u64::MAX);
+                LeaseStanding {
+                    epoch: record.epoch,
+                    flexible_until: forever,
+                    floor_until: Some(forever),
+                }
+            }),
+            _ => standing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/event.rs
@@ -0,0 +1,78 @@
+//! What happens in a run, in the order of global time.
+
+use mustardhinge_core::budget::lease::LeaseRecord;
+use mustardhinge_core::budget::zone::BudgetRecord;
+use mustardhinge_core::budget::{BudgetAnswer, BudgetAsk, LedgerError};
+use mustardhinge_core::prelude::*;
+
+/// One start of a process: its place and its incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ProcessStart {
+    pub(super) index: usize,
+    pub(super) incarnation: u64,
+}
+
+/// An entry's account with the ledger of a zone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AccountId {
+    pub(super) entry: ProcessStart,
+    pub(super) customer: usize,
+    pub(super) zone: usize,
+}
+
+/// A conditional update, or none to only read.
+#[derive(Clone, Debug)]
+pub(super) enum StoreCall {
+    Read,
+    WriteLease(DocumentVersion, LeaseRecord),
+    WriteBudget(DocumentVersion, BudgetRecord),
+}
+
+/// The objects that an agent needs, as they stand in the store.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StoreAnswer {
+    pub(super) lease: Option<(DocumentVersion, LeaseRecord)>,
+    pub(super) budget: Option<(DocumentVersion, BudgetRecord)>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    AgentTick(ProcessStart),
+    StoreCall(ProcessStart, StoreCall),
+    StoreAnswer(ProcessStart, StoreAnswer),
+    Request {
+        entry: usize,
+        customer: usize,
+    },
+    EntryTick {
+        entry: ProcessStart,
+        customer: usize,
+    },
+    Ask {
+        account: AccountId,
+        agent: usize,
+        ask: BudgetAsk,
+    },
+    Answer {
+        account: AccountId,
+        sequence: u64,
+        result: Result<BudgetAnswer, LedgerError>,
+    },
+    AskTimeout {
+        account: AccountId,
+        sequence: u64,
+    },
+    Adopt {
+        agent: ProcessStart,
+        revision: usize,
+    },
+    Pause,
+    Death,
+    KillEntry(usize),
+    KillAgent(usize),
+    OutageStart,
+    StoreUp(bool),
+    CutStart,
+    CutZone(Option<usize>),
+    Change,
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/faults.rs
@@ -0,0 +1,53 @@
+//! Which faults a run meets.
+
+/// How often each fault comes; times are means in milliseconds, 0 for never.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FaultRates {
+    /// Of 1000 messages, how many are lost.
+    pub(super) loss: u32,
+    /// Of 1000 messages, how many come twice.
+    pub(super) duplication: u32,
+    /// Of 1000 messages, how many take up to two seconds.
+    pub(super) delay: u32,
+    /// Between two pauses of some process, each of up to four seconds.
+    pub(super) pause_ms: u64,
+    /// Between two deaths of some process.
+    pub(super) death_ms: u64,
+    /// Between two outages of the store, each of up to eight seconds.
+    pub(super) outage_ms: u64,
+    /// Between two cuts of some zone, each of up to six seconds.
+    pub(super) cut_ms: u64,
+    /// Between two changes of the customers' limits.
+    pub(super) change_ms: u64,
+    /// Whether entries ask any agent of a zone instead of its holder.
+    pub(super) wrong_members: bool,
+}
+
+impl FaultRates {
+    /// All faults at once.
+    pub(super) fn all() -> Self {
+        Self {
+            loss: 30,
+            duplication: 50,
+            delay: 50,
+            pause_ms: 1_500,
+            death_ms: 2_500,
+            outage_ms: 9_000,
+            cut_ms: 9_000,
+            change_ms: 7_000,
+            wrong_members: true,
+        }
+    }
+}
+
+/// A mechanism that is put out of action at the interfaces of the product.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PlantedFault {
+    None,
+    /// Holders go on although their lease has run out in a pause.
+    LeaseIgnored,
+    /// Agents take shares over before their leases have run out.
+    EarlyTakeover,
+    /// Membership decides who holds a share: each agent thinks that it does.
+    TrustedMembership,
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The window rule of the budget over a small fleet that is driven through faults.
+
+mod agent;
+mod customer_side;
+mod entry;
+mod event;
+mod faults;
+mod history;
+mod object_store;
+mod plan;
+mod rules;
+mod world;
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/plan.rs
@@ -0,0 +1,52 @@
+//! What a run consists of.
+
+use std::time::Duration;
+
+use mustardhinge_core::budget::lease::LeaseTerms;
+
+use super::event::Event;
+use super::faults::{FaultRates, PlantedFault};
+use super::history::PlainLimit;
+
+/// A run: its fleet, its load, its faults.
+#[derive(Clone, Debug)]
+pub(super) struct WorldPlan {
+    pub(super) seed: u64,
+    pub(super) zones: usize,
+    pub(super) entries: usize,
+    /// Global time at which the load ends, in micros.
+    pub(super) length: u64,
+    /// The limits that the documents give the customers, one after the other.
+    pub(super) limits: Vec<Vec<PlainLimit>>,
+    /// Requests: time, entry, customer.
+    pub(super) requests: Vec<(u64, usize, usize)>,
+    /// Faults at given times.
+    pub(super) script: Vec<(u64, Event)>,
+    pub(super) faults: FaultRates,
+    pub(super) planted: PlantedFault,
+    pub(super) terms: LeaseTerms,
+    /// One-way delays of messages within and between zones, in micros.
+    pub(super) delays: (u64, u64),
+}
+
+impl WorldPlan {
+    /// A fleet of three zones and six entries without load or faults.
+    pub(super) fn small(seed: u64, length: u64) -> Self {
+        Self {
+            seed,
+            zones: 3,
+            entries: 6,
+            length,
+            limits: Vec::new(),
+            requests: Vec::new(),
+            script: Vec::new(),
+            faults: FaultRates::default(),
+            planted: PlantedFault::None,
+            terms: LeaseTerms {
+                flexible: Duration::from_secs(3),
+                floor: Duration::from_secs(8),
+            },
+            delays: (200, 1_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_lease.rs
@@ -0,0 +1,192 @@
+use std::time::Duration;
+
+use mustardhinge_core::budget::lease::{
+    HolderId, LeaseKeeper, LeaseRecord, LeaseTerms, LeaseWrite,
+};
+use mustardhinge_core::prelude::*;
+
+const TERMS: LeaseTerms = LeaseTerms {
+    flexible: Duration::from_secs(10),
+    floor: Duration::from_secs(100),
+};
+
+fn at(seconds: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(seconds * 1_000)
+}
+
+fn keeper(name: &str) -> LeaseKeeper {
+    let holder = HolderId {
+        instance: name.parse().unwrap(),
+        incarnation: 1,
+    };
+    LeaseKeeper::new(holder, TERMS)
+}
+
+/// The record as the store keeps it.
+#[derive(Default)]
+struct LeaseStore(Option<(DocumentVersion, LeaseRecord)>);
+
+impl LeaseStore {
+    fn write(&mut self, write: &LeaseWrite) -> bool {
+        let version = self
+            .0
+            .as_ref()
+            .map_or(DocumentVersion::default(), |(v, _)| *v);
+        if version == write.expected {
+            self.0 = Some((version.next(), write.record.clone()));
+        }
+        version == write.expected
+    }
+
+    fn show(&self, keeper: &mut LeaseKeeper, now: MonotonicTime) {
+        if let Some((version, record)) = &self.0 {
+            keeper.on_record(*version, record, now);
+        }
+    }
+
+    /// Carries out what a keeper wants, and shows it the result.
+    fn serve(&mut self, keeper: &mut LeaseKeeper, now: MonotonicTime) {
+        if let Some(write) = keeper.step(0, true, now) {
+            self.write(&write);
+        }
+        self.show(keeper, now);
+    }
+}
+
+fn flexible(keeper: &LeaseKeeper, now: MonotonicTime) -> bool {
+    let standing = keeper.standing(now);
+    standing.is_some_and(|standing| now < standing.flexible_until)
+}
+
+fn floor(keeper: &LeaseKeeper, now: MonotonicTime) -> bool {
+    let standing = keeper.standing(now);
+    standing.is_some_and(|standing| standing.floor_until.is_some_and(|end| now < end))
+}
+
+/// A store in which `one` holds the share since 0 s, and `two` has seen it then.
+fn held() -> (LeaseStore, LeaseKeeper, LeaseKeeper) {
+    let (mut one, mut two) = (keeper("one"), keeper("two"));
+    let mut store = LeaseStore::default();
+    store.serve(&mut one, at(0));
+    store.show(&mut two, at(0));
+    (store, one, two)
+}
+
+#[test]
+fn a_holder_stops_before_another_may_start() {
+    let (mut store, one, mut two) = held();
+    assert!(flexible(&one, at(9)) && floor(&one, at(9)));
+    store.serve(&mut two, at(9));
+    assert!(!flexible(&two, at(9)));
+    assert!(!flexible(&one, at(10)));
+    store.serve(&mut two, at(10));
+    assert!(flexible(&two, at(10)) && !floor(&two, at(10)));
+}
+
+#[test]
+fn the_floor_outlasts_an_outage_of_the_store() {
+    let (mut store, one, mut two) = held();
+    assert!(!flexible(&one, at(60)) && floor(&one, at(60)));
+    store.serve(&mut two, at(10));
+    for second in (10..110).step_by(3) {
+        store.serve(&mut two, at(second));
+    }
+    assert!(!floor(&two, at(109)) && !floor(&one, at(109)));
+    store.serve(&mut two, at(110));
+    assert!(floor(&two, at(110)));
+}
+
+#[test]
+fn a_renewal_counts_from_its_sending() {
+    let (mut store, mut one, mut two) = held();
+    let renewal = one.step(0, false, at(4)).unwrap();
+    store.write(&renewal);
+    store.show(&mut two, at(5));
+    store.show(&mut one, at(8));
+    assert!(flexible(&one, at(13)) && !flexible(&one, at(14)));
+    store.serve(&mut two, at(14));
+    assert!(!flexible(&two, at(14)));
+}
+
+#[test]
+fn a_deposed_holder_that_lives_gives_its_floor_up() {
+    let (mut store, mut one, mut two) = held();
+    store.serve(&mut two, at(10));
+    store.show(&mut one, at(12));
+    assert!(!floor(&one, at(12)));
+    assert!(
+        one.step(0, false, at(12)).is_none(),
+        "requests are still lent out"
+    );
+    store.serve(&mut one, at(13));
+    store.show(&mut two, at(13));
+    assert!(floor(&two, at(13)));
+}
+
+/// Both may write that the present holder gets the floor. The one that comes late
+/// must not take the other's write for its own renewal.
+#[test]
+fn the_same_change_by_another_is_no_renewal() {
+    let (mut store, mut one, mut two) = held();
+    store.serve(&mut two, at(90));
+    let late = two.step(0, false, at(98)).unwrap();
+    store.show(&mut one, at(91));
+    store.serve(&mut one, at(91));
+    assert!(!store.write(&late));
+    store.show(&mut two, at(98));
+    assert!(flexible(&two, at(99)) && !flexible(&two, at(100)));
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading() {
+    let (mut store, mut one, _) = held();
+    let renewal = one.step(0, false, at(5)).unwrap();
+    assert!(store.write(&renewal));
+    // No answer comes; the same write is sent again and conflicts.
+    let again = one.step(0, false, at(7)).unwrap();
+    assert_eq!(again, renewal);
+    assert!(!store.write(&again));
+    store.show(&mut one, at(7));
+    assert!(flexible(&one, at(14)) && !flexible(&one, at(15)));
+}
+
+#[test]
+fn a_share_that_was_given_back_is_free_at_once() {
+    let (mut store, mut one, mut two) = held();
+    one.leave();
+    assert!(one.standing(at(1)).is_none());
+    assert!(
+        one.step(0, false, at(1)).is_none(),
+        "requests are still lent out"
+    );
+    store.serve(&mut one, at(2));
+    store.show(&mut two, at(2));
+    store.serve(&mut two, at(2));
+    assert!(flexible(&two, at(2)) && floor(&two, at(2)));
+}
+
+#[test]
+fn an_agent_that_restarts_holds_nothing() {
+    let (mut store, _, _) = held();
+    let holder = HolderId {
+        instance: "one".parse().unwrap(),
+        incarnation: 2,
+    };
+    let mut restarted = LeaseKeeper::new(holder, TERMS);
+    store.show(&mut restarted, at(1));
+    store.serve(&mut restarted, at(1));
+    assert!(restarted.standing(at(1)).is_none());
+    store.serve(&mut restarted, at(11));
+    assert!(flexible(&restarted, at(11)) && !floor(&restarted, at(11)));
+}
+
+#[test]
+fn a_worse_choice_waits_longer() {
+    let (_, _, mut two) = held();
+    let late = at(10) + Duration::from_millis(400);
+    assert!(two.step(1, true, late).is_none());
+    assert!(
+        two.step(1, true, late + Duration::from_millis(100))
+            .is_some()
+    );
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_window.rs
@@ -0,0 +1,269 @@
+//! The window rule of one ledger and its entries, under messages in any order.
+
+use std::time::Duration;
+
+use mustardhinge_core::budget::{
+    Admission, BudgetAnswer, BudgetAsk, BudgetLimit, ClientId, EntryAllowance, ShareLedger,
+};
+use mustardhinge_core::prelude::*;
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const ENTRIES: usize = 3;
+const STEPS: usize = 1_500;
+const RATE: u64 = 4;
+const BURST: u64 = 12;
+const LOW_BURST: u64 = 4;
+/// Runs in which a planted fault must be found.
+const PLANTED_RUNS: u64 = 300;
+
+/// A mechanism that is put out of action at the interfaces of the product.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Planted {
+    None,
+    /// Entries read the clock, are paused, and then use what has lapsed.
+    LapseIgnored,
+    /// Entries keep what they report as given back.
+    KeptReturn,
+    /// Repeated and overtaken messages count as new ones.
+    RepeatedGrant,
+    /// Entries use grants of messages that they gave up on.
+    LateAnswer,
+}
+
+struct Entry {
+    allowance: EntryAllowance,
+    offset: Duration,
+    clock_read: MonotonicTime,
+    pending: u64,
+}
+
+struct Model {
+    planted: Planted,
+    random: StdRng,
+    now: MonotonicTime,
+    ledger: ShareLedger,
+    entries: Vec<Entry>,
+    asks: Vec<(usize, BudgetAsk)>,
+    answers: Vec<(usize, BudgetAnswer)>,
+    admitted: Vec<MonotonicTime>,
+    lowered_at: Option<MonotonicTime>,
+    deliveries: u64,
+}
+
+fn zone() -> ZoneId {
+    "a".parse().unwrap()
+}
+
+fn limit(burst: u64) -> BudgetLimit {
+    let rate = RequestRate::from_millis(RATE * 1_000);
+    BudgetLimit::new(rate, RequestBurst::from_millis(burst * 1_000))
+}
+
+impl Model {
+    fn new(seed: u64, planted: Planted) -> Self {
+        let entry = |index: usize| Entry {
+            allowance: EntryAllowance::new(
+                ClientId {
+                    instance: format!("i-{index}").parse().unwrap(),
+                    incarnation: 1,
+                },
+                zone(),
+                [],
+                MonotonicTime::default(),
+            ),
+            offset: Duration::from_secs(1_000 * index as u64),
+            clock_read: MonotonicTime::default(),
+            pending: 0,
+        };
+        Self {
+            planted,
+            random: StdRng::seed_from_u64(seed),
+            now: MonotonicTime::from_millis(10_000),
+            ledger: ShareLedger::empty(1, limit(BURST), MonotonicTime::default()),
+            entries: (0..ENTRIES).map(entry).collect(),
+            asks: Vec::new(),
+            answers: Vec::new(),
+            admitted: Vec::new(),
+            lowered_at: None,
+            deliveries: 1_000,
+        }
+    }
+
+    /// Entries hoard what they are lent for a while, then use all they can get.
+    fn run(mut self) -> Self {
+        let mut is_hoarding = true;
+        for _ in 0..STEPS {
+            let entry = self.random.random_range(0..ENTRIES);
+            match self.random.random_range(0..100) {
+                0..2 => is_hoarding = !is_hoarding,
+                2 => self.advance(2_000),
+                3..13 => self.advance(20),
+                13..40 if is_hoarding && self.holds(entry) => {}
+                13..40 => self.ask(entry),
+                40..60 => self.deliver_ask(),
+                60..80 => self.deliver_answer(),
+                80..85 => self.give_up(entry),
+                85 if self.random.random_bool(0.05) => self.lower_limit(),
+                _ if is_hoarding => {}
+                _ => self.spend(entry),
+            }
+        }
+        self
+    }
+
+    fn advance(&mut self, most_ms: u64) {
+        let step = Duration::from_millis(self.random.random_range(0..most_ms));
+        self.now = self.now + step;
+    }
+
+    fn clock(&self, entry: usize) -> MonotonicTime {
+        self.now + self.entries[entry].offset
+    }
+
+    fn holds(&self, index: usize) -> bool {
+        self.entries[index].allowance.usable(self.clock(index)) > 0
+    }
+
+    fn ask(&mut self, index: usize) {
+        let now = self.clock(index);
+        let waiting = self.random.random_range(0..8);
+        let entry = &mut self.entries[index];
+        let Some((_, mut ask)) = entry.allowance.wants(waiting, now) else {
+            return;
+        };
+        entry.pending = ask.sequence;
+        if self.planted == Planted::KeptReturn {
+            ask.held = 0;
+        }
+        self.asks.push((index, ask));
+    }
+
+    /// Picks a message: mostly the newest, sometimes any before it.
+    fn pick(&mut self, count: usize) -> Option<usize> {
+        if count == 0 {
+            return None;
+        }
+        let any = self.random.random_range(0..count);
+        let is_newest = self.random.random_bool(0.8);
+        Some(if is_newest { count - 1 } else { any })
+    }
+
+    fn deliver_ask(&mut self) {
+        let Some(picked) = self.pick(self.asks.len()) else {
+            return;
+        };
+        let (entry, mut ask) = self.asks[picked].clone();
+        let sequence = ask.sequence;
+        if self.planted == Planted::RepeatedGrant {
+            self.deliveries += 1;
+            ask.sequence = self.deliveries;
+        }
+        if let Ok(answer) = self.ledger.answer(&ask, self.now) {
+            self.answers
+                .push((entry, BudgetAnswer { sequence, ..answer }));
+        }
+    }
+
+    fn deliver_answer(&mut self) {
+        let Some(picked) = self.pick(self.answers.len()) else {
+            return;
+        };
+        let (index, mut answer) = self.answers[picked];
+        let now = self.clock(index);
+        let entry = &mut self.entries[index];
+        if self.planted == Planted::LateAnswer {
+            answer.sequence = entry.pending;
+        }
+        let before = entry.allowance.usable(now);
+        entry.allowance.on_answer(&zone(), &answer, now);
+        if entry.allowance.usable(now) > before {
+            entry.clock_read = now;
+        }
+    }
+
+    fn give_up(&mut self, index: usize) {
+        let now = self.clock(index);
+        let entry = &mut self.entries[index];
+        entry.allowance.on_failure(&zone(), entry.pending, now);
+    }
+
+    fn lower_limit(&mut self) {
+        self.ledger.set_limit(limit(LOW_BURST), self.now);
+        self.lowered_at = self.lowered_at.or(Some(self.now));
+    }
+
+    fn spend(&mut self, index: usize) {
+        let now = self.clock(index);
+        let wanted = if self.random.random_bool(0.5) { 1 } else { 8 };
+        let entry = &mut self.entries[index];
+        let now = match self.planted {
+            Planted::LapseIgnored => entry.clock_read,
+            _ => now,
+        };
+        for _ in 0..wanted {
+            if entry.allowance.try_admit(now) == Admission::Admitted {
+                self.admitted.push(self.now);
+            }
+        }
+    }
+
+    /// Returns whether some window holds more than burst and rate allow.
+    fn has_excess(&self) -> bool {
+        let start = MonotonicTime::default();
+        let lowered = self.lowered_at.map(|time| time + ShareLedger::lapse_time());
+        self.has_excess_from(start, BURST)
+            || lowered.is_some_and(|from| self.has_excess_from(from, LOW_BURST))
+    }
+
+    fn has_excess_from(&self, from: MonotonicTime, burst: u64) -> bool {
+        let second = 1_000_000;
+        let (mut level, mut last) = (0_u64, from);
+        self.admitted
+            .iter()
+            .filter(|time| **time >= from)
+            .any(|time| {
+                let passed = time.as_micros() - last.as_micros();
+                level = level.saturating_sub(passed * RATE) + second;
+                last = *time;
+                level > burst * second
+            })
+    }
+}
+
+fn is_found(planted: Planted) -> bool {
+    (0..PLANTED_RUNS).any(|seed| Model::new(seed, planted).run().has_excess())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(100))]
+
+    #[test]
+    fn no_window_holds_more_than_burst_and_rate(seed in any::<u64>()) {
+        prop_assert!(!Model::new(seed, Planted::None).run().has_excess());
+    }
+}
+
+#[test]
+fn the_model_uses_the_budget() {
+    let admitted: usize = (0..50)
+        .map(|seed| Model::new(seed, Planted::None).run().admitted.len())
+        .sum();
+    assert!(admitted > 50 * 10, "{admitted} admitted");
+}
+
+#[test]
+fn each_mechanism_is_needed() {
+    let planted = [
+        Planted::LapseIgnored,
+        Planted::KeptReturn,
+        Planted::RepeatedGrant,
+        Planted::LateAnswer,
+    ];
+    let missed: Vec<_> = planted
+        .into_iter()
+        .filter(|planted| !is_found(*planted))
+        .collect();
+    assert!(missed.is_empty(), "not found: {missed:?}");
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the decisions, by feature.
 
+mod budget_fleet;
+mod budget_lease;
 mod budget_ledger;
+mod budget_window;
 mod document;
 mod drain;
 mod key;
