Test relayed proof after the first watches have aged

The test passed with the relay switched off, since every agent watches the platform itself until it knows the list; after 3 s it fails without it, as seen.

--- a/crates/mustardhinge-agent/tests/suite/peers.rs
+++ b/crates/mustardhinge-agent/tests/suite/peers.rs
@@ -63,7 +63,7 @@
 async fn a_change_reaches_every_instance_with_proof() {
     let fleet = Fleet::start().await;
     let agents = start_instances(&fleet, 7).await;
-    sleep(Duration::from_secs(1)).await;
+    sleep(Duration::from_secs(3)).await;
     let version = fleet
         .platform
         .object("service", "haulage-1")
