Run the product against the stand-ins, with faults

A recorded latency is no longer capped by the histogram's first size: resizing histograms resize only by record, so p50 and p99 had read 2 us.

--- a/crates/mustardhinge-bench/src/check/check_all.rs
+++ b/crates/mustardhinge-bench/src/check/check_all.rs
@@ -1,7 +1,7 @@
 use super::{
     RuleViolation, check_customer_rate, check_exactly_once, check_key_withdrawal,
-    check_linearizable_rows, check_not_run_truth, check_own_answer, check_replaced_primary,
-    check_session_order, check_transaction_isolation,
+    check_leaving_target, check_linearizable_rows, check_not_run_truth, check_own_answer,
+    check_planned_stop, check_replaced_primary, check_session_order, check_transaction_isolation,
 };
 use crate::history::RunHistory;
 
@@ -17,5 +17,7 @@
     violations.extend(check_own_answer(history));
     violations.extend(check_not_run_truth(history));
     violations.extend(check_exactly_once(history));
+    violations.extend(check_leaving_target(history));
+    violations.extend(check_planned_stop(history));
     violations
 }
--- a/crates/mustardhinge-bench/src/cli/run_options.rs
+++ b/crates/mustardhinge-bench/src/cli/run_options.rs
@@ -4,8 +4,7 @@
 use anyhow::{Context, bail};
 use pico_args::Arguments;
 
-use crate::load::DeploymentName;
-use crate::run::{BaselineName, FaultName};
+use crate::run::{FaultName, RunPlan};
 
 /// The greatest length of a run.
 const MAX_DURATION: Duration = Duration::from_secs(60);
@@ -16,16 +15,8 @@
 /// The options of `run`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunOptions {
-    /// The deployment.
-    pub deployment: DeploymentName,
-    /// The seed of the load.
-    pub seed: u64,
-    /// The length of the load.
-    pub duration: Duration,
-    /// The faults to cause.
-    pub faults: Vec<FaultName>,
-    /// The baseline to run in place of the product's policy.
-    pub baseline: Option<BaselineName>,
+    /// What the run does.
+    pub plan: RunPlan,
     /// Whether to print one JSON line.
     pub json: bool,
     /// Where to write the history.
@@ -44,12 +35,15 @@
             .context("--deployment muscat|taiwan-north is needed")?;
         let duration = arguments.opt_value_from_fn("--duration", parse_duration)?;
         let faults = arguments.opt_value_from_fn("--fault", parse_faults)?;
-        Ok(Self {
+        let plan = RunPlan {
             deployment,
             seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
             duration: duration.unwrap_or(DEFAULT_DURATION),
             faults: faults.unwrap_or_default(),
             baseline: arguments.opt_value_from_str("--baseline")?,
+        };
+        Ok(Self {
+            plan,
             json: arguments.contains("--json"),
             history: arguments.opt_value_from_str("--history")?,
         })
--- a/crates/mustardhinge-bench/src/history/run_history.rs
+++ b/crates/mustardhinge-bench/src/history/run_history.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CustomerLimit, FaultMark, KeyWithdrawal, OperationRecord, PromotionRecord, TargetCommit,
+    CustomerLimit, FaultMark, KeyWithdrawal, LeavingWork, OperationRecord, PlannedStop,
+    PromotionRecord, TargetCommit,
 };
 
 /// Everything recorded during one run that the checks and plots need.
@@ -17,6 +18,10 @@
     pub limits: Vec<CustomerLimit>,
     /// The keys withdrawn.
     pub withdrawals: Vec<KeyWithdrawal>,
+    /// The planned stops of instances.
+    pub stops: Vec<PlannedStop>,
+    /// The work that leaving targets got after the bound.
+    pub leaving: Vec<LeavingWork>,
     /// The faults switched.
     pub faults: Vec<FaultMark>,
 }
--- a/crates/mustardhinge-bench/src/load/caller_connection.rs
+++ b/crates/mustardhinge-bench/src/load/caller_connection.rs
@@ -4,6 +4,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use mustardhinge_core::prelude::*;
 use tokio::net::TcpStream;
 use tokio_postgres::tls::NoTlsStream;
 use tokio_postgres::{Client, Config, Connection, NoTls, SimpleQueryMessage};
@@ -19,6 +20,9 @@
 /// The parameter that carries the read token, both ways.
 const TOKEN_PARAMETER: &str = "mustardhinge.token";
 
+/// The user name of callers without a key.
+const KEYLESS_USER: &str = "anyone";
+
 /// A caller's connection to one instance.
 ///
 /// The connection is driven only while a statement runs, in the same task, so
@@ -94,7 +98,11 @@
     }
     let mut config = Config::new();
     config
-        .user(plan.customer.as_str())
+        .user(
+            plan.customer
+                .as_ref()
+                .map_or(KEYLESS_USER, CustomerId::as_str),
+        )
         .password(&plan.key)
         .dbname(plan.service.as_str())
         .options(options);
--- a/crates/mustardhinge-bench/src/load/deployment_profile.rs
+++ b/crates/mustardhinge-bench/src/load/deployment_profile.rs
@@ -33,8 +33,10 @@
     pub zone_delay: Duration,
     /// The delay from callers to instances, one way.
     pub caller_delay: Duration,
-    /// How far replicas lag.
-    pub replica_lag: Duration,
+    /// How far the reads of each target of a group lag behind its log.
+    pub replica_lags: Vec<Duration>,
+    /// The time that a statement takes in its slot.
+    pub statement_time: Duration,
     /// The age that the route for older rows allows.
     pub max_age: Duration,
     /// The customers of each service.
@@ -62,7 +64,8 @@
             connect_delay: Duration::from_millis(10),
             zone_delay: Duration::from_micros(zone_micros),
             caller_delay: Duration::from_millis(caller_millis),
-            replica_lag: Duration::from_millis(20),
+            replica_lags: [0, 20, 200].map(Duration::from_millis).to_vec(),
+            statement_time: Duration::from_millis(2),
             max_age: Duration::from_secs(2),
             customers: (1..=CUSTOMERS).map(make_customer).collect(),
             mix: make_mix(name),
--- a/crates/mustardhinge-bench/src/load/load_planner.rs
+++ b/crates/mustardhinge-bench/src/load/load_planner.rs
@@ -13,9 +13,18 @@
 /// The time after which a customer's sessions share another row.
 const SHARED_ROW_SECONDS: u64 = 1;
 
+/// The mean time between the operations of callers without a key.
+const OPEN_SESSION_GAP: Duration = Duration::from_millis(100);
+
 /// The rows that a read on an open route asks for.
 const OPEN_READ_ROWS: u32 = 20;
 
+/// Returns when the surge begins and ends in a run: before the faults.
+#[must_use]
+pub fn surge_span(duration: Duration) -> (Duration, Duration) {
+    (duration / 10, duration * 2 / 5)
+}
+
 /// Plans the sessions of a run from a seed: the same seed gives the same load.
 #[derive(Debug)]
 pub struct LoadPlanner<'a> {
@@ -47,6 +56,7 @@
                     plans.push(self.plan_session(service, customer, number));
                 }
             }
+            plans.push(self.plan_open_session(service));
         }
         plans
     }
@@ -89,7 +99,7 @@
         }
         SessionPlan {
             service: service.clone(),
-            customer: customer.customer.clone(),
+            customer: Some(customer.customer.clone()),
             key: customer.key(),
             session: name
                 .parse()
@@ -100,11 +110,42 @@
         }
     }
 
-    /// Draws the time to a session's next operation; shorter during the surge,
-    /// which takes the middle third of the run.
+    /// Plans the session of callers without a key, on the open route.
+    fn plan_open_session(&mut self, service: &ServiceId) -> SessionPlan {
+        let mut operations = Vec::new();
+        let mut due = Duration::ZERO;
+        loop {
+            due += OPEN_SESSION_GAP.mul_f64(self.rng.random_range(0.0..2.0));
+            if due >= self.duration {
+                break;
+            }
+            operations.push(PlannedOperation {
+                number: self.next_number,
+                due,
+                kind: OperationKind::OpenRead {
+                    rows: OPEN_READ_ROWS,
+                },
+                roams: self.rng.random_bool(ROAM_CHANCE),
+            });
+            self.next_number += 1;
+        }
+        SessionPlan {
+            service: service.clone(),
+            customer: None,
+            key: String::new(),
+            session: format!("{service}-open")
+                .parse()
+                .expect("the names of a profile are identifiers"),
+            has_token: false,
+            first_instance: self.rng.random_range(0..self.profile.instances as usize),
+            operations,
+        }
+    }
+
+    /// Draws the time to a session's next operation; shorter during the surge.
     fn draw_gap(&mut self, customer: &CustomerProfile, due: Duration) -> Duration {
-        let third = self.duration / 3;
-        let is_surge = due >= third && due < 2 * third;
+        let (start, end) = surge_span(self.duration);
+        let is_surge = due >= start && due < end;
         let factor = if is_surge { customer.surge_factor } else { 1.0 };
         let rate = customer.offered_per_s * factor / f64::from(customer.sessions);
         let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
--- a/crates/mustardhinge-bench/src/load/mod.rs
+++ b/crates/mustardhinge-bench/src/load/mod.rs
@@ -21,7 +21,7 @@
 pub use deployment_name::DeploymentName;
 pub use deployment_profile::DeploymentProfile;
 pub use entry_endpoint::EntryEndpoint;
-pub use load_planner::LoadPlanner;
+pub use load_planner::{LoadPlanner, surge_span};
 pub use planned_operation::PlannedOperation;
 pub use route_names::{
     AGED_ROUTE, CONFIRM_ROUTE, NEWEST_ROUTE, OPEN_ROUTE, ORDER_ROUTE, REASSIGN_ROUTE, WORK_TABLE,
--- a/crates/mustardhinge-bench/src/load/session_plan.rs
+++ b/crates/mustardhinge-bench/src/load/session_plan.rs
@@ -7,9 +7,9 @@
 pub struct SessionPlan {
     /// The service.
     pub service: ServiceId,
-    /// The customer.
-    pub customer: CustomerId,
-    /// The customer's key.
+    /// The customer; none for callers without a key.
+    pub customer: Option<CustomerId>,
+    /// The customer's key; empty for callers without one.
     pub key: String,
     /// The session.
     pub session: SessionId,
--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -1,18 +1,22 @@
 //! The binary `mustardhinge-bench`.
 
 use std::fs::File;
-use std::io::BufReader;
+use std::io::{BufReader, BufWriter};
 use std::path::Path;
 use std::process::ExitCode;
 
-use anyhow::{Context, bail};
-use mustardhinge_bench::cli::{BenchCommand, HELP};
+use anyhow::Context;
+use mustardhinge_bench::cli::{BenchCommand, HELP, RunOptions};
 use mustardhinge_bench::history::RunHistory;
 use mustardhinge_bench::plot::plot_history;
 use mustardhinge_bench::report::{FigureComparison, read_reports};
+use mustardhinge_bench::run::BenchRun;
 use mustardhinge_bench::trace::{compare_steps, read_steps, replay_trace, write_steps};
 use mustardhinge_process::args::USAGE_EXIT_CODE;
 
+/// The threads that carry the callers, the targets and the platform.
+const LOAD_THREADS: usize = 4;
+
 fn main() -> ExitCode {
     let arguments = std::env::args_os().skip(1).collect();
     let command = match BenchCommand::parse(arguments) {
@@ -59,11 +63,34 @@
                 println!("{}", serde_json::to_string(&point)?);
             }
         }
-        BenchCommand::Run(_) => bail!("not yet built"),
+        BenchCommand::Run(options) => return run_bench(options),
     }
     Ok(ExitCode::SUCCESS)
 }
 
+fn run_bench(options: RunOptions) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(LOAD_THREADS)
+        .enable_all()
+        .build()?;
+    let outcome = runtime.block_on(BenchRun::new(options.plan).run())?;
+    runtime.shutdown_background();
+    if let Some(path) = &options.history {
+        let file = File::create(path).with_context(|| path.display().to_string())?;
+        serde_json::to_writer(BufWriter::new(file), &outcome.history)?;
+    }
+    if options.json {
+        println!("{}", serde_json::to_string(&outcome.report)?);
+    } else {
+        print!("{}", outcome.report);
+    }
+    Ok(if outcome.report.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 fn read_history(path: &Path) -> anyhow::Result<RunHistory> {
     let file = File::open(path).with_context(|| path.display().to_string())?;
     serde_json::from_reader(BufReader::new(file))
--- a/crates/mustardhinge-bench/src/report/run_figures.rs
+++ b/crates/mustardhinge-bench/src/report/run_figures.rs
@@ -134,7 +134,8 @@
 
 fn record_latency(histogram: &mut Histogram<u64>, latency: Duration) {
     let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-    histogram.saturating_record(micros);
+    // A histogram that resizes itself takes any time of a run.
+    let _ = histogram.record(micros);
 }
 
 /// A token bucket that counts a customer's admitted requests over all instances.
--- a/crates/mustardhinge-bench/src/report/run_report.rs
+++ b/crates/mustardhinge-bench/src/report/run_report.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -99,3 +100,26 @@
         ]
     }
 }
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} seed {} faults {:?}",
+            self.deployment, self.seed, self.faults
+        )?;
+        for (name, figure) in self.list_figures() {
+            match figure {
+                Some(figure) => writeln!(f, "{name:<30} {figure:.3}")?,
+                None => writeln!(f, "{name:<30} -")?,
+            }
+        }
+        for (reason, count) in &self.refused_by_reason {
+            writeln!(f, "refused {reason:<22} {count}")?;
+        }
+        for violation in &self.violations {
+            writeln!(f, "VIOLATION {violation}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/mustardhinge-bench/tests/suite/command_line.rs
+++ b/crates/mustardhinge-bench/tests/suite/command_line.rs
@@ -14,7 +14,7 @@
         panic!("not parsed as a run");
     };
     assert_eq!(
-        options.faults,
+        options.plan.faults,
         [FaultName::StoreDown, FaultName::PrimaryKill]
     );
     assert!(options.json);
--- a/crates/mustardhinge-bench/tests/suite/load.rs
+++ b/crates/mustardhinge-bench/tests/suite/load.rs
@@ -3,7 +3,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use mustardhinge_bench::load::{DeploymentName, DeploymentProfile, LoadPlanner, SessionPlan};
+use mustardhinge_bench::load::{
+    DeploymentName, DeploymentProfile, LoadPlanner, SessionPlan, surge_span,
+};
 
 const DURATION: Duration = Duration::from_secs(9);
 
@@ -39,16 +41,20 @@
 #[test]
 fn the_surge_goes_beyond_the_customers_rate() {
     let plans = plan(DeploymentName::Muscat, 3);
-    let third = DURATION / 3;
+    let (start, end) = surge_span(DURATION);
     let count = |from: Duration, to: Duration| {
         plans
             .iter()
-            .filter(|plan| plan.customer.as_str() == "customer-1")
+            .filter(|plan| {
+                plan.customer
+                    .as_ref()
+                    .is_some_and(|id| id.as_str() == "customer-1")
+            })
             .flat_map(|plan| &plan.operations)
             .filter(|operation| operation.due >= from && operation.due < to)
             .count()
     };
-    assert!(count(third, 2 * third) > 2 * count(Duration::ZERO, third));
+    assert!(count(start, end) > 2 * count(end, end + (end - start)));
 }
 
 #[test]
--- a/crates/mustardhinge-bench/tests/suite/planted_faults.rs
+++ b/crates/mustardhinge-bench/tests/suite/planted_faults.rs
@@ -231,3 +231,34 @@
     assert!(!found[0].evidence.contains("key-of-c-1"));
     assert_eq!(check_key_secrecy(&received, &["key-of-c-2".to_owned()]), []);
 }
+
+#[test]
+fn an_operation_cut_by_a_planned_stop_is_found() {
+    let mut cut = operation(1, (10, 30), write("k", "v"));
+    cut.result = OperationResult::Broken {
+        cause: "closed".to_owned(),
+    };
+    let mut history = history(vec![cut], Vec::new());
+    history.stops.push(PlannedStop {
+        instance: id("i-1"),
+        from: MonotonicTime::from_millis(20),
+        to: MonotonicTime::from_millis(40),
+    });
+    let violations = check_planned_stop(&history);
+    assert_eq!(rules(&violations), [RuleName::PlannedStop]);
+    history.operations[0].result = not_run("instance_draining");
+    assert_eq!(check_planned_stop(&history), []);
+}
+
+#[test]
+fn a_leaving_target_that_gets_work_is_found() {
+    let mut history = RunHistory::default();
+    history.leaving.push(LeavingWork {
+        target: id("t-1"),
+        late_statements: 1,
+    });
+    let violations = check_leaving_target(&history);
+    assert_eq!(rules(&violations), [RuleName::LeavingTarget]);
+    history.leaving[0].late_statements = 0;
+    assert_eq!(check_leaving_target(&history), []);
+}
--- a/crates/mustardhinge-bench/tests/suite/reports.rs
+++ b/crates/mustardhinge-bench/tests/suite/reports.rs
@@ -66,3 +66,17 @@
     }
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_customers_latency_is_that_of_its_slow_requests() {
+    let operations = vec![operation(1, (0, 900), read("k", true))];
+    let mut history = history(operations, Vec::new());
+    history.limits.push(CustomerLimit {
+        service: id("haulage"),
+        customer: id("c-1"),
+        rate: "1/s".parse().unwrap(),
+        burst: "1req".parse().unwrap(),
+    });
+    let p99 = RunFigures::of(&history).customers[0].p99.unwrap();
+    assert!((890..=910).contains(&p99.as_millis()), "{p99:?}");
+}
