--- a/crates/mustardhinge-agent/src/target/target_link.rs
+++ b/crates/mustardhinge-agent/src/target/target_link.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::replication::ServerReport;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::TargetError;
@@ -16,14 +17,16 @@
 pub(crate) struct TargetLink {
     address: SocketAddr,
     kept: Mutex<Option<Arc<TargetConnection>>>,
+    hints: Arc<Notify>,
 }
 
 impl TargetLink {
     /// Makes a link that is not connected yet.
-    pub(crate) const fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
             address,
             kept: Mutex::new(None),
+            hints: Arc::default(),
         }
     }
 
@@ -33,6 +36,29 @@
         parse_report(&columns)
     }
 
+    /// Asks the target to grant a term, or to be or follow a primary; returns its
+    /// report and whether it did.
+    pub(crate) async fn change(
+        &self,
+        statement: &str,
+        bound: Duration,
+    ) -> Result<(ServerReport, bool), TargetError> {
+        let columns = self.call(statement, bound).await?;
+        let granted = columns.get(ServerReport::COLUMNS.len());
+        let is_granted = granted.is_some_and(|column| column == "t");
+        Ok((parse_report(&columns)?, is_granted))
+    }
+
+    /// Waits until a connection ends or someone else hints at a change.
+    pub(crate) async fn wait_for_hint(&self) {
+        self.hints.notified().await;
+    }
+
+    /// Hints that the target may have changed.
+    pub(crate) fn hint(&self) {
+        self.hints.notify_one();
+    }
+
     /// Runs a call that may be repeated; answers within `bound`.
     pub(crate) async fn call(
         &self,
@@ -70,7 +96,7 @@
     }
 
     async fn call_anew(&self, statement: &str) -> Result<Vec<String>, TargetError> {
-        let connection = Arc::new(TargetConnection::open(self.address).await?);
+        let connection = Arc::new(TargetConnection::open(self.address, self.hints.clone()).await?);
         let answer = connection.call(statement).await?;
         self.keep(Some(connection));
         Ok(answer)
@@ -87,7 +113,7 @@
 }
 
 /// Reads a report from the text columns of a group call.
-pub(crate) fn parse_report(columns: &[String]) -> Result<ServerReport, TargetError> {
+fn parse_report(columns: &[String]) -> Result<ServerReport, TargetError> {
     let columns: Vec<&str> = columns.iter().map(String::as_str).collect();
     ServerReport::from_columns(&columns).map_err(|error| TargetError::BadAnswer(error.to_string()))
 }
