Let a read's answer wait until its rows last

A read at a primary may see rows that no replica has; if the primary then fails, the next one lacks them and a later read goes back. The answer of such a read can now wait under the same rule as a write. A replica's report speaks for its primary as well, so that in a group of three a read at a replica never waits.

Weighed: reading only what a majority holds, which the servers do not offer; and leaving it, since the users ask for their own confirmed writes only. But a history check of reads without a token finds the rows that vanish.

The random runs now also read at every server past a round's floor and hold what was seen to last. With the wait left out they find rows undone; with reports from before the round they find a read that misses an acknowledged write. Rounds no longer wait for servers known to be silent.

--- a/crates/mustardhinge-core/src/replication/ack_tracker.rs
+++ b/crates/mustardhinge-core/src/replication/ack_tracker.rs
@@ -51,23 +51,36 @@
         if let Some(index) = self.members.index_of(primary) {
             self.progress(position.term).advance(index, position.offset);
         }
-        if let Some(outcome) = self.decide(position) {
-            return AckStart::Resolved(outcome);
-        }
-        let deadline = now + self.timeout;
-        let key = self.writes.insert(PendingWrite { position, deadline });
-        self.progress(position.term).wait(position.offset, key);
-        AckStart::Waiting(key)
+        self.wait_for(position, now)
+    }
+
+    /// Starts the wait of a read's answer until a majority holds everything
+    /// that the read may have seen; else a change of primary could undo it.
+    ///
+    /// `position` is the last one that the server of the read reports after
+    /// the read; that report has to be given to `observe` first. If the outcome
+    /// is not `Acknowledged`, the read is to be made again elsewhere.
+    pub fn begin_read(&mut self, position: LogPosition, now: MonotonicTime) -> AckStart {
+        self.wait_for(position, now)
     }
 
     /// Takes in a server's report and returns the writes that it decided.
+    ///
+    /// What a replica holds of its term it has from the term's primary, so the
+    /// report speaks for both.
     pub fn observe(&mut self, report: &ServerReport) -> Vec<(AckKey, AckOutcome)> {
         let Some(index) = self.members.index_of(&report.target) else {
             return Vec::new();
         };
         self.server_terms[index] = self.server_terms[index].max(report.term);
         if let Some(held) = report.held_in(report.term) {
-            self.progress(report.term).advance(index, held.offset);
+            let primary = report.primary.as_ref();
+            let primary = primary.and_then(|target| self.members.index_of(target));
+            let progress = self.progress(report.term);
+            progress.advance(index, held.offset);
+            if let Some(primary) = primary {
+                progress.advance(primary, held.offset);
+            }
         }
         self.resolve()
     }
@@ -129,6 +142,17 @@
             .or_insert_with(|| TermProgress::new(servers))
     }
 
+    fn wait_for(&mut self, position: LogPosition, now: MonotonicTime) -> AckStart {
+        if let Some(outcome) = self.decide(position) {
+            self.drop_old_terms();
+            return AckStart::Resolved(outcome);
+        }
+        let deadline = now + self.timeout;
+        let key = self.writes.insert(PendingWrite { position, deadline });
+        self.progress(position.term).wait(position.offset, key);
+        AckStart::Waiting(key)
+    }
+
     /// Decides a write from the reports that have come in.
     fn decide(&mut self, position: LogPosition) -> Option<AckOutcome> {
         let majority = self.members.majority();
--- a/crates/mustardhinge-core/src/replication/floor_round.rs
+++ b/crates/mustardhinge-core/src/replication/floor_round.rs
@@ -28,9 +28,10 @@
         *slot = (*slot).max(Some(last));
     }
 
-    /// Returns whether all servers have answered.
-    pub(super) fn is_complete(&self) -> bool {
-        self.lasts.iter().all(Option::is_some)
+    /// Returns whether all servers that are not silent have answered.
+    pub(super) fn is_complete(&self, silent: &[bool]) -> bool {
+        let mut servers = self.lasts.iter().zip(silent);
+        servers.all(|(last, is_silent)| last.is_some() || *is_silent)
     }
 
     /// Returns the floor, once a majority has answered.
--- a/crates/mustardhinge-core/src/replication/floor_tracker.rs
+++ b/crates/mustardhinge-core/src/replication/floor_tracker.rs
@@ -1,3 +1,4 @@
+use crate::ids::TargetId;
 use crate::units::{LogPosition, MonotonicTime};
 
 use super::{FloorAction, FloorRound, FloorSettings, GroupMembers, RoundNumber, ServerReport};
@@ -10,6 +11,7 @@
 pub struct FloorTracker {
     members: GroupMembers,
     settings: FloorSettings,
+    silent: Vec<bool>,
     last_number: RoundNumber,
     running: Option<FloorRound>,
     next_wanted: bool,
@@ -19,15 +21,25 @@
     /// Makes a tracker without rounds.
     #[must_use]
     pub fn new(members: GroupMembers, settings: FloorSettings) -> Self {
+        let silent = vec![false; members.count()];
         Self {
             members,
             settings,
+            silent,
             last_number: RoundNumber::default(),
             running: None,
             next_wanted: false,
         }
     }
 
+    /// Sets whether a server is silent; rounds do not wait for it once a
+    /// majority has answered.
+    pub fn set_silent(&mut self, target: &TargetId, is_silent: bool) {
+        if let Some(index) = self.members.index_of(target) {
+            self.silent[index] = is_silent;
+        }
+    }
+
     /// Adds a read and returns the round that will give its floor, and what to
     /// do now.
     pub fn join(&mut self, now: MonotonicTime) -> (RoundNumber, Option<FloorAction>) {
@@ -86,12 +98,12 @@
             round.majority_at = Some(now);
         }
         let number = round.number;
-        let is_complete = round.is_complete();
+        let is_complete = round.is_complete(&self.silent);
         let is_due = self.next_deadline().is_some_and(|deadline| deadline <= now);
         match floor {
-            _ if !is_complete && !is_due => Vec::new(),
-            Some(floor) => self.finish(yield_floor(number, floor), now),
-            None => self.finish(FloorAction::Fail(number), now),
+            Some(floor) if is_complete || is_due => self.finish(yield_floor(number, floor), now),
+            None if is_due => self.finish(FloorAction::Fail(number), now),
+            _ => Vec::new(),
         }
     }
 
--- a/crates/mustardhinge-core/src/replication/term_progress.rs
+++ b/crates/mustardhinge-core/src/replication/term_progress.rs
@@ -70,6 +70,9 @@
 
     /// Removes and returns the writes that wait past `offset`.
     pub(super) fn take_after(&mut self, offset: u64) -> Vec<AckKey> {
+        if offset == u64::MAX {
+            return Vec::new();
+        }
         let is_after = |&(waiting, _): &(u64, AckKey)| waiting > offset;
         let keys = self.waiting.iter().filter(|entry| is_after(entry));
         let keys: Vec<_> = keys.map(|&(_, key)| key).collect();
--- a/crates/mustardhinge-core/tests/suite/group/group_harness.rs
+++ b/crates/mustardhinge-core/tests/suite/group/group_harness.rs
@@ -6,7 +6,8 @@
 };
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::replication::{
-    AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker, ServerReport,
+    AckKey, AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker,
+    RoundNumber, ServerReport,
 };
 
 use super::model_group::{ModelEntry, index_of, target};
@@ -43,12 +44,15 @@
     claimed: LeaderTerm,
     next_claimant: u64,
     acks: AckTracker,
-    open_writes: BTreeMap<mustardhinge_core::replication::AckKey, (LogPosition, ModelEntry)>,
+    open_writes: BTreeMap<AckKey, (LogPosition, ModelEntry)>,
     acked: Vec<(LogPosition, ModelEntry)>,
     promoted: BTreeMap<LeaderTerm, (usize, Vec<ModelEntry>)>,
     grants: BTreeMap<(u64, LeaderTerm), Vec<ServerReport>>,
+    open_reads: BTreeMap<AckKey, Vec<ModelEntry>>,
+    seen: Vec<ModelEntry>,
+    greatest_applied: Vec<LogPosition>,
     floors: FloorTracker,
-    floor_bound: BTreeMap<mustardhinge_core::replication::RoundNumber, usize>,
+    floor_bound: BTreeMap<RoundNumber, usize>,
     violations: Vec<String>,
 }
 
@@ -70,6 +74,9 @@
             acked: Vec::new(),
             promoted: BTreeMap::new(),
             grants: BTreeMap::new(),
+            open_reads: BTreeMap::new(),
+            seen: Vec::new(),
+            greatest_applied: vec![LogPosition::default(); servers],
             floors: FloorTracker::new(members, FloorSettings::new()),
             floor_bound: BTreeMap::new(),
             violations: Vec::new(),
@@ -366,6 +373,11 @@
                 self.violations.push(lost);
             }
         }
+        let is_undone = |entry: &&ModelEntry| entry.term < term && !log.contains(entry);
+        if self.seen.iter().any(|entry| is_undone(&entry)) {
+            self.violations
+                .push(format!("a row was undone in term {term}"));
+        }
         if let Some((other, _)) = self.promoted.insert(term, (server, log)) {
             let twice = format!("{other} and {server} were promoted in term {term}");
             self.violations.push(twice);
@@ -412,6 +424,8 @@
             PlantedFault::StaleFloorReports => self.now,
             _ => requested_at,
         };
+        let greatest = &mut self.greatest_applied[index_of(&report.target)];
+        *greatest = report.applied.max(*greatest);
         let actions = self.floors.observe(&report, requested_at, self.now);
         self.take_floors(actions);
         if self.fault == PlantedFault::AckByOffset {
@@ -425,6 +439,10 @@
             if let (AckOutcome::Acknowledged, Some((position, entry))) = (outcome, write) {
                 self.acknowledge(position, entry);
             }
+            let read = self.open_reads.remove(&key);
+            if let (AckOutcome::Acknowledged, Some(rows)) = (outcome, read) {
+                self.release_read(rows);
+            }
         }
     }
 
@@ -442,13 +460,53 @@
                 continue;
             };
             let bound = self.floor_bound.remove(&round).unwrap_or(0);
-            let passed = self.acked[..bound]
+            for server in 0..self.group.servers.len() {
+                if self.greatest_applied[server] >= floor {
+                    self.read(server, bound);
+                }
+            }
+        }
+    }
+
+    /// Reads at a server, after a round before which `bound` writes were
+    /// acknowledged.
+    fn read(&mut self, server: usize, bound: usize) {
+        let rows = self.group.servers[server].log.clone();
+        let missed = self.acked[..bound]
+            .iter()
+            .find(|(_, entry)| !rows.contains(entry));
+        if let Some((position, _)) = missed {
+            self.violations
+                .push(format!("a read does not see {position}"));
+        }
+        if self.fault == PlantedFault::ReleaseReadsAtOnce {
+            self.release_read(rows);
+            return;
+        }
+        let report = self.group.report(server);
+        self.take_report(report.clone(), self.now);
+        match self.acks.begin_read(report.last, self.now) {
+            AckStart::Waiting(key) => {
+                self.open_reads.insert(key, rows);
+            }
+            AckStart::Resolved(AckOutcome::Acknowledged) => self.release_read(rows),
+            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
+        }
+    }
+
+    /// Gives a read's answer out: its rows have to last.
+    fn release_read(&mut self, rows: Vec<ModelEntry>) {
+        let fresh = rows.into_iter().filter(|entry| !self.seen.contains(entry));
+        let fresh: Vec<_> = fresh.collect();
+        for (term, (_, log)) in &self.promoted {
+            let lost = fresh
                 .iter()
-                .find(|(position, _)| *position > floor);
-            if let Some((position, _)) = passed {
+                .find(|entry| entry.term < *term && !log.contains(entry));
+            if lost.is_some() {
                 self.violations
-                    .push(format!("floor {floor} is before {position}"));
+                    .push(format!("a row was undone: term {term} lacks it"));
             }
         }
+        self.seen.extend(fresh);
     }
 }
--- a/crates/mustardhinge-core/tests/suite/group/planted_fault.rs
+++ b/crates/mustardhinge-core/tests/suite/group/planted_fault.rs
@@ -13,6 +13,8 @@
     PromoteOnOneGrant,
     /// Two claimants give the servers the same name.
     SharedClaimant,
+    /// A read's answer goes out whether or not its rows last.
+    ReleaseReadsAtOnce,
     /// A floor round takes in reports that were asked for before it began.
     StaleFloorReports,
 }
--- a/crates/mustardhinge-core/tests/suite/replication.rs
+++ b/crates/mustardhinge-core/tests/suite/replication.rs
@@ -227,6 +227,54 @@
     assert_eq!(actions, vec![yielded, FloorAction::RequestReports(second)]);
 }
 
+#[test]
+fn a_round_waits_for_more_than_a_majority_unless_the_rest_is_silent() {
+    let mut group = ModelGroup::new(3);
+    let mut tracker = FloorTracker::new(group.members(), FloorSettings::new());
+    group.write(0).unwrap();
+    let (first, _) = tracker.join(at(10));
+    assert_eq!(tracker.observe(&group.report(0), at(10), at(11)), vec![]);
+    assert_eq!(tracker.observe(&group.report(1), at(10), at(11)), vec![]);
+    let actions = tracker.observe(&group.report(2), at(10), at(12));
+    let floor = position(1, 1);
+    let round = first;
+    assert_eq!(actions, vec![FloorAction::Yield { round, floor }]);
+
+    tracker.set_silent(&target(2), true);
+    let (round, _) = tracker.join(at(20));
+    assert_eq!(tracker.observe(&group.report(0), at(20), at(21)), vec![]);
+    let actions = tracker.observe(&group.report(1), at(20), at(21));
+    let floor = position(1, 2);
+    assert_eq!(actions, vec![FloorAction::Yield { round, floor }]);
+}
+
+#[test]
+fn a_read_at_the_primary_waits_until_its_rows_last() {
+    let mut group = ModelGroup::new(3);
+    let mut tracker = tracker(&group);
+    group.write(0).unwrap();
+    let report = group.report(0);
+    assert_eq!(tracker.observe(&report), vec![]);
+    let AckStart::Waiting(key) = tracker.begin_read(report.last, at(0)) else {
+        panic!("decided by the primary alone");
+    };
+    group.replicate(1, 1);
+    let resolved = tracker.observe(&group.report(1));
+    assert_eq!(resolved, vec![(key, AckOutcome::Acknowledged)]);
+}
+
+#[test]
+fn a_read_at_a_replica_of_the_term_needs_no_wait() {
+    let mut group = ModelGroup::new(3);
+    let mut tracker = tracker(&group);
+    group.write(0).unwrap();
+    group.replicate(1, 1);
+    let report = group.report(1);
+    assert_eq!(tracker.observe(&report), vec![]);
+    let start = tracker.begin_read(report.last, at(0));
+    assert_eq!(start, AckStart::Resolved(AckOutcome::Acknowledged));
+}
+
 #[test]
 fn the_history_tells_the_age_of_a_position() {
     let mut history = FloorHistory::new();
--- a/crates/mustardhinge-core/tests/suite/safety.rs
+++ b/crates/mustardhinge-core/tests/suite/safety.rs
@@ -93,6 +93,12 @@
 
 #[test]
 fn a_floor_from_older_reports_is_found() {
-    let found = find_violation(3, PlantedFault::StaleFloorReports, 1_000, "is before");
+    let found = find_violation(3, PlantedFault::StaleFloorReports, 1_000, "does not see");
+    assert!(found.is_some());
+}
+
+#[test]
+fn reads_that_do_not_wait_for_their_rows_are_found() {
+    let found = find_violation(3, PlantedFault::ReleaseReadsAtOnce, 400, "was undone");
     assert!(found.is_some());
 }
