Show no row that a change of primary may undo; bound the first try of a read

Cause: a read at the primary passed on rows that no replica had. If that primary fails before it replicates them, they vanish, and a later read goes back. The answer of such a read now waits until a majority holds what the primary reported after the read; in groups above three servers that holds for replicas too.

With the wait switched off the test fails: "a row was read that may be undone".

A read's first target now has 1 s before the read goes on to another, so that a silent connection does not cost the whole deadline.

Not covered: reads inside a transaction are passed on as they come.

--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -108,6 +108,12 @@
         &self.zones
     }
 
+    /// Returns the number of the group's targets.
+    #[must_use]
+    pub fn targets(&self) -> usize {
+        self.document.group.targets.len()
+    }
+
     /// Returns a route.
     #[must_use]
     pub fn route(&self, name: &RouteName) -> Option<&RouteEntry> {
--- a/crates/mustardhinge-entry/src/group/group_command.rs
+++ b/crates/mustardhinge-entry/src/group/group_command.rs
@@ -14,6 +14,14 @@
         /// Takes the outcome.
         reply: oneshot::Sender<AckOutcome>,
     },
+    /// Answer once a majority holds the position in its term, or can't, for a
+    /// read that may have seen everything up to it.
+    ConfirmRead {
+        /// The position.
+        position: LogPosition,
+        /// Takes the outcome.
+        reply: oneshot::Sender<AckOutcome>,
+    },
     /// Answer with the floor of a round that begins now or later; none if no
     /// majority answers in time.
     Floor {
--- a/crates/mustardhinge-entry/src/group/group_handle.rs
+++ b/crates/mustardhinge-entry/src/group/group_handle.rs
@@ -38,6 +38,37 @@
             position,
             reply,
         };
+        self.wait_for_ack(command, answer).await
+    }
+
+    /// Waits until no change of primary can undo what a read at `target` saw
+    /// that ended at `read_at`, or until that is known to fail.
+    pub async fn confirm_read(&self, target: &TargetId, read_at: MonotonicTime) -> AckOutcome {
+        let lost = AckOutcome::Unknown(AckFailure::TimedOut);
+        if self.floor().await.is_none() {
+            return lost;
+        }
+        let Some(position) = self.last_since(target, read_at) else {
+            return lost;
+        };
+        let (reply, answer) = oneshot::channel();
+        let command = GroupCommand::ConfirmRead { position, reply };
+        self.wait_for_ack(command, answer).await
+    }
+
+    /// Returns the last position of a target by a report asked for at `since`
+    /// or later.
+    fn last_since(&self, target: &TargetId, since: MonotonicTime) -> Option<LogPosition> {
+        let snapshot = self.snapshot.borrow();
+        let timed = snapshot.view.report(target)?;
+        (timed.requested_at >= since).then_some(timed.report.last)
+    }
+
+    async fn wait_for_ack(
+        &self,
+        command: GroupCommand,
+        answer: oneshot::Receiver<AckOutcome>,
+    ) -> AckOutcome {
         let lost = AckOutcome::Unknown(AckFailure::TimedOut);
         if self.commands.send(command).is_err() {
             return lost;
--- a/crates/mustardhinge-entry/src/group/group_watch.rs
+++ b/crates/mustardhinge-entry/src/group/group_watch.rs
@@ -102,10 +102,14 @@
                 primary,
                 position,
                 reply,
-            } => match self.acks.begin(&primary, position, now) {
-                AckStart::Resolved(outcome) => drop(reply.send(outcome)),
-                AckStart::Waiting(key) => drop(self.ack_replies.insert(key, reply)),
-            },
+            } => {
+                let start = self.acks.begin(&primary, position, now);
+                self.start_wait(start, reply);
+            }
+            GroupCommand::ConfirmRead { position, reply } => {
+                let start = self.acks.begin_read(position, now);
+                self.start_wait(start, reply);
+            }
             GroupCommand::Floor { reply } => {
                 let (round, action) = self.floors.join(now);
                 self.floor_replies.entry(round).or_default().push(reply);
@@ -128,6 +132,13 @@
         }
     }
 
+    fn start_wait(&mut self, start: AckStart, reply: oneshot::Sender<AckOutcome>) {
+        match start {
+            AckStart::Resolved(outcome) => drop(reply.send(outcome)),
+            AckStart::Waiting(key) => drop(self.ack_replies.insert(key, reply)),
+        }
+    }
+
     fn take_report(
         &mut self,
         target: TargetId,
@@ -135,6 +146,7 @@
         report: Option<ServerReport>,
         now: MonotonicTime,
     ) {
+        self.floors.set_silent(&target, report.is_none());
         let Some(report) = report else {
             self.snapshot
                 .send_if_modified(|snapshot| snapshot.silent.insert(target));
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::AckOutcome;
 use mustardhinge_core::routing::{ReadQuery, ReadRoute};
 use mustardhinge_core::session::ReadRequirement;
 
@@ -14,6 +17,20 @@
 /// SQLSTATE of a write at a server that takes none.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
+/// How long the first target of a read may stay silent before the read goes on
+/// to another; the last target has all the time that is left.
+const SILENCE_BOUND: Duration = Duration::from_millis(1_000);
+
+/// The greatest group in which a replica and its primary are a majority, so that
+/// what a replica holds can't be undone.
+const SAFE_REPLICA_GROUP: usize = 3;
+
+/// A target chosen for a read.
+struct ReadChoice {
+    target: TargetId,
+    is_primary: bool,
+}
+
 /// What became of a read at one target.
 enum ReadAttempt {
     /// The read has ended.
@@ -33,16 +50,22 @@
     ) -> RequestEnd {
         let mut excluded = Vec::new();
         while excluded.len() < MAX_READ_ATTEMPTS {
-            let target = match self.route_read(context, &excluded).await {
-                Ok(target) => target,
+            let choice = match self.route_read(context, &excluded).await {
+                Ok(choice) => choice,
                 Err(refused) => return refused,
             };
-            match self.try_read(request, context, &target).await {
+            let left = context.time_left(self.shared.now());
+            let bound = if excluded.is_empty() {
+                left.min(SILENCE_BOUND)
+            } else {
+                left
+            };
+            match self.try_read(request, context, &choice, bound).await {
                 ReadAttempt::Ended(end) => return end,
                 ReadAttempt::Writes => return self.run_write(request, context).await,
                 ReadAttempt::TargetFailed => {
                     count_retry("read_target_failed");
-                    excluded.push(target);
+                    excluded.push(choice.target);
                 }
             }
         }
@@ -55,7 +78,7 @@
         &self,
         context: &RunContext,
         excluded: &[TargetId],
-    ) -> Result<TargetId, RequestEnd> {
+    ) -> Result<ReadChoice, RequestEnd> {
         let mut query = ReadQuery {
             requirement: self.floor.requirement(context.max_age),
             arrived_at: self.shared.now(),
@@ -71,11 +94,13 @@
             match router.route(&query, &states, &snapshot.history, now) {
                 ReadRoute::Replica { target, .. } => {
                     count_read("replica");
-                    return Ok(target);
+                    let is_primary = false;
+                    return Ok(ReadChoice { target, is_primary });
                 }
                 ReadRoute::Primary(target) => {
                     count_read("primary");
-                    return Ok(target);
+                    let is_primary = true;
+                    return Ok(ReadChoice { target, is_primary });
                 }
                 ReadRoute::NeedsFloor => {
                     let floor = group.floor().await.ok_or_else(floor_unknown)?;
@@ -104,9 +129,10 @@
         &mut self,
         request: &CallerRequest,
         context: &RunContext,
-        target: &TargetId,
+        choice: &ReadChoice,
+        bound: Duration,
     ) -> ReadAttempt {
-        let Some(pool) = context.service.pool(target) else {
+        let Some(pool) = context.service.pool(&choice.target) else {
             return ReadAttempt::TargetFailed;
         };
         let mut lease = match pool.lend(&context.customer, context.deadline).await {
@@ -118,15 +144,46 @@
             lease.give_back(self.shared.now());
             return ReadAttempt::Ended(refused);
         }
-        let bound = context.time_left(self.shared.now());
-        let run = self
-            .run_on(&mut lease, request, HoldRule::Nothing, bound)
-            .await;
+        let may_be_undone =
+            choice.is_primary || context.service.targets() > SAFE_REPLICA_GROUP;
+        let rule = if may_be_undone {
+            HoldRule::Completion
+        } else {
+            HoldRule::Nothing
+        };
+        let run = self.run_on(&mut lease, request, rule, bound).await;
         let now = self.shared.now();
         if run.result.is_ok() {
             lease.give_back(now);
         }
-        read_outcome(run)
+        match read_outcome(run) {
+            ReadAttempt::Ended(end) if may_be_undone => {
+                ReadAttempt::Ended(confirm_read(context, &choice.target, now, end).await)
+            }
+            outcome => outcome,
+        }
+    }
+}
+
+/// Lets the answer of a read wait until no change of primary can undo what it
+/// saw.
+async fn confirm_read(
+    context: &RunContext,
+    target: &TargetId,
+    read_at: MonotonicTime,
+    end: RequestEnd,
+) -> RequestEnd {
+    let RequestEnd::Answered(held) = end else {
+        return end;
+    };
+    let group = context.service.group();
+    match group.confirm_read(target, read_at).await {
+        AckOutcome::Acknowledged => RequestEnd::Answered(held),
+        AckOutcome::Unknown(failure) => {
+            let message = format!("the rows read may be undone: {}", failure.label());
+            let retry_after = Some(RetryDelay::new(Duration::from_millis(250)));
+            RequestEnd::refused(RefusalReason::FloorNotReached, retry_after, &message)
+        }
     }
 }
 
@@ -175,13 +232,13 @@
 }
 
 fn no_target() -> RequestEnd {
-    let retry_after = RetryDelay::new(std::time::Duration::from_millis(250));
+    let retry_after = RetryDelay::new(Duration::from_millis(250));
     let message = "no target of the group answers";
     RequestEnd::refused(RefusalReason::NoTarget, Some(retry_after), message)
 }
 
 fn floor_unknown() -> RequestEnd {
-    let retry_after = RetryDelay::new(std::time::Duration::from_millis(250));
+    let retry_after = RetryDelay::new(Duration::from_millis(250));
     let message = "no majority of the group's servers answers";
     RequestEnd::refused(RefusalReason::FloorNotReached, Some(retry_after), message)
 }
--- a/crates/mustardhinge-entry/tests/suite/sessions.rs
+++ b/crates/mustardhinge-entry/tests/suite/sessions.rs
@@ -1,4 +1,8 @@
-use super::cluster::{caller, connect, first_column, haulage_fleet};
+use std::time::Duration;
+
+use mustardhinge_fleet::SmallFleet;
+
+use super::cluster::{caller, connect, first_column, haulage, haulage_fleet, start};
 
 #[tokio::test]
 async fn a_confirmed_write_is_read_through_another_instance() {
@@ -28,3 +32,43 @@
         assert_eq!(first_column(&reader, &select).await, ["done"]);
     }
 }
+
+#[tokio::test]
+async fn a_write_that_no_majority_holds_is_shown_to_nobody() {
+    let mut document = haulage();
+    for replica in &mut document.group.targets[1..] {
+        replica.leaving = true;
+    }
+    let fleet = start(SmallFleet::builder().service(document).instances(2)).await;
+    let writer = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    for target in &fleet.group("haulage-1").targets {
+        target.change_faults(|faults| faults.replication_cut = true);
+    }
+    let write = async move {
+        let insert = "INSERT INTO pickups (k, v) VALUES ('p1', 'done')";
+        writer.simple_query(insert).await.unwrap_err();
+    };
+    let read = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(
+            fleet
+                .group("haulage-1")
+                .first()
+                .value_of("pickups", "p1")
+                .is_some()
+        );
+        let reader = connect(&caller(fleet.instances[1].address)).await.unwrap();
+        reader
+            .simple_query("SELECT v FROM pickups WHERE k = 'p1'")
+            .await
+    };
+    let ((), seen) = tokio::join!(write, read);
+    let rows = seen.map(|messages| {
+        let mut messages = messages.into_iter();
+        messages.any(|message| matches!(message, tokio_postgres::SimpleQueryMessage::Row(_)))
+    });
+    assert!(
+        !matches!(rows, Ok(true)),
+        "a row was read that may be undone"
+    );
+}
