--- a/crates/mustardhinge-fleet/src/fleet_builder.rs
+++ b/crates/mustardhinge-fleet/src/fleet_builder.rs
@@ -183,7 +183,7 @@
             zone,
             address: entry.address(),
             agent_address: agent.address(),
-            operator_address: agent.address(),
+            operator_address: agent.operator_address(),
             agent: Some(agent),
             entry: Some(entry),
         })
@@ -211,6 +211,7 @@
             listen: any_port(),
             operator: any_port(),
             metrics: None,
+            zone_count: 3,
             platform,
             peers,
             log_level: "warn".to_owned(),
