Lend fractions of a request, and weigh the floor of a share

A burst smaller than the number of zones could not be used at all. An entry now puts a request together from several zones, and gives a fraction that nobody waits for back at once.

Floors now make up n/(n + 1) of the whole with n zones, instead of half.

The example compares these with static parts and a central counter. Amounts have a type of their own, counted in thousandths; the calls between entry and agent carry it.

--- /dev/null
+++ b/crates/mustardhinge-core/examples/budget_policies/baselines.rs
@@ -0,0 +1,118 @@
+//! The policies that the product's is compared with.
+
+use crate::history::{AdmissionHistory, PlainLimit};
+use crate::scenario::{INSTANCES, SECOND, Scenario, Trouble, ZONES};
+
+/// The instance that keeps the central counter.
+const CENTRE: usize = 1;
+/// After the centre died, another takes over once the lease has run out.
+const TAKEOVER: u64 = 10 * SECOND;
+
+/// A token bucket over global time.
+#[derive(Clone, Copy, Debug)]
+struct PlainBucket {
+    rate: f64,
+    burst: f64,
+    fill: f64,
+    filled_at: u64,
+}
+
+impl PlainBucket {
+    fn empty(limit: PlainLimit, parts: usize, now: u64) -> Self {
+        Self {
+            rate: limit.rate as f64 / parts as f64,
+            burst: limit.burst as f64 / parts as f64,
+            fill: 0.0,
+            filled_at: now,
+        }
+    }
+
+    fn try_take(&mut self, now: u64) -> bool {
+        let seconds = (now - self.filled_at) as f64 / SECOND as f64;
+        self.filled_at = now;
+        self.fill = (self.fill + self.rate * seconds).min(self.burst);
+        let has_one = self.fill >= 1.0;
+        if has_one {
+            self.fill -= 1.0;
+        }
+        has_one
+    }
+}
+
+/// Each instance has the n-th part of every customer's rate and burst.
+pub(crate) fn run_static(scenario: &Scenario) -> Vec<AdmissionHistory> {
+    let mut histories = vec![AdmissionHistory::default(); scenario.limits.len()];
+    let row = |time| {
+        let bucket = |limit: &PlainLimit| PlainBucket::empty(*limit, INSTANCES, time);
+        scenario.limits.iter().map(bucket).collect::<Vec<_>>()
+    };
+    let mut buckets = vec![row(0); INSTANCES];
+    let mut is_replaced = [false; INSTANCES];
+    for (time, instance, customer) in &scenario.requests {
+        let replaced_at = Scenario::replaced_at(*instance);
+        if is_replacement(scenario) && *time >= replaced_at && !is_replaced[*instance] {
+            is_replaced[*instance] = true;
+            buckets[*instance] = row(replaced_at);
+        }
+        let is_admitted = buckets[*instance][*customer].try_take(*time);
+        record(&mut histories[*customer], *time, is_admitted);
+    }
+    histories
+}
+
+/// One instance counts for all, under the short lease; the others ask it.
+pub(crate) fn run_central(scenario: &Scenario) -> Vec<AdmissionHistory> {
+    let mut histories = vec![AdmissionHistory::default(); scenario.limits.len()];
+    let mut buckets: Vec<_> = scenario
+        .limits
+        .iter()
+        .map(|limit| PlainBucket::empty(*limit, 1, 0))
+        .collect();
+    let restart = restart(scenario);
+    let mut is_restarted = false;
+    for (time, instance, customer) in &scenario.requests {
+        if restart.is_some_and(|(_, up)| *time >= up) && !is_restarted {
+            is_restarted = true;
+            for (bucket, limit) in buckets.iter_mut().zip(&scenario.limits) {
+                *bucket = PlainBucket::empty(*limit, 1, *time);
+            }
+        }
+        let is_down = restart.is_some_and(|(down, up)| (down..up).contains(time));
+        let is_reached = !is_down && !is_out_of_reach(scenario, *time, *instance);
+        let is_admitted = is_reached && buckets[*customer].try_take(*time);
+        record(&mut histories[*customer], *time, is_admitted);
+    }
+    histories
+}
+
+/// Returns from when until when the centre is away because it was replaced.
+fn restart(scenario: &Scenario) -> Option<(u64, u64)> {
+    let replaced_at = Scenario::replaced_at(CENTRE);
+    match scenario.trouble {
+        Trouble::Replaced => Some((replaced_at, replaced_at + 1)),
+        Trouble::Killed => Some((replaced_at, replaced_at + TAKEOVER)),
+        _ => None,
+    }
+}
+
+fn is_out_of_reach(scenario: &Scenario, time: u64, instance: usize) -> bool {
+    let (start, end) = scenario.outage();
+    let is_on = (start..end).contains(&time);
+    match scenario.trouble {
+        Trouble::Cut => is_on && instance.is_multiple_of(ZONES),
+        Trouble::StoreOut => is_on && time >= start + TAKEOVER,
+        _ => false,
+    }
+}
+
+fn is_replacement(scenario: &Scenario) -> bool {
+    matches!(scenario.trouble, Trouble::Replaced | Trouble::Killed)
+}
+
+fn record(history: &mut AdmissionHistory, time: u64, is_admitted: bool) {
+    if is_admitted {
+        history.admitted.push(time);
+    } else {
+        history.refused.push(time);
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/examples/budget_policies/scenario.rs
@@ -0,0 +1,211 @@
+//! The loads and faults that the policies are compared under.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use mustardhinge_core::budget::lease::LeaseTerms;
+
+use crate::event::Event;
+use crate::history::PlainLimit;
+use crate::plan::WorldPlan;
+
+/// Micros in a second.
+pub(crate) const SECOND: u64 = 1_000_000;
+/// Instances of the fleet.
+pub(crate) const INSTANCES: usize = 7;
+/// Zones of the fleet; instance i stands in zone i mod 3.
+pub(crate) const ZONES: usize = 3;
+/// Time that is left out of the figures, while ledgers open and fill.
+pub(crate) const WARM_UP: u64 = 10 * SECOND;
+
+/// What happens to the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    None,
+    /// Each instance leaves in a planned way, ten seconds after the one before.
+    Replaced,
+    /// Each instance dies, ten seconds after the one before.
+    Killed,
+    /// Zone 0 is cut off from the others and the store for two minutes.
+    Cut,
+    /// The store is out for three minutes.
+    StoreOut,
+}
+
+/// A load and a trouble.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    pub(crate) trouble: Trouble,
+    pub(crate) length: u64,
+    pub(crate) limits: Vec<PlainLimit>,
+    /// Requests in order: time, instance, customer.
+    pub(crate) requests: Vec<(u64, usize, usize)>,
+    seed: u64,
+}
+
+/// Offered load of each customer, in percent of its rate.
+struct Load {
+    percent: u64,
+    first_customer_percent: u64,
+    /// Percent of the requests that come to instance 0.
+    hot_percent: u32,
+}
+
+impl Scenario {
+    pub(crate) fn all(seed: u64) -> Vec<Self> {
+        let even = |percent| Load {
+            percent,
+            first_customer_percent: percent,
+            hot_percent: 0,
+        };
+        let hot = Load {
+            hot_percent: 80,
+            ..even(70)
+        };
+        let five_fold = Load {
+            first_customer_percent: 500,
+            ..even(70)
+        };
+        vec![
+            Self::new(
+                "even load, 70 % of the rates",
+                &even(70),
+                Trouble::None,
+                seed,
+            ),
+            Self::new(
+                "even load, 95 % of the rates",
+                &even(95),
+                Trouble::None,
+                seed,
+            ),
+            Self::new("one hot instance", &hot, Trouble::None, seed),
+            Self::new(
+                "one customer at 5 times its rate",
+                &five_fold,
+                Trouble::None,
+                seed,
+            ),
+            Self::new(
+                "instances replaced in a row",
+                &even(70),
+                Trouble::Replaced,
+                seed,
+            ),
+            Self::new(
+                "instances killed in a row",
+                &even(70),
+                Trouble::Killed,
+                seed,
+            ),
+            Self::new("a zone cut off for 2 min", &even(70), Trouble::Cut, seed),
+            Self::new(
+                "the store out for 3 min",
+                &even(70),
+                Trouble::StoreOut,
+                seed,
+            ),
+            Self::new(
+                "the store out, 45 % of the rates",
+                &even(45),
+                Trouble::StoreOut,
+                seed,
+            ),
+        ]
+    }
+
+    fn new(name: &'static str, load: &Load, trouble: Trouble, seed: u64) -> Self {
+        let length = if trouble == Trouble::None { 70 } else { 250 } * SECOND;
+        let limits: Vec<_> = (0..8).map(customer_limit).collect();
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut requests = Vec::new();
+        for (customer, limit) in limits.iter().enumerate() {
+            let percent = if customer == 0 {
+                load.first_customer_percent
+            } else {
+                load.percent
+            };
+            let count = length / SECOND * limit.rate * percent / 100;
+            for _ in 0..count {
+                let time = random.random_range(0..length);
+                let is_hot = random.random_range(0..100) < load.hot_percent;
+                let instance = if is_hot {
+                    0
+                } else {
+                    random.random_range(0..INSTANCES)
+                };
+                requests.push((time, instance, customer));
+            }
+        }
+        requests.sort_unstable();
+        Self {
+            name,
+            trouble,
+            length,
+            limits,
+            requests,
+            seed,
+        }
+    }
+
+    /// Returns when the trouble comes to an instance.
+    pub(crate) const fn replaced_at(instance: usize) -> u64 {
+        (30 + 10 * instance as u64) * SECOND
+    }
+
+    /// Returns when a cut or an outage starts and ends.
+    pub(crate) const fn outage(&self) -> (u64, u64) {
+        let start = 30 * SECOND;
+        match self.trouble {
+            Trouble::Cut => (start, start + 120 * SECOND),
+            Trouble::StoreOut => (start, start + 180 * SECOND),
+            _ => (0, 0),
+        }
+    }
+
+    pub(crate) fn plan(&self) -> WorldPlan {
+        WorldPlan {
+            zones: ZONES,
+            entries: INSTANCES,
+            limits: vec![self.limits.clone()],
+            requests: self.requests.clone(),
+            script: self.script(),
+            terms: LeaseTerms::default(),
+            ..WorldPlan::small(self.seed, self.length)
+        }
+    }
+
+    fn script(&self) -> Vec<(u64, Event)> {
+        let (start, end) = self.outage();
+        match self.trouble {
+            Trouble::None => Vec::new(),
+            Trouble::Cut => vec![
+                (start, Event::CutZone(Some(0))),
+                (end, Event::CutZone(None)),
+            ],
+            Trouble::StoreOut => vec![(start, Event::StoreUp(false)), (end, Event::StoreUp(true))],
+            Trouble::Replaced | Trouble::Killed => (0..INSTANCES)
+                .flat_map(|instance| self.replacement(instance))
+                .collect(),
+        }
+    }
+
+    fn replacement(&self, instance: usize) -> Vec<(u64, Event)> {
+        let time = Self::replaced_at(instance);
+        let mut events = vec![
+            (time, Event::KillEntry(instance)),
+            (time, Event::KillAgent(instance)),
+        ];
+        if self.trouble == Trouble::Replaced {
+            events.push((time - 3 * SECOND, Event::LeaveAgent(instance)));
+        }
+        events
+    }
+}
+
+/// Two large customers and six small ones.
+fn customer_limit(customer: usize) -> PlainLimit {
+    let (rate, burst) = if customer < 2 { (60, 60) } else { (15, 20) };
+    PlainLimit { rate, burst }
+}
--- a/crates/mustardhinge-core/src/budget/budget_ask.rs
+++ b/crates/mustardhinge-core/src/budget/budget_ask.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use super::RequestAmount;
 use crate::ids::{InstanceId, ZoneId};
 
 /// One start of an entry, as a ledger knows it.
@@ -25,12 +26,12 @@
     /// message is answered once.
     pub sequence: u64,
     /// All requests admitted out of this ledger so far.
-    pub spent_total: u64,
+    pub spent_total: RequestAmount,
     /// Requests of this ledger that the entry keeps for use; those lent and
     /// neither kept nor spent are given back with this message.
-    pub held: u32,
-    /// Requests that wait for budget now.
-    pub waiting: u32,
-    /// Requests wanted, those that wait included.
-    pub wanted: u32,
+    pub held: RequestAmount,
+    /// What the requests that wait now still lack.
+    pub waiting: RequestAmount,
+    /// What is wanted, `waiting` included.
+    pub wanted: RequestAmount,
 }
--- a/crates/mustardhinge-core/src/budget/demand_meter.rs
+++ b/crates/mustardhinge-core/src/budget/demand_meter.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::RequestAmount;
 use crate::units::MonotonicTime;
 
 /// A moving average of how often something happens.
@@ -24,8 +25,13 @@
 
     /// Counts events that happened now.
     pub fn count(&mut self, events: u32, now: MonotonicTime) {
-        self.events_per_second = self.per_second(now) + f64::from(events) / Self::TIME_CONSTANT_S;
-        self.counted_at = self.counted_at.max(now);
+        self.add(f64::from(events), now);
+    }
+
+    /// Counts an amount of requests that were lent now.
+    pub fn count_amount(&mut self, amount: RequestAmount, now: MonotonicTime) {
+        let requests = amount.as_millis() as f64 / 1_000.0;
+        self.add(requests, now);
     }
 
     /// Returns the average rate, in events a second.
@@ -42,4 +48,9 @@
         // A float cast saturates at the bounds of the type.
         events as u32
     }
+
+    fn add(&mut self, events: f64, now: MonotonicTime) {
+        self.events_per_second = self.per_second(now) + events / Self::TIME_CONSTANT_S;
+        self.counted_at = self.counted_at.max(now);
+    }
 }
--- a/crates/mustardhinge-core/src/budget/entry_allowance.rs
+++ b/crates/mustardhinge-core/src/budget/entry_allowance.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::ledger_account::{AskAmounts, LedgerAccount};
-use super::{Admission, BudgetAnswer, BudgetAsk, ClientId, DemandMeter};
+use super::{Admission, BudgetAnswer, BudgetAsk, ClientId, DemandMeter, RequestAmount};
 use crate::ids::ZoneId;
 use crate::outcome::RetryDelay;
 use crate::units::MonotonicTime;
@@ -54,11 +54,8 @@
 
     /// Decides again about a request that waited for an answer.
     pub fn retry_admit(&mut self, now: MonotonicTime) -> Admission {
-        let spent = self
-            .accounts
-            .iter_mut()
-            .any(|account| account.try_spend(now));
-        if spent {
+        if self.usable(now) >= RequestAmount::ONE {
+            self.spend_one(now);
             return Admission::Admitted;
         }
         if self.may_ask(now) {
@@ -77,7 +74,11 @@
         let account = &mut self.accounts[index];
         let is_own = index == 0;
         let amounts = AskAmounts {
-            wanted: if is_own { amounts.wanted } else { waiting },
+            wanted: if is_own {
+                amounts.wanted
+            } else {
+                amounts.waiting
+            },
             ..amounts
         };
         let ask = account.ask(&self.client, &self.own_zone, amounts, now);
@@ -98,9 +99,9 @@
         }
     }
 
-    /// Returns the requests that could be admitted now without asking.
+    /// Returns what may be used now without asking.
     #[must_use]
-    pub fn usable(&self, now: MonotonicTime) -> u32 {
+    pub fn usable(&self, now: MonotonicTime) -> RequestAmount {
         self.accounts
             .iter()
             .map(|account| account.usable(now))
@@ -124,21 +125,47 @@
         RetryDelay::new(soonest.unwrap_or_default().saturating_since(now))
     }
 
+    /// Uses one request, in parts from several ledgers if need be.
+    fn spend_one(&mut self, now: MonotonicTime) {
+        let mut missing = RequestAmount::ONE;
+        for account in &mut self.accounts {
+            missing = missing.saturating_sub(account.spend(missing, now));
+        }
+    }
+
+    /// Decides what to keep and what to ask for. A fraction that no request waits
+    /// for is not kept: together with others it may pay for one elsewhere.
     fn amounts(&self, waiting: u32, now: MonotonicTime) -> AskAmounts {
+        let usable = self.usable(now);
         let is_idle = now.saturating_since(self.last_demand) >= Self::IDLE_RETURN;
-        let ahead = self.demand.expected_in(Self::LOOK_AHEAD, now);
-        let missing = ahead.saturating_sub(self.usable(now));
+        let is_fraction = waiting == 0 && usable < RequestAmount::ONE;
+        let gives_back = is_idle || is_fraction;
+        let waiting = RequestAmount::from_requests(u64::from(waiting)).saturating_sub(usable);
+        let expected = if is_idle {
+            0
+        } else {
+            self.expected_demand(now)
+        };
+        let ahead = RequestAmount::from_requests(expected).saturating_sub(usable);
         AskAmounts {
-            held: if is_idle { 0 } else { u32::MAX },
+            held: if gives_back {
+                RequestAmount::ZERO
+            } else {
+                RequestAmount::MAX
+            },
             waiting,
-            wanted: waiting + if is_idle { 0 } else { missing },
+            wanted: waiting.saturating_add(ahead),
         }
     }
 
+    fn expected_demand(&self, now: MonotonicTime) -> u64 {
+        u64::from(self.demand.expected_in(Self::LOOK_AHEAD, now))
+    }
+
     /// Chooses whom to ask: one ledger at a time for requests that wait, the own
     /// zone's ahead of need, and any that has requests to be given back.
     fn choose_ledger(&self, amounts: AskAmounts, now: MonotonicTime) -> Option<usize> {
-        if amounts.waiting > 0 {
+        if amounts.waiting > RequestAmount::ZERO {
             let is_asked = self.accounts.iter().any(LedgerAccount::is_pending);
             let next = || {
                 self.accounts
@@ -148,7 +175,7 @@
             return if is_asked { None } else { next() };
         }
         let own = self.accounts.first()?;
-        if amounts.wanted > 0 && own.may_look_ahead(now) {
+        if amounts.wanted > RequestAmount::ZERO && own.may_look_ahead(now) {
             return Some(0);
         }
         let gives_back =
--- a/crates/mustardhinge-core/src/budget/ledger_account.rs
+++ b/crates/mustardhinge-core/src/budget/ledger_account.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{BudgetAnswer, BudgetAsk, ClientId};
+use super::{BudgetAnswer, BudgetAsk, ClientId, RequestAmount};
 use crate::ids::ZoneId;
 use crate::units::MonotonicTime;
 
@@ -9,12 +9,12 @@
 struct PendingAsk {
     sequence: u64,
     sent_at: MonotonicTime,
-    waiting: u32,
+    waiting: RequestAmount,
 }
 
 impl PendingAsk {
     /// Returns whether the answer leaves requests waiting.
-    const fn is_short(&self, granted: u32) -> bool {
+    fn is_short(&self, granted: RequestAmount) -> bool {
         granted < self.waiting
     }
 }
@@ -22,9 +22,9 @@
 /// What an entry wants from one ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AskAmounts {
-    pub(crate) held: u32,
-    pub(crate) waiting: u32,
-    pub(crate) wanted: u32,
+    pub(crate) held: RequestAmount,
+    pub(crate) waiting: RequestAmount,
+    pub(crate) wanted: RequestAmount,
 }
 
 /// An entry's account with the ledger of one zone.
@@ -33,9 +33,9 @@
     zone: ZoneId,
     epoch: u64,
     next_sequence: u64,
-    held: u32,
+    held: RequestAmount,
     usable_until: MonotonicTime,
-    spent_total: u64,
+    spent_total: RequestAmount,
     pending: Option<PendingAsk>,
     dry_until: MonotonicTime,
     look_ahead_from: MonotonicTime,
@@ -47,9 +47,9 @@
             zone,
             epoch: 0,
             next_sequence: 1,
-            held: 0,
+            held: RequestAmount::ZERO,
             usable_until: MonotonicTime::default(),
-            spent_total: 0,
+            spent_total: RequestAmount::ZERO,
             pending: None,
             dry_until: MonotonicTime::default(),
             look_ahead_from: MonotonicTime::default(),
@@ -77,26 +77,24 @@
         self.dry_until
     }
 
-    /// Returns the requests that may be used now.
-    pub(crate) fn usable(&self, now: MonotonicTime) -> u32 {
+    /// Returns what may be used now.
+    pub(crate) fn usable(&self, now: MonotonicTime) -> RequestAmount {
         if now < self.usable_until {
             self.held
         } else {
-            0
+            RequestAmount::ZERO
         }
     }
 
-    /// Uses one request if there is one.
-    pub(crate) fn try_spend(&mut self, now: MonotonicTime) -> bool {
-        if self.usable(now) == 0 {
-            return false;
-        }
-        self.held -= 1;
-        self.spent_total += 1;
-        true
+    /// Uses up to `wanted` and returns how much.
+    pub(crate) fn spend(&mut self, wanted: RequestAmount, now: MonotonicTime) -> RequestAmount {
+        let spent = wanted.min(self.usable(now));
+        self.held = self.held.saturating_sub(spent);
+        self.spent_total = self.spent_total.saturating_add(spent);
+        spent
     }
 
-    /// Makes the next message; requests above `amounts.held` are given up first.
+    /// Makes the next message; what exceeds `amounts.held` is given up first.
     pub(crate) fn ask(
         &mut self,
         client: &ClientId,
@@ -132,8 +130,8 @@
         self.held = self.usable(now);
         if answer.ledger_epoch != self.epoch {
             self.epoch = answer.ledger_epoch;
-            self.held = 0;
-            self.spent_total = 0;
+            self.held = RequestAmount::ZERO;
+            self.spent_total = RequestAmount::ZERO;
         }
         self.held = self.held.saturating_add(answer.granted);
         self.usable_until = pending.sent_at + millis(answer.valid_ms);
@@ -141,7 +139,7 @@
         if pending.is_short(answer.granted) {
             self.dry_until = pause_until;
         }
-        if answer.granted == 0 {
+        if answer.granted == RequestAmount::ZERO {
             self.look_ahead_from = pause_until;
         }
     }
--- a/crates/mustardhinge-core/src/budget/share_ledger.rs
+++ b/crates/mustardhinge-core/src/budget/share_ledger.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use super::client_row::ClientRow;
-use super::{BudgetAnswer, BudgetAsk, BudgetLimit, ClientId, LedgerError, TokenBucket};
+use super::{
+    BudgetAnswer, BudgetAsk, BudgetLimit, ClientId, LedgerError, RequestAmount, TokenBucket,
+};
 use crate::units::MonotonicTime;
 
 /// The ledger of one share of a customer's rate and burst.
@@ -21,6 +23,9 @@
     pub const GRANT_VALID_MS: u32 = 1_000;
     /// The longest time to come back that is ever told, in milliseconds.
     const MAX_RETRY_MS: u32 = 60_000;
+    /// What makes it worth to ask again: a quarter of a request, since other zones
+    /// lend the rest.
+    const LEAST_LOAN: RequestAmount = RequestAmount::from_millis(250);
     /// The part of a lapse that is added for clocks that run at different speeds,
     /// as one over this.
     const CLOCK_MARGIN: u32 = 16;
@@ -85,14 +90,14 @@
         Ok(self.lend(ask, now))
     }
 
-    /// Returns the requests that are lent out and may still be used.
-    pub fn lent(&mut self, now: MonotonicTime) -> u64 {
+    /// Returns what is lent out and may still be used.
+    pub fn lent(&mut self, now: MonotonicTime) -> RequestAmount {
         self.write_off_lapsed(now);
         self.bucket.get_lent()
     }
 
-    /// Returns the whole requests that could be lent now.
-    pub fn available(&mut self, now: MonotonicTime) -> u64 {
+    /// Returns what could be lent now.
+    pub fn available(&mut self, now: MonotonicTime) -> RequestAmount {
         self.write_off_lapsed(now);
         self.bucket.available(now)
     }
@@ -112,7 +117,7 @@
     fn lend(&mut self, ask: &BudgetAsk, now: MonotonicTime) -> BudgetAnswer {
         let is_overlent = self.bucket.is_overlent();
         let amount = self.amount_for(ask, now);
-        let granted = u32::try_from(self.bucket.lend(amount, now)).unwrap_or(u32::MAX);
+        let granted = self.bucket.lend(amount, now);
         let answer = BudgetAnswer {
             ledger_epoch: self.epoch,
             sequence: ask.sequence,
@@ -128,17 +133,18 @@
         answer
     }
 
-    /// Requests that wait are served from all there is, those wanted ahead of need
-    /// only from the half that then remains.
-    fn amount_for(&mut self, ask: &BudgetAsk, now: MonotonicTime) -> u64 {
+    /// Requests that wait are served from all there is, also in fractions; what is
+    /// wanted ahead of need only from the half that then remains, in whole requests.
+    fn amount_for(&mut self, ask: &BudgetAsk, now: MonotonicTime) -> RequestAmount {
         let available = self.bucket.available(now);
-        let waiting = u64::from(ask.waiting).min(available);
-        let ahead = u64::from(ask.wanted.saturating_sub(ask.waiting));
-        waiting + ahead.min((available - waiting) / 2)
+        let waiting = ask.waiting.min(available);
+        let ahead = ask.wanted.saturating_sub(ask.waiting);
+        let spare = available.saturating_sub(waiting).half();
+        waiting.saturating_add(ahead.min(spare).without_fraction())
     }
 
     fn retry_after_ms(&mut self, now: MonotonicTime) -> u32 {
-        let refill = self.bucket.time_to_next(now);
+        let refill = self.bucket.time_to(Self::LEAST_LOAN, now);
         let lapse = self.next_lapse(now);
         let soonest = refill.into_iter().chain(lapse).min();
         let millis = soonest.map_or(u128::MAX, |time| time.as_micros().div_ceil(1_000));
@@ -149,7 +155,7 @@
     fn next_lapse(&self, now: MonotonicTime) -> Option<Duration> {
         self.clients
             .values()
-            .filter(|row| row.lent > 0)
+            .filter(|row| row.lent > RequestAmount::ZERO)
             .map(|row| row.lapses_at.saturating_since(now))
             .min()
     }
--- a/crates/mustardhinge-core/src/budget/token_bucket.rs
+++ b/crates/mustardhinge-core/src/budget/token_bucket.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{BudgetLimit, TokenCount};
+use super::{BudgetLimit, RequestAmount, TokenCount};
 use crate::units::{MonotonicTime, RequestRate};
 
 /// A token bucket part of whose burst may be lent out.
@@ -10,7 +10,7 @@
 pub struct TokenBucket {
     limit: BudgetLimit,
     fill: TokenCount,
-    lent: u64,
+    lent: RequestAmount,
     filled_at: MonotonicTime,
 }
 
@@ -21,7 +21,7 @@
         Self {
             limit,
             fill: TokenCount::ZERO,
-            lent: 0,
+            lent: RequestAmount::ZERO,
             filled_at: now,
         }
     }
@@ -37,32 +37,31 @@
         self.cut_fill();
     }
 
-    /// Lends up to `wanted` requests and returns how many.
-    pub fn lend(&mut self, wanted: u64, now: MonotonicTime) -> u64 {
+    /// Lends up to `wanted` and returns how much.
+    pub fn lend(&mut self, wanted: RequestAmount, now: MonotonicTime) -> RequestAmount {
         self.refill_at(self.limit.rate, now);
-        let lent = wanted.min(self.fill.whole_requests());
-        self.fill = self.fill.saturating_sub(TokenCount::from_requests(lent));
-        self.lent += lent;
+        let lent = wanted.min(self.fill.as_amount());
+        self.fill = self.fill.saturating_sub(TokenCount::from_amount(lent));
+        self.lent = self.lent.saturating_add(lent);
         lent
     }
 
-    /// Takes back requests that were lent and not used.
-    pub fn take_back(&mut self, requests: u64, now: MonotonicTime) {
+    /// Takes back what was lent and not used.
+    pub fn take_back(&mut self, amount: RequestAmount, now: MonotonicTime) {
         self.refill_at(self.limit.rate, now);
-        let requests = requests.min(self.lent);
-        self.lent -= requests;
-        self.fill = self
-            .fill
-            .saturating_add(TokenCount::from_requests(requests));
+        let amount = amount.min(self.lent);
+        self.lent = self.lent.saturating_sub(amount);
+        self.fill = self.fill.saturating_add(TokenCount::from_amount(amount));
+        self.cut_fill();
     }
 
-    /// Writes off requests that were lent and are spent, or lapsed.
+    /// Writes off what was lent and is spent, or lapsed.
     ///
     /// The bucket is filled up to now first: the requests may have been spent just
     /// now, so that the room they took can't have been filled before.
-    pub fn write_off(&mut self, requests: u64, now: MonotonicTime) {
+    pub fn write_off(&mut self, amount: RequestAmount, now: MonotonicTime) {
         self.refill_at(self.limit.rate, now);
-        self.lent = self.lent.saturating_sub(requests);
+        self.lent = self.lent.saturating_sub(amount);
     }
 
     /// Returns the limit.
@@ -71,35 +70,35 @@
         self.limit
     }
 
-    /// Returns the requests that are lent out.
+    /// Returns what is lent out.
     #[must_use]
-    pub const fn get_lent(&self) -> u64 {
+    pub const fn get_lent(&self) -> RequestAmount {
         self.lent
     }
 
     /// Returns whether more is lent out than the burst.
     #[must_use]
     pub fn is_overlent(&self) -> bool {
-        TokenCount::from_requests(self.lent) > TokenCount::from_burst(self.limit.burst)
+        self.lent > self.limit.burst.into()
     }
 
-    /// Returns the whole requests in the bucket.
+    /// Returns what could be lent now.
     #[must_use]
-    pub fn available(&mut self, now: MonotonicTime) -> u64 {
+    pub fn available(&mut self, now: MonotonicTime) -> RequestAmount {
         self.refill_at(self.limit.rate, now);
-        self.fill.whole_requests()
+        self.fill.as_amount()
     }
 
-    /// Returns the time until one more request is in the bucket; none if the rate
-    /// is zero or the burst that is not lent out has no room for it.
+    /// Returns the time until `amount` is in the bucket; none if the rate is zero
+    /// or the burst that is not lent out has no room for it.
     #[must_use]
-    pub fn time_to_next(&mut self, now: MonotonicTime) -> Option<Duration> {
+    pub fn time_to(&mut self, amount: RequestAmount, now: MonotonicTime) -> Option<Duration> {
         self.refill_at(self.limit.rate, now);
-        let next = TokenCount::from_requests(self.fill.whole_requests() + 1);
-        if next > self.room() {
+        let wanted = TokenCount::from_amount(amount);
+        if wanted > self.room() {
             return None;
         }
-        next.saturating_sub(self.fill).time_at(self.limit.rate)
+        wanted.saturating_sub(self.fill).time_at(self.limit.rate)
     }
 
     fn refill_at(&mut self, rate: RequestRate, now: MonotonicTime) {
@@ -110,8 +109,8 @@
     }
 
     fn room(&self) -> TokenCount {
-        let burst = TokenCount::from_burst(self.limit.burst);
-        burst.saturating_sub(TokenCount::from_requests(self.lent))
+        let burst = RequestAmount::from(self.limit.burst);
+        TokenCount::from_amount(burst.saturating_sub(self.lent))
     }
 
     fn cut_fill(&mut self) {
--- a/crates/mustardhinge-core/src/budget/token_count.rs
+++ b/crates/mustardhinge-core/src/budget/token_count.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use crate::units::{RequestBurst, RequestRate};
+use super::RequestAmount;
+use crate::units::RequestRate;
 
 /// An amount of budget, in thousand-millionths of a request.
 ///
@@ -12,21 +13,13 @@
     /// No budget.
     pub const ZERO: Self = Self(0);
 
-    /// Units to a request.
-    const PER_REQUEST: u64 = 1_000_000_000;
     /// Units to a thousandth of a request.
     const PER_MILLIREQUEST: u64 = 1_000_000;
 
-    /// Makes the budget of whole requests.
+    /// Makes the budget that pays for an amount of requests.
     #[must_use]
-    pub const fn from_requests(requests: u64) -> Self {
-        Self(requests.saturating_mul(Self::PER_REQUEST))
-    }
-
-    /// Makes the budget of a burst.
-    #[must_use]
-    pub const fn from_burst(burst: RequestBurst) -> Self {
-        Self(burst.as_millis().saturating_mul(Self::PER_MILLIREQUEST))
+    pub const fn from_amount(amount: RequestAmount) -> Self {
+        Self(amount.as_millis().saturating_mul(Self::PER_MILLIREQUEST))
     }
 
     /// Makes the budget that a rate gives in a time.
@@ -36,10 +29,10 @@
         Self(u64::try_from(units).unwrap_or(u64::MAX))
     }
 
-    /// Returns the whole requests that the budget pays for.
+    /// Returns the requests that the budget pays for, in whole thousandths.
     #[must_use]
-    pub const fn whole_requests(self) -> u64 {
-        self.0 / Self::PER_REQUEST
+    pub const fn as_amount(self) -> RequestAmount {
+        RequestAmount::from_millis(self.0 / Self::PER_MILLIREQUEST)
     }
 
     /// Returns the sum, bounded by the greatest amount.
--- a/crates/mustardhinge-core/src/budget/zone/budget_record.rs
+++ b/crates/mustardhinge-core/src/budget/zone/budget_record.rs
@@ -25,16 +25,18 @@
 }
 
 impl BudgetRecord {
-    /// The part of the whole that the zones' floors make up together.
-    pub const FLOOR_TOTAL: ShareParts = ShareParts::from_millionths(500_000);
-
-    /// Shares the whole evenly between zones, half of it as their floors.
+    /// Shares the whole evenly between zones, most of it as their floors.
+    ///
+    /// Of n zones, an outage of the store leaves the floors, F of the whole; the
+    /// death of one holder leaves 1 − F/n. Both leave the same at F = n/(n + 1),
+    /// so that neither is the worse for the customers.
     #[must_use]
     pub fn even(zones: impl IntoIterator<Item = ZoneId>) -> Self {
         let names: BTreeSet<ZoneId> = zones.into_iter().collect();
         let count = u32::try_from(names.len().max(1)).unwrap_or(u32::MAX);
-        let floor = Self::FLOOR_TOTAL.as_millionths() / count;
-        let flexible = ShareParts::WHOLE.as_millionths() / count - floor;
+        let whole = ShareParts::WHOLE.as_millionths();
+        let floor = whole / (count + 1);
+        let flexible = whole / count - floor;
         let share = ZoneShare {
             floor: ShareParts::from_millionths(floor),
             flexible: ShareParts::from_millionths(flexible),
--- a/crates/mustardhinge-core/src/budget/zone/customer_book.rs
+++ b/crates/mustardhinge-core/src/budget/zone/customer_book.rs
@@ -1,5 +1,7 @@
 use super::demand_table::DemandTable;
-use crate::budget::{BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, ShareLedger, ShareParts};
+use crate::budget::{
+    BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, RequestAmount, ShareLedger, ShareParts,
+};
 use crate::units::MonotonicTime;
 
 /// One customer of the service, as the holder of a zone's share keeps it.
@@ -36,11 +38,10 @@
 
     /// Returns whether what is lent out fits into a part of the whole.
     pub(crate) fn fits_into(&mut self, parts: ShareParts, now: MonotonicTime) -> bool {
-        let burst = self.whole.part(parts).burst;
-        self.lent(now).saturating_mul(1_000) <= burst.as_millis()
+        self.lent(now) <= self.whole.part(parts).burst.into()
     }
 
-    pub(crate) fn lent(&mut self, now: MonotonicTime) -> u64 {
+    pub(crate) fn lent(&mut self, now: MonotonicTime) -> RequestAmount {
         self.ledger.lent(now)
     }
 
--- a/crates/mustardhinge-core/src/budget/zone/demand_table.rs
+++ b/crates/mustardhinge-core/src/budget/zone/demand_table.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::budget::DemandMeter;
+use crate::budget::{DemandMeter, RequestAmount};
 use crate::ids::ZoneId;
 use crate::units::MonotonicTime;
 
@@ -11,14 +11,14 @@
 }
 
 impl DemandTable {
-    pub(crate) fn count(&mut self, zone: &ZoneId, requests: u32, now: MonotonicTime) {
-        if requests == 0 {
+    pub(crate) fn count(&mut self, zone: &ZoneId, lent: RequestAmount, now: MonotonicTime) {
+        if lent == RequestAmount::ZERO {
             return;
         }
         self.zones
             .entry(zone.clone())
             .or_insert_with(|| DemandMeter::new(now))
-            .count(requests, now);
+            .count_amount(lent, now);
     }
 
     /// Returns the zone other than `own` that is lent most, and its requests a
--- a/crates/mustardhinge-core/src/budget/zone/zone_ledger.rs
+++ b/crates/mustardhinge-core/src/budget/zone/zone_ledger.rs
@@ -4,7 +4,9 @@
 use super::move_planner::MovePlanner;
 use super::{BudgetRecord, RecordError, RecordWrite, ZoneShare};
 use crate::budget::lease::LeaseStanding;
-use crate::budget::{BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, ShareLedger, ShareParts};
+use crate::budget::{
+    BudgetAnswer, BudgetAsk, BudgetLimit, LedgerError, RequestAmount, ShareLedger, ShareParts,
+};
 use crate::ids::{CustomerId, ZoneId};
 use crate::units::{DocumentVersion, MonotonicTime};
 
@@ -141,8 +143,8 @@
         book.answer(ask, now)
     }
 
-    /// Returns the requests of all customers that are lent out and may be used.
-    pub fn lent(&mut self, now: MonotonicTime) -> u64 {
+    /// Returns what is lent out of all customers' ledgers and may be used.
+    pub fn lent(&mut self, now: MonotonicTime) -> RequestAmount {
         self.books.values_mut().map(|book| book.lent(now)).sum()
     }
 
@@ -179,7 +181,7 @@
 
     /// Opens empty books once all that was lent under an earlier lease has lapsed.
     fn open(&mut self, epoch: u64, now: MonotonicTime) {
-        if self.lent(now) > 0 {
+        if self.lent(now) > RequestAmount::ZERO {
             return;
         }
         self.books.clear();
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/event.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/event.rs
@@ -70,6 +70,8 @@
     Death,
     KillEntry(usize),
     KillAgent(usize),
+    Leave,
+    LeaveAgent(usize),
     OutageStart,
     StoreUp(bool),
     CutStart,
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/faults.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/faults.rs
@@ -15,6 +15,8 @@
     pub(super) death_ms: u64,
     /// Between two outages of the store, each of up to eight seconds.
     pub(super) outage_ms: u64,
+    /// Between two planned stops of an agent, each three seconds before its end.
+    pub(super) leave_ms: u64,
     /// Between two cuts of some zone, each of up to six seconds.
     pub(super) cut_ms: u64,
     /// Between two changes of the customers' limits.
@@ -33,6 +35,7 @@
             pause_ms: 1_500,
             death_ms: 2_500,
             outage_ms: 9_000,
+            leave_ms: 8_000,
             cut_ms: 9_000,
             change_ms: 7_000,
             wrong_members: true,
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/world.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/world.rs
@@ -104,6 +104,7 @@
         self.schedule_fault(0, faults.outage_ms, Event::OutageStart);
         self.schedule_fault(0, faults.change_ms, Event::Change);
         self.schedule_fault(0, faults.cut_ms, Event::CutStart);
+        self.schedule_fault(0, faults.leave_ms, Event::Leave);
     }
 
     fn make_agent(&mut self, index: usize) -> Agent {
@@ -272,6 +273,13 @@
                 self.note_settled(time);
             }
             Event::KillEntry(index) => self.kill_entry(time, index),
+            Event::Leave => {
+                let index = self.random.random_range(0..self.agents.len());
+                self.schedule(time, Event::LeaveAgent(index));
+                self.schedule(time + 3_000 * MILLI, Event::KillAgent(index));
+                self.schedule_fault(time, self.plan.faults.leave_ms, Event::Leave);
+            }
+            Event::LeaveAgent(index) => self.agents[index].leave(),
             Event::OutageStart => {
                 self.store.is_up = false;
                 let outage = self.random.random_range(0..8_000 * MILLI);
