--- a/crates/mustardhinge-core/src/queue/fair_queue.rs
+++ b/crates/mustardhinge-core/src/queue/fair_queue.rs
@@ -106,6 +106,11 @@
         self.estimate.record(cost, took);
     }
 
+    /// Changes the number of statements that run at once, for the estimate of waits.
+    pub const fn set_slots(&mut self, slots: u32) {
+        self.limits = self.limits.slots(slots);
+    }
+
     /// Returns the earliest deadline of the waiting items.
     #[must_use]
     pub fn next_deadline(&self) -> Option<MonotonicTime> {
--- a/crates/mustardhinge-core/tests/suite/queue.rs
+++ b/crates/mustardhinge-core/tests/suite/queue.rs
@@ -102,6 +102,17 @@
     assert!(!is_queued(&queue.push(work("b", 50, 1), at(0))));
 }
 
+#[test]
+fn fewer_slots_lengthen_the_expected_wait() {
+    let mut queue = queue(100);
+    for item in 0..10 {
+        queue.push(work("a", 1_000, item), at(0));
+    }
+    queue.set_slots(1);
+    assert!(!is_queued(&queue.push(work("a", 1_060, 10), at(1_000))));
+    assert!(is_queued(&queue.push(work("a", 1_110, 10), at(1_000))));
+}
+
 #[test]
 fn expired_work_comes_out_before_any_turn() {
     let mut queue = queue(10);
