--- /dev/null
+++ b/crates/mustardhinge-agent/src/state/group_table.rs
@@ -0,0 +1,93 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::control::GroupState;
+
+/// The primaries of the database groups, as far as they are known here.
+///
+/// Each change has a number, so that another agent can ask for what changed
+/// since its last question.
+#[derive(Debug, Default)]
+pub(crate) struct GroupTable {
+    groups: BTreeMap<GroupId, GroupRow>,
+    last_change: u64,
+}
+
+#[derive(Debug)]
+struct GroupRow {
+    term: LeaderTerm,
+    primary: Option<TargetId>,
+    held_until: Option<MonotonicTime>,
+    change: u64,
+}
+
+impl GroupTable {
+    /// Takes in a state if it says more than the one known: a greater term, the
+    /// primary of the same term, or a hold of writes. Returns whether it did.
+    pub(crate) fn offer(&mut self, offered: GroupState, now: MonotonicTime) -> bool {
+        let hold = Duration::from_millis(offered.writes_held_ms.into());
+        let held_until = (!hold.is_zero()).then(|| now + hold);
+        let known = self.groups.get(&offered.group);
+        if known.is_some_and(|row| !row.learns_from(&offered, now)) {
+            return false;
+        }
+        self.last_change += 1;
+        let row = GroupRow {
+            term: offered.term,
+            primary: offered.primary,
+            held_until,
+            change: self.last_change,
+        };
+        self.groups.insert(offered.group, row);
+        true
+    }
+
+    /// Holds the writes of a group until a time, or releases them.
+    pub(crate) fn hold_writes(&mut self, group: &GroupId, until: Option<MonotonicTime>) -> bool {
+        let Some(row) = self.groups.get_mut(group) else {
+            return false;
+        };
+        self.last_change += 1;
+        row.held_until = until;
+        row.change = self.last_change;
+        true
+    }
+
+    /// Returns the number of the newest change.
+    pub(crate) const fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// Returns the groups that changed after a change, all for 0.
+    pub(crate) fn changed_after(&self, change: u64, now: MonotonicTime) -> Vec<GroupState> {
+        let rows = self.groups.iter();
+        let changed = rows.filter(|(_, row)| row.change > change);
+        changed
+            .map(|(group, row)| row.to_state(group, now))
+            .collect()
+    }
+}
+
+impl GroupRow {
+    fn learns_from(&self, offered: &GroupState, now: MonotonicTime) -> bool {
+        let names_primary = self.primary.is_none() && offered.primary.is_some();
+        let holds = offered.writes_held_ms > 0 && self.remaining_hold(now).is_zero();
+        offered.term > self.term || (offered.term == self.term && (names_primary || holds))
+    }
+
+    fn remaining_hold(&self, now: MonotonicTime) -> Duration {
+        let until = self.held_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_since(now))
+    }
+
+    fn to_state(&self, group: &GroupId, now: MonotonicTime) -> GroupState {
+        let held = self.remaining_hold(now).as_millis();
+        GroupState {
+            group: group.clone(),
+            term: self.term,
+            primary: self.primary.clone(),
+            writes_held_ms: u32::try_from(held).unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -0,0 +1,210 @@
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use mustardhinge_core::document::AdoptionOutcome;
+use mustardhinge_core::drain::DrainCause;
+use mustardhinge_core::key::OutageEvidence;
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::{ProcessClock, event};
+use mustardhinge_rpc::control::{ControlRequest, ControlState, GroupState};
+use mustardhinge_rpc::peer::InstanceList;
+use tokio::sync::watch;
+
+use super::document_check::parse_documents;
+use super::{AdoptedDocument, KnownState};
+use crate::platform::{ObjectList, PlatformError};
+
+/// The longest wait that an entry may ask for.
+const MAX_CONTROL_WAIT: Duration = Duration::from_secs(10);
+
+/// The agent's knowledge, shared by its tasks, with signals for its changes.
+pub(crate) struct SharedState {
+    clock: ProcessClock,
+    /// The instance of the agent.
+    pub(crate) instance: InstanceId,
+    /// The availability zone of the instance.
+    pub(crate) zone: ZoneId,
+    known: Mutex<KnownState>,
+    changed: watch::Sender<u64>,
+    proven: watch::Sender<u64>,
+}
+
+impl SharedState {
+    /// Makes the state of an agent.
+    pub(crate) fn new(
+        clock: ProcessClock,
+        instance: InstanceId,
+        zone: ZoneId,
+        known: KnownState,
+    ) -> Self {
+        Self {
+            clock,
+            instance,
+            zone,
+            changed: watch::Sender::new(known.revision),
+            proven: watch::Sender::new(0),
+            known: Mutex::new(known),
+        }
+    }
+
+    /// Reads the present time.
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Returns a receiver that wakes at each change that the entry has to hear
+    /// of.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Returns a receiver that wakes at each new proof that the documents are
+    /// current, or finding that the store is out.
+    pub(crate) fn subscribe_proofs(&self) -> watch::Receiver<u64> {
+        self.proven.subscribe()
+    }
+
+    /// Looks at what is known.
+    pub(crate) fn read<T>(&self, look: impl FnOnce(&KnownState) -> T) -> T {
+        look(&self.lock())
+    }
+
+    /// Changes what is known; `change` returns whether the entry has to hear of
+    /// it.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut KnownState) -> bool) -> bool {
+        let mut known = self.lock();
+        let changed = change(&mut known);
+        if changed {
+            known.revision += 1;
+            self.changed.send_replace(known.revision);
+        }
+        changed
+    }
+
+    /// Changes the proof that the documents are current.
+    pub(crate) fn update_proof(&self, change: impl FnOnce(&mut KnownState)) {
+        change(&mut self.lock());
+        self.proven.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the store revision up to which all documents are known.
+    pub(crate) fn known_revision(&self) -> u64 {
+        self.read(|known| known.store_revision)
+    }
+
+    /// Adopts the documents of an answer of the store.
+    pub(crate) fn take_documents(&self, list: &ObjectList, asked_at: MonotonicTime) {
+        self.adopt_all(parse_documents(&list.objects), list.revision);
+        let reached_before = self.read(|known| known.is_platform_reachable);
+        self.update_proof(|known| {
+            known.proof.record_store(&self.zone, asked_at);
+            known.is_platform_reachable = true;
+        });
+        if !reached_before {
+            event::PLATFORM_REACHED.log(format_args!("revision={}", list.revision));
+        }
+    }
+
+    /// Notes that a call of the platform begun at `asked_at` gave no answer.
+    pub(crate) fn note_platform_failure(&self, error: &PlatformError, asked_at: MonotonicTime) {
+        let reached_before = self.read(|known| known.is_platform_reachable);
+        self.update_proof(|known| {
+            let evidence = OutageEvidence {
+                asked_at,
+                known_revision: known.store_revision,
+            };
+            known.proof.record_outage(&self.zone, evidence);
+            known.is_platform_reachable = false;
+        });
+        if reached_before {
+            event::PLATFORM_LOST.log(format_args!("reason={}", error.label()));
+        }
+    }
+
+    /// Adopts documents that together with those known are all up to a revision
+    /// of the store.
+    pub(crate) fn adopt_all(&self, documents: Vec<AdoptedDocument>, store_revision: u64) {
+        self.update(|known| {
+            let mut changed = false;
+            for document in documents {
+                changed |= adopt_document(known, document);
+            }
+            known.store_revision = known.store_revision.max(store_revision);
+            changed
+        });
+    }
+
+    /// Adopts one document; returns whether it was newer.
+    pub(crate) fn adopt(&self, document: AdoptedDocument) -> bool {
+        self.update(|known| adopt_document(known, document))
+    }
+
+    /// Takes in a list of instances.
+    pub(crate) fn take_instances(&self, list: InstanceList) {
+        self.update(|known| known.take_list(list));
+        let is_leaving = self.read(|known| known.is_leaving(&self.instance));
+        self.set_drain(DrainCause::InstanceList, is_leaving);
+    }
+
+    /// Starts to drain for a cause, or takes the cause back.
+    pub(crate) fn set_drain(&self, cause: DrainCause, is_draining: bool) {
+        let now = self.now();
+        let changed = self.update(|known| {
+            let before = known.drain.is_draining();
+            if is_draining {
+                known.drain.start(cause, now);
+            } else {
+                known.drain.stop(cause);
+            }
+            known.drain.is_draining() != before
+        });
+        if !changed {
+            return;
+        }
+        let log_event = if is_draining {
+            event::DRAIN_STARTED
+        } else {
+            event::DRAIN_ENDED
+        };
+        log_event.log(format_args!("cause={cause}"));
+    }
+
+    /// Takes in what was seen of a database group.
+    pub(crate) fn take_group(&self, state: GroupState) -> bool {
+        let now = self.now();
+        self.update(|known| known.groups.offer(state, now))
+    }
+
+    /// Holds the writes of a group until a time, or releases them.
+    pub(crate) fn hold_writes(&self, group: &GroupId, until: Option<MonotonicTime>) {
+        self.update(|known| known.groups.hold_writes(group, until));
+    }
+
+    /// Returns the control state as soon as it is newer than the one known to
+    /// the entry, or the wait is over.
+    pub(crate) async fn wait_control_state(&self, request: &ControlRequest) -> ControlState {
+        let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_CONTROL_WAIT);
+        let mut receiver = self.subscribe();
+        let incarnation = self.read(|known| known.incarnation);
+        if request.agent_incarnation == incarnation {
+            let is_newer = |revision: &u64| *revision > request.known_revision;
+            let _ = tokio::time::timeout(wait, receiver.wait_for(is_newer)).await;
+        }
+        self.read(|known| known.control_state(self.now()))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, KnownState> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn adopt_document(known: &mut KnownState, document: AdoptedDocument) -> bool {
+    let service = document.document.service.clone();
+    let version = document.version;
+    let outcome = known.documents.offer(&service, version, document);
+    let adopted = outcome == AdoptionOutcome::Adopted;
+    if adopted {
+        event::DOCUMENT_ADOPTED.log(format_args!("service={service} version={version}"));
+    }
+    adopted
+}
--- /dev/null
+++ b/crates/mustardhinge-entry/tests/suite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the data path, by feature.
+
+mod callers;
+mod cluster;
+mod faults;
+mod keys;
+mod sessions;
+mod statements;
+mod transactions;
+mod writes;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -24,4 +24,23 @@
     PROCESS_STOPPING = 1002, Info, "process stopping";
     PROCESS_STOPPED = 1003, Info, "process stopped";
     PROCESS_FAILED = 1004, Error, "process failed";
+    AGENT_NOT_REACHED = 2001, Warn, "agent not reached";
+    TARGET_NOT_REACHED = 2002, Warn, "target not reached";
+    DOCUMENT_NOT_SERVED = 2003, Error, "document not served";
+    CALLER_NOT_ACCEPTED = 2004, Warn, "caller not accepted";
+    DRAIN_BOUND_REACHED = 2005, Warn, "drain bound reached";
+    PLATFORM_REACHED = 3001, Info, "platform reached";
+    PLATFORM_LOST = 3002, Warn, "platform not reached";
+    DOCUMENT_ADOPTED = 3003, Info, "document adopted";
+    DOCUMENT_REJECTED = 3004, Error, "document in the store rejected";
+    DRAIN_STARTED = 3005, Info, "drain started";
+    DRAIN_ENDED = 3006, Info, "drain taken back";
+    PEER_LOST = 3007, Warn, "agent of another instance not reached";
+    UPDATE_ACCEPTED = 3008, Info, "document update accepted";
+    UPDATE_REFUSED = 3009, Info, "document update refused";
+    PRIMARY_SUSPECTED = 4001, Warn, "primary suspected";
+    TERM_STARTED = 4002, Warn, "new term begun";
+    TERM_ABANDONED = 4003, Warn, "new term abandoned";
+    PRIMARY_PROMOTED = 4004, Info, "primary promoted";
+    TARGET_JOINED = 5001, Info, "target joined its group";
 }
