Lend budgets out of shares that move between zones

The escrow policy drives the core's lease and zone ledgers: one record per zone names the holder of its share (kind lease), one per service the shares (kind budget). The two best agents of a zone by rendezvous try to hold the lease; entries' requests go to the holder of the zone asked for, here or through another agent, within 100 ms each. A planned stop gives the share back once what is lent has lapsed.

The agent that would hold the share next reads the lease every 2 s, so that it sees a release or the last renewal soon. Seen before that: its sighting was as old as its start, and a share given back lay idle for 10 s.

Seen failing with the mechanism off: one hot instance (no forwarding), the planned stop (no release).

--- /dev/null
+++ b/crates/mustardhinge-agent/src/budget/budget_desk.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use mustardhinge_core::budget::{BudgetAnswer, LedgerError};
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::PeerApiClient;
+use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
+
+use super::{EscrowKeeper, StaticShares};
+use crate::membership::{find_address, rank_zone};
+use crate::peer::{PeerAddress, make_client};
+use crate::state::SharedState;
+
+/// The time after which another agent's ledger is given up.
+const FORWARD_BOUND: Duration = Duration::from_millis(100);
+/// Agents of a zone, the best first, that are asked for its ledger.
+const CANDIDATES: usize = 2;
+
+/// Answers entries' budget requests, here or through the holder of the zone that
+/// is asked.
+pub(crate) struct BudgetDesk {
+    state: Arc<SharedState>,
+    ledgers: LedgerKind,
+    clients: Mutex<BTreeMap<PeerAddress, Arc<HttpClient>>>,
+}
+
+/// How customers' rates are divided.
+pub(crate) enum LedgerKind {
+    /// Each instance has the same fixed share.
+    Static(Mutex<StaticShares>),
+    /// Shares move between zones with demand.
+    Escrow(Arc<EscrowKeeper>),
+}
+
+impl BudgetDesk {
+    /// Makes the desk of an agent.
+    pub(crate) fn new(state: Arc<SharedState>, ledgers: LedgerKind) -> Self {
+        Self {
+            state,
+            ledgers,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Answers the entry of this instance.
+    pub(crate) async fn acquire(&self, request: &BudgetRequest) -> BudgetGrant {
+        let answer = match self.lend(request) {
+            Err(LedgerError::NotHolder) => self.forward(request).await,
+            answer => answer,
+        };
+        count_request(&answer);
+        BudgetGrant { result: answer }
+    }
+
+    /// Lends out of the ledgers kept here.
+    pub(crate) fn lend(&self, request: &BudgetRequest) -> Result<BudgetAnswer, LedgerError> {
+        match &self.ledgers {
+            LedgerKind::Escrow(keeper) if request.ledger_zone == self.state.zone => {
+                keeper.answer(request)
+            }
+            LedgerKind::Escrow(_) => Err(LedgerError::NotHolder),
+            LedgerKind::Static(shares) => self.lend_static(shares, request),
+        }
+    }
+
+    fn lend_static(
+        &self,
+        shares: &Mutex<StaticShares>,
+        request: &BudgetRequest,
+    ) -> Result<BudgetAnswer, LedgerError> {
+        let now = self.state.now();
+        let mut shares = shares.lock().unwrap_or_else(PoisonError::into_inner);
+        self.state.read(|known| {
+            let document = known.document(&request.service);
+            let document = document.map(|known| &known.document);
+            shares.answer(request, document, now)
+        })
+    }
+
+    async fn forward(&self, request: &BudgetRequest) -> Result<BudgetAnswer, LedgerError> {
+        if let LedgerKind::Static(_) = self.ledgers {
+            return Err(LedgerError::NotHolder);
+        }
+        for holder in self.candidates(&request.ledger_zone) {
+            let Some(client) = self.client(&holder) else {
+                continue;
+            };
+            match client.lend_budget(request.clone()).await {
+                Ok(grant) if grant.result != Err(LedgerError::NotHolder) => return grant.result,
+                Ok(_) | Err(_) => {}
+            }
+        }
+        Err(LedgerError::NotHolder)
+    }
+
+    fn candidates(&self, zone: &ZoneId) -> Vec<PeerAddress> {
+        let now = self.state.now();
+        self.state.read(|known| {
+            let ranked = rank_zone(known, zone, None, now).into_iter();
+            let others = ranked.filter(|member| *member != self.state.instance);
+            others
+                .take(CANDIDATES)
+                .filter_map(|member| find_address(known, &member))
+                .collect()
+        })
+    }
+
+    fn client(&self, peer: &PeerAddress) -> Option<Arc<HttpClient>> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(peer) {
+            return Some(client.clone());
+        }
+        let client = Arc::new(make_client(peer, FORWARD_BOUND)?);
+        clients.insert(peer.clone(), client.clone());
+        Some(client)
+    }
+}
+
+fn count_request(answer: &Result<BudgetAnswer, LedgerError>) {
+    let result = match answer {
+        Ok(answer) if answer.granted > 0 => "granted",
+        Ok(_) => "empty",
+        Err(LedgerError::NotHolder) => "not_holder",
+        Err(LedgerError::UnknownCustomer) => "unknown_customer",
+        Err(LedgerError::StaleSequence { .. }) => "stale_sequence",
+    };
+    metrics::counter!("mustardhinge_budget_requests_total", "result" => result).increment(1);
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/budget/escrow_books.rs
@@ -0,0 +1,174 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use mustardhinge_config::document::ServiceDocument;
+use mustardhinge_core::budget::lease::{HolderId, LeaseKeeper, LeaseRecord, LeaseTerms};
+use mustardhinge_core::budget::zone::{BudgetRecord, ZoneLedger};
+use mustardhinge_core::budget::{BudgetAnswer, BudgetLimit, LedgerError};
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::budget::BudgetRequest;
+
+use super::escrow_write::EscrowWrite;
+
+/// The time between two reads of a lease record that names another holder.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The lease of a zone's share and the ledgers kept under it.
+pub(super) struct EscrowBooks {
+    zone: ZoneId,
+    holder: HolderId,
+    lease: LeaseKeeper,
+    services: BTreeMap<ServiceId, ServiceBook>,
+    read_due_at: MonotonicTime,
+}
+
+struct ServiceBook {
+    version: DocumentVersion,
+    zones: Vec<ZoneId>,
+    ledger: ZoneLedger,
+}
+
+impl EscrowBooks {
+    /// Makes the books of an agent that has just started and holds nothing.
+    pub(super) fn new(zone: ZoneId, holder: HolderId) -> Self {
+        Self {
+            zone,
+            lease: LeaseKeeper::new(holder.clone(), LeaseTerms::default()),
+            holder,
+            services: BTreeMap::new(),
+            read_due_at: MonotonicTime::default(),
+        }
+    }
+
+    /// Takes a document in force.
+    pub(super) fn set_document(
+        &mut self,
+        version: DocumentVersion,
+        document: &ServiceDocument,
+        now: MonotonicTime,
+    ) {
+        let service = document.service.clone();
+        let book = self.services.entry(service).or_insert_with(|| ServiceBook {
+            version: DocumentVersion::default(),
+            zones: Vec::new(),
+            ledger: ZoneLedger::new(self.zone.clone()),
+        });
+        if book.version == version {
+            return;
+        }
+        book.version = version;
+        book.zones = target_zones(document);
+        let limit = |customer: &mustardhinge_config::document::CustomerEntry| {
+            let limit = BudgetLimit::new(customer.rate, customer.burst);
+            (customer.name.clone(), limit)
+        };
+        book.ledger
+            .set_limits(document.customers.iter().map(limit), now);
+    }
+
+    /// Takes the lease record as the store has it.
+    pub(super) fn on_lease(
+        &mut self,
+        version: DocumentVersion,
+        record: &LeaseRecord,
+        now: MonotonicTime,
+    ) {
+        self.lease.on_record(version, record, now);
+    }
+
+    /// Takes the record of a service's shares as the store has it.
+    pub(super) fn on_shares(
+        &mut self,
+        service: &ServiceId,
+        version: DocumentVersion,
+        record: BudgetRecord,
+    ) {
+        let Some(book) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Err(error) = book.ledger.on_record(version, record) {
+            log::error!("service={service} shares={error}");
+        }
+    }
+
+    /// Takes the store's answer that an update is in force.
+    pub(super) fn on_accepted(
+        &mut self,
+        write: &EscrowWrite,
+        version: DocumentVersion,
+        now: MonotonicTime,
+    ) {
+        match write {
+            EscrowWrite::Lease(_) => self.lease.on_accepted(version, now),
+            EscrowWrite::Shares { service, write } => {
+                self.on_shares(service, version, write.record.clone());
+            }
+        }
+    }
+
+    /// Returns the updates to send now.
+    pub(super) fn next_writes(&mut self, rank: u32, now: MonotonicTime) -> Vec<EscrowWrite> {
+        let is_idle = self.is_idle(now);
+        let lease = self.lease.step(rank, is_idle, now);
+        let standing = self.lease.standing(now);
+        let mut writes: Vec<_> = lease.into_iter().map(EscrowWrite::Lease).collect();
+        for (service, book) in &mut self.services {
+            let write = book.ledger.step(standing, &book.zones, now);
+            writes.extend(write.map(|write| EscrowWrite::Shares {
+                service: service.clone(),
+                write,
+            }));
+        }
+        writes
+    }
+
+    /// Answers an entry.
+    pub(super) fn answer(
+        &mut self,
+        request: &BudgetRequest,
+        now: MonotonicTime,
+    ) -> Result<BudgetAnswer, LedgerError> {
+        let standing = self.lease.standing(now);
+        let book = self.services.get_mut(&request.service);
+        let book = book.ok_or(LedgerError::NotHolder)?;
+        book.ledger
+            .answer(&request.customer, &request.ask, standing, now)
+    }
+
+    /// Asks that the share is given back as soon as nothing is lent out.
+    pub(super) fn leave(&mut self) {
+        self.lease.leave();
+    }
+
+    /// Returns whether the store's record names this agent as the holder.
+    pub(super) fn is_holder(&self) -> bool {
+        let record = self.lease.get_record();
+        record.is_some_and(|record| record.holder.as_ref() == Some(&self.holder))
+    }
+
+    /// Returns whether the lease record may be read again now; the next read is
+    /// due an interval later.
+    pub(super) fn start_read(&mut self, now: MonotonicTime) -> bool {
+        let is_due = self.read_due_at <= now;
+        if is_due {
+            self.read_due_at = now + READ_INTERVAL;
+        }
+        is_due
+    }
+
+    /// Returns whether the lease record was read.
+    pub(super) fn is_lease_known(&self) -> bool {
+        self.lease.get_record().is_some()
+    }
+
+    fn is_idle(&mut self, now: MonotonicTime) -> bool {
+        let books = self.services.values_mut();
+        books.map(|book| book.ledger.lent(now)).sum::<u64>() == 0
+    }
+}
+
+fn target_zones(document: &ServiceDocument) -> Vec<ZoneId> {
+    let targets = document.group.targets.iter();
+    let zones: BTreeSet<_> = targets.map(|target| target.zone.clone()).collect();
+    zones.into_iter().collect()
+}
--- /dev/null
+++ b/crates/mustardhinge-agent/src/budget/escrow_keeper.rs
@@ -0,0 +1,232 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use mustardhinge_core::budget::lease::HolderId;
+use mustardhinge_core::budget::{BudgetAnswer, LedgerError};
+use mustardhinge_rpc::budget::BudgetRequest;
+use serde::de::DeserializeOwned;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+use super::escrow_books::EscrowBooks;
+use super::escrow_write::EscrowWrite;
+use crate::membership::rank_zone;
+use crate::platform::{
+    ObjectKind, ObjectUpdate, PlatformClient, PlatformError, PutOutcome, StoredObject,
+};
+use crate::state::SharedState;
+
+/// The time between two looks at the lease and the shares.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Agents of a zone, the best first, that try to hold its share.
+const CANDIDATES: u32 = 2;
+/// How long one watch of the shares waits.
+const SHARES_WAIT: Duration = Duration::from_secs(10);
+/// The wait before an agent looks again whether it holds the share.
+const HOLDER_PAUSE: Duration = Duration::from_millis(500);
+/// How long a planned stop waits until the share is given back: what is lent
+/// out has lapsed by then.
+const LEAVE_BOUND: Duration = Duration::from_millis(1_500);
+
+/// Keeps the share of the agent's zone, if the agent is its holder.
+pub(crate) struct EscrowKeeper {
+    state: Arc<SharedState>,
+    platform: PlatformClient,
+    claimant: String,
+    books: Mutex<EscrowBooks>,
+}
+
+impl EscrowKeeper {
+    /// Makes the keeper of an agent that has just started.
+    pub(crate) fn new(state: Arc<SharedState>, platform: PlatformClient, claimant: String) -> Self {
+        let holder = HolderId {
+            instance: state.instance.clone(),
+            incarnation: state.read(|known| known.incarnation),
+        };
+        let books = EscrowBooks::new(state.zone.clone(), holder);
+        Self {
+            state,
+            platform,
+            claimant,
+            books: Mutex::new(books),
+        }
+    }
+
+    /// Answers an entry, if this agent holds its zone's share.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not, or the customer is unknown, or the message is late.
+    pub(crate) fn answer(&self, request: &BudgetRequest) -> Result<BudgetAnswer, LedgerError> {
+        let now = self.state.now();
+        self.lock().answer(request, now)
+    }
+
+    /// Takes, renews and uses the lease of the zone's share for as long as it is
+    /// polled.
+    pub(crate) async fn run(&self) {
+        let mut ticks = interval(STEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.take_documents();
+            let Some(rank) = self.rank() else {
+                continue;
+            };
+            if rank < CANDIDATES || self.lock().is_holder() {
+                self.step(rank).await;
+            }
+        }
+    }
+
+    /// Follows the records of the shares while this agent holds its zone's, for
+    /// as long as it is polled.
+    pub(crate) async fn watch_shares(&self) {
+        let mut after = 0;
+        loop {
+            if !self.lock().is_holder() {
+                sleep(HOLDER_PAUSE).await;
+                continue;
+            }
+            let answer = self
+                .platform
+                .watch_objects(ObjectKind::Budget, after, SHARES_WAIT)
+                .await;
+            let Ok(list) = answer else {
+                sleep(HOLDER_PAUSE).await;
+                continue;
+            };
+            after = list.revision;
+            for object in &list.objects {
+                self.take_shares(object);
+            }
+        }
+    }
+
+    /// Gives the share back, within a bound.
+    pub(crate) async fn leave(&self) {
+        self.lock().leave();
+        let _ = timeout(LEAVE_BOUND, self.wait_for_release()).await;
+    }
+
+    async fn wait_for_release(&self) {
+        while self.lock().is_holder() {
+            self.step(0).await;
+            sleep(STEP_INTERVAL).await;
+        }
+    }
+
+    fn take_documents(&self) {
+        let now = self.state.now();
+        let mut books = self.lock();
+        self.state.read(|known| {
+            for known in known.documents() {
+                books.set_document(known.version, &known.document, now);
+            }
+        });
+    }
+
+    /// Returns the place of this agent among those of its zone.
+    fn rank(&self) -> Option<u32> {
+        let now = self.state.now();
+        let own = &self.state.instance;
+        let ranked = self
+            .state
+            .read(|known| rank_zone(known, &self.state.zone, Some(own), now));
+        let place = ranked.iter().position(|member| member == own)?;
+        u32::try_from(place).ok()
+    }
+
+    async fn step(&self, rank: u32) {
+        if self.is_read_due(rank) && self.read_lease().await.is_err() {
+            return;
+        }
+        let now = self.state.now();
+        let writes = self.lock().next_writes(rank, now);
+        for write in writes {
+            if let Err(error) = self.send(&write).await {
+                log::debug!("budget update: {error}");
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the lease record has to be read: at first, and now and
+    /// then by the agent that would hold the share if it were free.
+    fn is_read_due(&self, rank: u32) -> bool {
+        let now = self.state.now();
+        let mut books = self.lock();
+        if books.is_lease_known() && (rank > 0 || books.is_holder()) {
+            return false;
+        }
+        books.start_read(now)
+    }
+
+    async fn send(&self, write: &EscrowWrite) -> Result<(), PlatformError> {
+        let (kind, name, expected, value) = match write {
+            EscrowWrite::Lease(lease) => {
+                let value = serde_json::to_value(&lease.record);
+                (
+                    ObjectKind::Lease,
+                    self.state.zone.as_str(),
+                    lease.expected,
+                    value,
+                )
+            }
+            EscrowWrite::Shares { service, write } => {
+                let value = serde_json::to_value(&write.record);
+                (ObjectKind::Budget, service.as_str(), write.expected, value)
+            }
+        };
+        let operation = format!("{}:{kind}:{expected}", self.claimant);
+        let update = ObjectUpdate {
+            expected_version: expected,
+            operation_id: operation.parse().map_err(|_| PlatformError::BadAnswer)?,
+            value: value.map_err(|_| PlatformError::BadAnswer)?,
+        };
+        let outcome = self.platform.put_object(kind, name, &update).await?;
+        match outcome {
+            PutOutcome::Accepted(version) => {
+                let now = self.state.now();
+                self.lock().on_accepted(write, version, now);
+                Ok(())
+            }
+            PutOutcome::Conflict { .. } => self.read_again(kind, name).await,
+        }
+    }
+
+    async fn read_again(&self, kind: ObjectKind, name: &str) -> Result<(), PlatformError> {
+        if kind == ObjectKind::Lease {
+            return self.read_lease().await;
+        }
+        if let Some(object) = self.platform.get_object(kind, name).await? {
+            self.take_shares(&object);
+        }
+        Ok(())
+    }
+
+    async fn read_lease(&self) -> Result<(), PlatformError> {
+        let zone = self.state.zone.as_str();
+        let found = self.platform.get_object(ObjectKind::Lease, zone).await?;
+        let now = self.state.now();
+        if let Some(object) = found {
+            let record = read_value(&object).ok_or(PlatformError::BadAnswer)?;
+            self.lock().on_lease(object.version, &record, now);
+        }
+        Ok(())
+    }
+
+    fn take_shares(&self, object: &StoredObject) {
+        let service = object.name.parse();
+        if let (Ok(service), Some(record)) = (service, read_value(object)) {
+            self.lock().on_shares(&service, object.version, record);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EscrowBooks> {
+        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read_value<T: DeserializeOwned>(object: &StoredObject) -> Option<T> {
+    T::deserialize(&object.value).ok()
+}
--- a/crates/mustardhinge-agent/src/peer/peer_service.rs
+++ b/crates/mustardhinge-agent/src/peer/peer_service.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use jsonrpsee::core::{RpcResult, async_trait};
-use mustardhinge_core::budget::LedgerError;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::PeerApiServer;
 use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
@@ -12,6 +11,7 @@
 };
 
 use super::exchange_answer::answer_exchange;
+use crate::budget::BudgetDesk;
 use crate::group::{WatchRegistry, order_switchover};
 use crate::state::SharedState;
 
@@ -22,12 +22,21 @@
 pub(crate) struct PeerService {
     state: Arc<SharedState>,
     registry: Arc<WatchRegistry>,
+    desk: Arc<BudgetDesk>,
 }
 
 impl PeerService {
     /// Makes the service.
-    pub(crate) const fn new(state: Arc<SharedState>, registry: Arc<WatchRegistry>) -> Self {
-        Self { state, registry }
+    pub(crate) const fn new(
+        state: Arc<SharedState>,
+        registry: Arc<WatchRegistry>,
+        desk: Arc<BudgetDesk>,
+    ) -> Self {
+        Self {
+            state,
+            registry,
+            desk,
+        }
     }
 }
 
@@ -69,9 +78,9 @@
         Ok(order_switchover(&self.state, &self.registry, group, request.to).await)
     }
 
-    async fn lend_budget(&self, _request: BudgetRequest) -> RpcResult<BudgetGrant> {
+    async fn lend_budget(&self, request: BudgetRequest) -> RpcResult<BudgetGrant> {
         Ok(BudgetGrant {
-            result: Err(LedgerError::NotHolder),
+            result: self.desk.lend(&request),
         })
     }
 }
--- a/crates/mustardhinge-agent/src/platform/object_kind.rs
+++ b/crates/mustardhinge-agent/src/platform/object_kind.rs
@@ -11,6 +11,8 @@
     Claim,
     /// The shares of a service's rates per availability zone.
     Budget,
+    /// The holder of an availability zone's share of the rates.
+    Lease,
 }
 
 impl ObjectKind {
@@ -22,6 +24,7 @@
             Self::Group => "group",
             Self::Claim => "claim",
             Self::Budget => "budget",
+            Self::Lease => "lease",
         }
     }
 }
--- /dev/null
+++ b/crates/mustardhinge-agent/src/process/agent_parts.rs
@@ -0,0 +1,161 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use anyhow::Context;
+use jsonrpsee::Methods;
+use jsonrpsee::server::{Server, ServerConfig};
+use mustardhinge_config::settings::{AgentSettings, BudgetPolicy};
+use mustardhinge_core::failover::FailoverSettings;
+use mustardhinge_process::ProcessClock;
+use mustardhinge_rpc::{AgentApiServer, PeerApiServer};
+use tokio::task::JoinSet;
+
+use crate::budget::{BudgetDesk, EscrowKeeper, LedgerKind, StaticShares};
+use crate::entry::AgentService;
+use crate::group::{GroupContext, ProbeTiming, WatchSupervisor};
+use crate::operator::{OperatorContext, OperatorServer};
+use crate::peer::{PeerService, RoleSupervisor};
+use crate::platform::PlatformClient;
+use crate::state::{KnownState, ProofState, SharedState};
+
+/// Connections that the entry and other agents may hold at once.
+const MAX_CONNECTIONS: u32 = 512;
+
+/// What lends requests to entries.
+pub(super) struct BudgetParts {
+    /// Answers entries and other agents.
+    pub(super) desk: Arc<BudgetDesk>,
+    /// Keeps the share of the zone, if shares move.
+    pub(super) keeper: Option<Arc<EscrowKeeper>>,
+}
+
+impl BudgetParts {
+    /// Makes the parts that the settings ask for.
+    pub(super) fn new(
+        settings: &AgentSettings,
+        state: &Arc<SharedState>,
+        context: &GroupContext,
+        incarnation: u64,
+    ) -> Self {
+        let (ledgers, keeper) = match settings.budget_policy {
+            BudgetPolicy::StaticShares => {
+                let zone = settings.zone.clone();
+                let shares = StaticShares::new(zone, incarnation, state.now());
+                (LedgerKind::Static(Mutex::new(shares)), None)
+            }
+            BudgetPolicy::Escrow => {
+                let (platform, claimant) = (context.platform.clone(), context.claimant.clone());
+                let keeper = EscrowKeeper::new(state.clone(), platform, claimant);
+                let keeper = Arc::new(keeper);
+                (LedgerKind::Escrow(keeper.clone()), Some(keeper))
+            }
+        };
+        let desk = Arc::new(BudgetDesk::new(state.clone(), ledgers));
+        Self { desk, keeper }
+    }
+}
+
+/// Puts together the calls that the entry and other agents make.
+pub(super) fn make_methods(
+    state: &Arc<SharedState>,
+    context: &GroupContext,
+    desk: &Arc<BudgetDesk>,
+) -> anyhow::Result<Methods> {
+    let registry = &context.registry;
+    let entry_service = AgentService::new(state.clone(), desk.clone(), registry.clone());
+    let peer_service = PeerService::new(state.clone(), registry.clone(), desk.clone());
+    let mut methods = Methods::new();
+    methods
+        .merge(entry_service.into_rpc())
+        .context("calls of the entry")?;
+    methods
+        .merge(peer_service.into_rpc())
+        .context("calls of other agents")?;
+    Ok(methods)
+}
+
+/// Starts to serve operators.
+pub(super) fn start_operator(
+    settings: &AgentSettings,
+    state: &Arc<SharedState>,
+    context: &GroupContext,
+) -> anyhow::Result<OperatorServer> {
+    let operator_context = OperatorContext {
+        state: state.clone(),
+        platform: context.platform.clone(),
+        registry: context.registry.clone(),
+    };
+    OperatorServer::start(settings.operator, operator_context)
+}
+
+/// Listens for the entry and for other agents.
+pub(super) async fn bind_server(listen: SocketAddr) -> anyhow::Result<(Server, SocketAddr)> {
+    let config = ServerConfig::builder()
+        .max_connections(MAX_CONNECTIONS)
+        .build();
+    let server = Server::builder().set_config(config).build(listen).await;
+    let server = server.with_context(|| format!("listening at {listen}"))?;
+    let address = server.local_addr().context("the address listened at")?;
+    Ok((server, address))
+}
+
+/// Makes what every watch of a group works with.
+pub(super) fn make_context(
+    settings: &AgentSettings,
+    state: &Arc<SharedState>,
+    incarnation: u64,
+) -> anyhow::Result<GroupContext> {
+    let timeout = Duration::from_millis(settings.platform_timeout_ms.into());
+    let platform = PlatformClient::new(settings.platform, timeout).context("platform client")?;
+    let timing = ProbeTiming {
+        interval: Duration::from_millis(settings.probe_interval_ms.into()),
+        bound: Duration::from_millis(settings.probe_timeout_ms.into()),
+    };
+    Ok(GroupContext {
+        state: state.clone(),
+        platform,
+        timing,
+        settings: FailoverSettings::new(),
+        claimant: format!("{}:{incarnation}", settings.instance),
+        registry: Arc::default(),
+    })
+}
+
+/// Makes the state of an agent that knows nothing.
+pub(super) fn make_state(
+    settings: &AgentSettings,
+    clock: ProcessClock,
+    incarnation: u64,
+) -> SharedState {
+    let proof = ProofState::new(settings.zone_count as usize);
+    let drain_bound = Duration::from_millis(settings.drain_bound_ms.into());
+    let known = KnownState::new(incarnation, proof, drain_bound);
+    SharedState::new(
+        clock,
+        settings.instance.clone(),
+        settings.zone.clone(),
+        known,
+    )
+}
+
+/// Starts the agent's tasks.
+pub(super) fn start_tasks(
+    settings: &AgentSettings,
+    state: &Arc<SharedState>,
+    context: &GroupContext,
+    keeper: Option<Arc<EscrowKeeper>>,
+) -> JoinSet<()> {
+    let wait = Duration::from_millis(settings.peer_interval_ms.into());
+    let platform = context.platform.clone();
+    let roles = RoleSupervisor::new(state.clone(), platform, settings.peers.clone(), wait);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(roles.run());
+    tasks.spawn(WatchSupervisor::new(context.clone()).run());
+    if let Some(keeper) = keeper {
+        let watcher = keeper.clone();
+        tasks.spawn(async move { keeper.run().await });
+        tasks.spawn(async move { watcher.watch_shares().await });
+    }
+    tasks
+}
--- a/crates/mustardhinge-agent/src/process/agent_process.rs
+++ b/crates/mustardhinge-agent/src/process/agent_process.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::AgentBuilder;
+use crate::budget::EscrowKeeper;
 use crate::group::WatchRegistry;
 use crate::operator::OperatorServer;
 use crate::state::SharedState;
@@ -29,27 +30,30 @@
     pub(super) operator: OperatorServer,
 }
 
+/// What a planned stop hands over.
+pub(super) struct StopParts {
+    /// What the agent knows.
+    pub(super) state: Arc<SharedState>,
+    /// The watches of database groups.
+    pub(super) registry: Arc<WatchRegistry>,
+    /// The keeper of the zone's share, if shares move.
+    pub(super) keeper: Option<Arc<EscrowKeeper>>,
+}
+
 /// A running agent.
 ///
 /// Dropped, it ends at once; [`AgentProcess::stop`] ends it in order.
 pub struct AgentProcess {
     servers: AgentServers,
-    state: Arc<SharedState>,
-    registry: Arc<WatchRegistry>,
+    parts: StopParts,
     tasks: JoinSet<()>,
 }
 
 impl AgentProcess {
-    pub(super) const fn new(
-        servers: AgentServers,
-        state: Arc<SharedState>,
-        registry: Arc<WatchRegistry>,
-        tasks: JoinSet<()>,
-    ) -> Self {
+    pub(super) const fn new(servers: AgentServers, parts: StopParts, tasks: JoinSet<()>) -> Self {
         Self {
             servers,
-            state,
-            registry,
+            parts,
             tasks,
         }
     }
@@ -75,17 +79,20 @@
     /// Returns whether it knows enough to serve.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let now = self.state.now();
-        self.state.read(|known| known.is_ready(now))
+        let now = self.parts.state.now();
+        self.parts.state.read(|known| known.is_ready(now))
     }
 
     /// Ends the agent: the entry hears that the instance drains, changes of
-    /// primary under way are ended, calls under way are answered, all within
-    /// bounds.
+    /// primary under way are ended, the zone's share is given back, calls under
+    /// way are answered, all within bounds.
     pub async fn stop(mut self) {
-        self.state.set_drain(DrainCause::StopSignal, true);
+        self.parts.state.set_drain(DrainCause::StopSignal, true);
         let _ = timeout(HAND_OVER_BOUND, self.finish_changes()).await;
         self.tasks.shutdown().await;
+        if let Some(keeper) = &self.parts.keeper {
+            keeper.leave().await;
+        }
         let _ = timeout(CLOSE_BOUND, self.servers.operator.stop()).await;
         if self.servers.server.stop().is_ok() {
             let _ = timeout(CLOSE_BOUND, self.servers.server.stopped()).await;
@@ -93,7 +100,7 @@
     }
 
     async fn finish_changes(&self) {
-        while self.registry.is_changing() {
+        while self.parts.registry.is_changing() {
             sleep(HAND_OVER_PAUSE).await;
         }
     }
--- a/crates/mustardhinge-agent/src/process/mod.rs
+++ b/crates/mustardhinge-agent/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! Starts and stops the agent.
 
 mod agent_builder;
+mod agent_parts;
 mod agent_process;
 
 pub use agent_builder::AgentBuilder;
--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_start;
 mod documents;
+mod escrow;
 mod failover;
 mod operator_api;
 mod peers;
