Count retries and refusals, and test the agent under more faults

mustardhinge_platform_retries_total and mustardhinge_operator_refusals_total carry the reason as a label.

--- a/crates/mustardhinge-agent/src/operator/api_error.rs
+++ b/crates/mustardhinge-agent/src/operator/api_error.rs
@@ -19,6 +19,8 @@
 
 impl From<OperatorError> for ApiError {
     fn from(error: OperatorError) -> Self {
+        let kind = error.kind.label();
+        metrics::counter!("mustardhinge_operator_refusals_total", "reason" => kind).increment(1);
         Self(error)
     }
 }
--- a/crates/mustardhinge-agent/src/operator/update_attempt.rs
+++ b/crates/mustardhinge-agent/src/operator/update_attempt.rs
@@ -5,7 +5,9 @@
 use mustardhinge_rpc::operator::{ErrorKind, OperatorError};
 use tokio::time::{Instant, sleep};
 
-use crate::platform::{ObjectKind, ObjectUpdate, PlatformClient, PlatformError, PutOutcome};
+use crate::platform::{
+    ObjectKind, ObjectUpdate, PlatformClient, PlatformError, PutOutcome, count_retry,
+};
 
 /// How long one update may take, lost answers included.
 const UPDATE_BOUND: Duration = Duration::from_secs(5);
@@ -98,6 +100,7 @@
             }
             Err(PlatformError::NotSent) if !self.was_sent => SettlementStep::Send,
             Err(error) => {
+                count_retry(&error);
                 self.was_sent |= !error.is_not_run();
                 self.settlement.on_lost()
             }
--- a/crates/mustardhinge-agent/src/platform/document_watch.rs
+++ b/crates/mustardhinge-agent/src/platform/document_watch.rs
@@ -24,7 +24,7 @@
             }
             Err(error) => {
                 state.note_platform_failure(&error, asked_at);
-                let wait = backoff.next_wait(&mut rand::rng());
+                let wait = backoff.next_wait(&error, &mut rand::rng());
                 tokio::time::sleep(wait).await;
             }
         }
--- a/crates/mustardhinge-agent/src/platform/instance_watch.rs
+++ b/crates/mustardhinge-agent/src/platform/instance_watch.rs
@@ -18,8 +18,8 @@
                 after = list.revision;
                 state.take_instances(list);
             }
-            Err(_) => {
-                let wait = backoff.next_wait(&mut rand::rng());
+            Err(error) => {
+                let wait = backoff.next_wait(&error, &mut rand::rng());
                 tokio::time::sleep(wait).await;
             }
         }
--- a/crates/mustardhinge-agent/src/platform/mod.rs
+++ b/crates/mustardhinge-agent/src/platform/mod.rs
@@ -13,6 +13,7 @@
 
 pub(crate) use document_watch::watch_documents;
 pub(crate) use instance_watch::watch_instances;
+pub(crate) use watch_backoff::count_retry;
 
 pub use mustardhinge_rpc::peer::{InstanceEntry, InstanceList};
 pub use object_kind::ObjectKind;
--- a/crates/mustardhinge-agent/src/platform/watch_backoff.rs
+++ b/crates/mustardhinge-agent/src/platform/watch_backoff.rs
@@ -2,6 +2,8 @@
 
 use rand::RngExt;
 
+use super::PlatformError;
+
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -23,10 +25,21 @@
         self.next = MIN_BACKOFF;
     }
 
-    /// Returns the wait before the next try.
-    pub(crate) fn next_wait(&mut self, random: &mut impl rand::Rng) -> Duration {
+    /// Counts the retry and returns the wait before it.
+    pub(crate) fn next_wait(
+        &mut self,
+        error: &PlatformError,
+        random: &mut impl rand::Rng,
+    ) -> Duration {
+        count_retry(error);
         let bound = self.next;
         self.next = (bound * 2).min(MAX_BACKOFF);
         bound.mul_f64(random.random_range(0.5..1.0))
     }
 }
+
+/// Counts a call of the platform that is repeated.
+pub(crate) fn count_retry(error: &PlatformError) {
+    let reason = error.label();
+    metrics::counter!("mustardhinge_platform_retries_total", "reason" => reason).increment(1);
+}
--- a/crates/mustardhinge-agent/tests/suite/failover.rs
+++ b/crates/mustardhinge-agent/tests/suite/failover.rs
@@ -8,13 +8,13 @@
 
 /// Cuts the primary off by `fault`, and expects another primary in a greater
 /// term.
-async fn expect_failover(fleet: &Fleet, fault: impl Fn(&Fleet, &TargetId)) {
+async fn expect_failover(name: &str, fleet: &Fleet, fault: impl Fn(&Fleet, &TargetId)) {
     let agent = fleet.start_agent(0, "").await;
     let (term, before) = wait_for_primary(&agent, 0).await;
     fault(fleet, &before);
     let started_at = Instant::now();
     let (_, after) = wait_for_primary(&agent, term.get()).await;
-    eprintln!("gap={} ms", started_at.elapsed().as_millis());
+    eprintln!("{name}: gap {} ms", started_at.elapsed().as_millis());
     assert_ne!(after, before);
     assert_eq!(fleet.target(&after).report().role, MemberRole::Primary);
     agent.stop().await;
@@ -31,7 +31,7 @@
 #[tokio::test]
 async fn a_killed_primary_is_replaced() {
     let fleet = Fleet::start().await;
-    expect_failover(&fleet, |fleet, primary| {
+    expect_failover("killed", &fleet, |fleet, primary| {
         fleet.target(primary).set_down(true);
     })
     .await;
@@ -40,7 +40,7 @@
 #[tokio::test]
 async fn a_frozen_primary_is_replaced() {
     let fleet = Fleet::start().await;
-    expect_failover(&fleet, |fleet, primary| {
+    expect_failover("frozen", &fleet, |fleet, primary| {
         fleet.target(primary).set_frozen(true);
     })
     .await;
@@ -49,7 +49,7 @@
 #[tokio::test]
 async fn a_primary_is_replaced_while_the_store_is_down() {
     let fleet = Fleet::start().await;
-    expect_failover(&fleet, |fleet, primary| {
+    expect_failover("store down", &fleet, |fleet, primary| {
         fleet.platform.set_down(true);
         fleet.target(primary).set_down(true);
     })
@@ -59,7 +59,7 @@
 #[tokio::test]
 async fn a_primary_is_replaced_while_the_store_is_silent() {
     let fleet = Fleet::start().await;
-    expect_failover(&fleet, |fleet, primary| {
+    expect_failover("store silent", &fleet, |fleet, primary| {
         fleet.platform.set_frozen(true);
         fleet.target(primary).set_down(true);
     })
@@ -69,7 +69,7 @@
 #[tokio::test]
 async fn a_primary_is_replaced_while_the_store_is_slow() {
     let fleet = Fleet::start().await;
-    expect_failover(&fleet, |fleet, primary| {
+    expect_failover("store slow", &fleet, |fleet, primary| {
         fleet
             .platform
             .change_faults(|faults| faults.slow_ms = 3_000);
@@ -123,3 +123,73 @@
         agent.stop().await;
     }
 }
+
+#[tokio::test]
+async fn a_second_failure_right_after_the_first_is_survived() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let (term, first) = wait_for_primary(&agent, 0).await;
+    fleet.target(&first).set_down(true);
+    let (term, second) = wait_for_primary(&agent, term.get()).await;
+    fleet.target(&first).set_down(false);
+    fleet.target(&second).set_down(true);
+    let (_, third) = wait_for_primary(&agent, term.get()).await;
+    assert_ne!(third, second);
+    agent.stop().await;
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_do_not_hinder_a_failover() {
+    let fleet = Fleet::start().await;
+    expect_failover("store loses answers", &fleet, |fleet, primary| {
+        fleet
+            .platform
+            .change_faults(|faults| faults.lose_answers = 3);
+        fleet.target(primary).set_down(true);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn lag_and_a_slow_store_cause_no_failover() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let (term, primary) = wait_for_primary(&agent, 0).await;
+    fleet
+        .platform
+        .change_faults(|faults| faults.slow_ms = 2_000);
+    for target in &fleet.targets.targets {
+        target.change_faults(|faults| faults.replication_lag_ms = 3_000);
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(wait_for_primary(&agent, 0).await, (term, primary));
+    agent.stop().await;
+}
+
+#[tokio::test]
+async fn another_agent_goes_on_when_one_dies_during_a_failover() {
+    let fleet = Fleet::start().await;
+    let mut agents = Vec::new();
+    for zone in 0..3 {
+        agents.push(fleet.start_agent(zone, "").await);
+    }
+    let (term, primary) = wait_for_primary(&agents[2], 0).await;
+    fleet.target(&primary).set_down(true);
+    sleep(Duration::from_millis(300)).await;
+    drop(agents.remove(0));
+    drop(agents.remove(0));
+    let (_, after) = wait_for_primary(&agents[0], term.get()).await;
+    assert_ne!(after, primary);
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_targets_do_not_hinder_a_failover() {
+    let fleet = Fleet::start().await;
+    expect_failover("targets lose answers", &fleet, |fleet, primary| {
+        for target in &fleet.targets.targets {
+            target.change_faults(|faults| faults.lose_group_answers = 1);
+        }
+        fleet.target(primary).set_down(true);
+    })
+    .await;
+}
--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -6,5 +6,6 @@
 mod failover;
 mod operator_api;
 mod peers;
+mod process;
 mod scaffold;
 mod static_shares;
--- a/crates/mustardhinge-agent/tests/suite/peers.rs
+++ b/crates/mustardhinge-agent/tests/suite/peers.rs
@@ -1,11 +1,15 @@
 use std::time::Duration;
 
+use jsonrpsee::http_client::HttpClient;
 use mustardhinge_agent::AgentProcess;
-use mustardhinge_rpc::control::ControlState;
+use mustardhinge_core::prelude::*;
+use mustardhinge_rpc::PeerApiClient;
+use mustardhinge_rpc::control::{ControlState, GroupState};
+use mustardhinge_rpc::peer::{ExchangeRequest, PROTOCOL_VERSION, PeerError, PrimaryQuestion};
 use mustardhinge_standins::platform::CallKind;
 use tokio::time::sleep;
 
-use super::scaffold::{Fleet, control_state, wait_for_primary, wait_for_state};
+use super::scaffold::{Fleet, SERVICE, control_state, wait_for_primary, wait_for_state};
 
 fn has_rate(state: &ControlState, rate: &str) -> bool {
     let service = state.services.first();
@@ -134,3 +138,88 @@
         wait_for_primary(agent, term.get()).await;
     }
 }
+
+fn peer_client(agent: &AgentProcess) -> HttpClient {
+    let url = format!("http://{}", agent.address());
+    HttpClient::builder().build(url).unwrap()
+}
+
+fn exchange_request(protocol: u32, groups: Vec<GroupState>) -> ExchangeRequest {
+    ExchangeRequest {
+        protocol,
+        instance: "other".parse().unwrap(),
+        store_revision: 0,
+        list_revision: 0,
+        peer_incarnation: 0,
+        group_change: 0,
+        groups,
+        wait_ms: 0,
+    }
+}
+
+#[tokio::test]
+async fn another_version_of_the_calls_is_refused() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let request = exchange_request(PROTOCOL_VERSION + 1, Vec::new());
+    let answer = peer_client(&agent).exchange(request).await.unwrap();
+    assert_eq!(answer, Err(PeerError::OtherProtocol));
+}
+
+#[tokio::test]
+async fn an_old_message_about_a_group_changes_nothing() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let known = wait_for_primary(&agent, 0).await;
+    let old = GroupState {
+        group: SERVICE.parse().unwrap(),
+        term: LeaderTerm::new(0),
+        primary: Some(format!("{SERVICE}-3").parse().unwrap()),
+        writes_held_ms: 60_000,
+    };
+    let request = exchange_request(PROTOCOL_VERSION, vec![old]);
+    let reply = peer_client(&agent)
+        .exchange(request)
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(reply.groups[0].writes_held_ms, 0);
+    assert_eq!(wait_for_primary(&agent, 0).await, known);
+}
+
+#[tokio::test]
+async fn a_watcher_says_whether_it_hears_a_target() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let (_, primary) = wait_for_primary(&agent, 0).await;
+    let question = PrimaryQuestion {
+        group: SERVICE.parse().unwrap(),
+        target: primary.clone(),
+    };
+    let client = peer_client(&agent);
+    let answer = client.hears_target(question.clone()).await.unwrap();
+    assert_eq!(answer.answered, Some(true));
+    for target in &fleet.targets.targets {
+        target.set_frozen(true);
+    }
+    sleep(Duration::from_millis(800)).await;
+    let answer = client.hears_target(question).await.unwrap();
+    assert_eq!(answer.answered, Some(false));
+}
+
+#[tokio::test]
+async fn agents_do_not_rush_at_a_store_that_comes_back() {
+    let fleet = Fleet::start().await;
+    let _agents = start_instances(&fleet, 12).await;
+    sleep(Duration::from_secs(2)).await;
+    let steady = count_calls(&fleet).await;
+    fleet.platform.set_frozen(true);
+    sleep(Duration::from_secs(4)).await;
+    fleet.platform.set_frozen(false);
+    let after = count_calls(&fleet).await;
+    eprintln!("platform calls in 3 s: steady {steady}, after an outage {after}");
+    assert!(
+        after <= 2 * steady,
+        "steady {steady}, after an outage {after}"
+    );
+}
--- a/crates/mustardhinge-rpc/src/operator/error_kind.rs
+++ b/crates/mustardhinge-rpc/src/operator/error_kind.rs
@@ -22,3 +22,20 @@
     /// The agent itself failed.
     Internal,
 }
+
+impl ErrorKind {
+    /// Returns the label value of the kind.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::NotFound => "not_found",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Findings => "findings",
+            Self::NotRun => "not_run",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Internal => "internal",
+        }
+    }
+}
