Bound silence by the probe interval, and watch the platform until a parent answers

With rare probes the core's 300 ms of silence deposed a healthy, slow primary: the bound now lets two probes be missed, and the other bounds of silence follow from it. Seen failing without it with probes each 700 ms and a primary 450 ms late; with all targets probed in step and equally fast it was not, since a majority was silent too.

An agent whose parent does not answer kept losing its own watch of the platform at each new parent; it now keeps it until one answers. Seen failing without it in a zone with 16 listed instances that accept and never answer; with 6 of them it was not seen.

--- a/crates/mustardhinge-agent/src/group/group_watch.rs
+++ b/crates/mustardhinge-agent/src/group/group_watch.rs
@@ -24,8 +24,9 @@
 const EVENT_QUEUE: usize = 256;
 /// The time between two looks at a group in which nothing happens.
 const TICK: Duration = Duration::from_millis(20);
-/// The silence of the primary after which the other watchers are asked.
-const QUESTION_SILENCE: Duration = Duration::from_millis(150);
+/// The part of the bound of silence after which the other watchers are asked
+/// about the primary.
+const QUESTION_PART: u32 = 2;
 /// The time between two questions about the primary.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 /// The time that entries get to hear of a hold and to end their writes.
@@ -63,6 +64,7 @@
         let handle = WatchHandle {
             events: sender.clone(),
             links: links.clone(),
+            silence_limit: context.settings.get_silence_limit(),
             view: view.subscribe(),
         };
         let addresses = group.targets.iter();
@@ -146,8 +148,9 @@
         let Some(primary) = self.machine.primary().map(|report| report.target.clone()) else {
             return;
         };
+        let silence = self.calls.context.settings.get_silence_limit() / QUESTION_PART;
         let is_due = now.saturating_since(self.asked_at) >= QUESTION_INTERVAL;
-        if !is_due || !view.is_silent(&primary, now, QUESTION_SILENCE) {
+        if !is_due || !view.is_silent(&primary, now, silence) {
             return;
         }
         self.asked_at = now;
--- a/crates/mustardhinge-agent/src/group/watch_handle.rs
+++ b/crates/mustardhinge-agent/src/group/watch_handle.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use mustardhinge_core::failover::FailoverPhase;
 use mustardhinge_core::prelude::*;
@@ -25,6 +26,8 @@
     pub(crate) events: mpsc::Sender<WatchEvent>,
     /// The links to the targets.
     pub(crate) links: Arc<BTreeMap<TargetId, Arc<TargetLink>>>,
+    /// The silence after which a target no longer counts as heard.
+    pub(crate) silence_limit: Duration,
     /// What the watch shows.
     pub(crate) view: watch::Receiver<WatchView>,
 }
--- a/crates/mustardhinge-agent/src/operator/status_report.rs
+++ b/crates/mustardhinge-agent/src/operator/status_report.rs
@@ -6,9 +6,6 @@
 use crate::group::WatchHandle;
 use crate::state::{AdoptedDocument, KnownState};
 
-/// The time after which a report no longer counts as an answer.
-const REPORT_FRESH: std::time::Duration = std::time::Duration::from_secs(1);
-
 /// Describes the agent and what it knows.
 pub(super) fn describe_agent(context: &OperatorContext) -> AgentStatus {
     let now = context.state.now();
@@ -73,7 +70,9 @@
     let describe = |target: mustardhinge_config::document::TargetEntry| {
         let report = view.reports.report(&target.name);
         TargetSummary {
-            answered: !view.reports.is_silent(&target.name, now, REPORT_FRESH),
+            answered: !view
+                .reports
+                .is_silent(&target.name, now, handle.silence_limit),
             role: report.map(|timed| timed.report.role.to_string()),
             applied: report.map(|timed| timed.report.applied),
             target: target.name,
--- a/crates/mustardhinge-agent/src/peer/peer_service.rs
+++ b/crates/mustardhinge-agent/src/peer/peer_service.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use jsonrpsee::core::{RpcResult, async_trait};
 use mustardhinge_core::prelude::*;
@@ -15,9 +14,6 @@
 use crate::group::{WatchRegistry, order_switchover};
 use crate::state::SharedState;
 
-/// The silence after which a target no longer counts as heard.
-const HEARD_BOUND: Duration = Duration::from_millis(300);
-
 /// Answers agents of other instances.
 pub(crate) struct PeerService {
     state: Arc<SharedState>,
@@ -62,7 +58,9 @@
         let handle = self.registry.get(&question.group);
         let answered = handle.map(|handle| {
             let view = handle.view.borrow();
-            !view.reports.is_silent(&question.target, now, HEARD_BOUND)
+            !view
+                .reports
+                .is_silent(&question.target, now, handle.silence_limit)
         });
         Ok(PrimaryAnswer {
             instance: self.state.instance.clone(),
--- a/crates/mustardhinge-agent/src/peer/role_supervisor.rs
+++ b/crates/mustardhinge-agent/src/peer/role_supervisor.rs
@@ -63,8 +63,10 @@
             .state
             .read(|known| choose_role(known, &self.state, now));
         let is_listed = self.state.read(|known| known.instances.revision > 0);
-        self.set_watches(role.is_holder() || !is_listed);
+        let is_holder = role.is_holder();
         let mut wanted = role.into_peers();
+        let is_fed = self.state.read(|known| known.is_any_reached(&wanted));
+        self.set_watches(is_holder || !is_listed || !is_fed);
         if !is_listed {
             wanted.extend(self.bootstrap_peers());
         }
--- a/crates/mustardhinge-agent/src/process/agent_parts.rs
+++ b/crates/mustardhinge-agent/src/process/agent_parts.rs
@@ -22,6 +22,14 @@
 /// Connections that the entry and other agents may hold at once.
 const MAX_CONNECTIONS: u32 = 512;
 
+/// Probes that a primary may miss before it is suspected.
+const MISSED_PROBES: u32 = 2;
+/// The time that the answer of a probe may take beside.
+const PROBE_SLACK: Duration = Duration::from_millis(100);
+/// How many bounds of silence pass before a primary is suspected that another
+/// watcher hears.
+const CONTESTED_FACTOR: u32 = 4;
+
 /// What lends requests to entries.
 pub(super) struct BudgetParts {
     /// Answers entries and other agents.
@@ -116,12 +124,21 @@
         state: state.clone(),
         platform,
         timing,
-        settings: FailoverSettings::new(),
+        settings: failover_settings(timing),
         claimant: format!("{}:{incarnation}", settings.instance),
         registry: Arc::default(),
     })
 }
 
+/// Sets the bounds of silence so that the primary can miss two probes.
+fn failover_settings(timing: ProbeTiming) -> FailoverSettings {
+    let base = FailoverSettings::new();
+    let missed = timing.interval * MISSED_PROBES + PROBE_SLACK;
+    let silence = base.get_silence_limit().max(missed);
+    let contested = base.get_contested_limit().max(silence * CONTESTED_FACTOR);
+    base.silence_limit(silence).contested_limit(contested)
+}
+
 /// Makes the state of an agent that knows nothing.
 pub(super) fn make_state(
     settings: &AgentSettings,
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -10,6 +10,7 @@
 use mustardhinge_rpc::peer::InstanceList;
 
 use super::{AdoptedDocument, GroupTable, ProofState};
+use crate::peer::PeerAddress;
 
 /// How long a failed call counts against an instance.
 const PEER_SILENCE: Duration = Duration::from_secs(3);
@@ -71,6 +72,13 @@
         Some(known.document.as_ref())
     }
 
+    /// Returns whether one of the agents answered the last exchange.
+    pub(crate) fn is_any_reached(&self, peers: &[PeerAddress]) -> bool {
+        let instances = peers.iter().filter_map(|peer| peer.instance.as_ref());
+        let mut summaries = instances.filter_map(|instance| self.peers.get(instance));
+        summaries.any(|summary| summary.reachable)
+    }
+
     /// Takes in a list of instances that is no older than the one known;
     /// returns whether anything changed.
     pub(crate) fn take_list(&mut self, list: InstanceList) -> bool {
--- a/crates/mustardhinge-agent/tests/suite/failover.rs
+++ b/crates/mustardhinge-agent/tests/suite/failover.rs
@@ -193,3 +193,18 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_slow_primary_that_is_probed_rarely_is_not_replaced() {
+    let fleet = Fleet::start().await;
+    let more = "probe_interval_ms = 700\nprobe_timeout_ms = 650";
+    let agent = fleet.start_agent(0, more).await;
+    let (term, primary) = wait_for_primary(&agent, 0).await;
+    let slow = fleet.target(&primary);
+    slow.change_faults(|faults| faults.late_ms = 450);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(wait_for_primary(&agent, 0).await, (term, primary.clone()));
+    slow.set_down(true);
+    wait_for_primary(&agent, term.get()).await;
+    agent.stop().await;
+}
--- a/crates/mustardhinge-agent/tests/suite/peers.rs
+++ b/crates/mustardhinge-agent/tests/suite/peers.rs
@@ -7,6 +7,7 @@
 use mustardhinge_rpc::control::{ControlState, GroupState};
 use mustardhinge_rpc::peer::{ExchangeRequest, PROTOCOL_VERSION, PeerError, PrimaryQuestion};
 use mustardhinge_standins::platform::CallKind;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use super::scaffold::{Fleet, SERVICE, control_state, wait_for_primary, wait_for_state};
@@ -223,3 +224,46 @@
         "steady {steady}, after an outage {after}"
     );
 }
+
+#[tokio::test]
+async fn proof_stays_young_when_the_agent_above_dies() {
+    let fleet = Fleet::start().await;
+    let mut agents = Vec::new();
+    for name in ["a", "b", "c"] {
+        agents.push(fleet.start_instance(name, 0, "").await);
+    }
+    for agent in &agents {
+        wait_for_rate(agent, "40/s").await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    for _ in 0..2 {
+        drop(agents.remove(0));
+        let mut oldest = 0;
+        for _ in 0..80 {
+            let age_ms = control_state(&agents[0]).await.proof_age_ms;
+            oldest = oldest.max(age_ms.unwrap());
+            sleep(Duration::from_millis(50)).await;
+        }
+        eprintln!("oldest proof after a death: {oldest} ms");
+        assert!(oldest < 2_500, "{oldest}");
+    }
+}
+
+#[tokio::test]
+async fn proof_stays_young_among_instances_that_do_not_answer() {
+    let fleet = Fleet::start().await;
+    let mut listeners = Vec::new();
+    for number in 0..16 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        fleet.list_instance(&format!("mute-{number}"), 0, address);
+        listeners.push(listener);
+    }
+    let agent = fleet.start_agent(0, "").await;
+    wait_for_rate(&agent, "40/s").await;
+    for _ in 0..30 {
+        sleep(Duration::from_millis(200)).await;
+        let age_ms = control_state(&agent).await.proof_age_ms;
+        assert!(age_ms < Some(2_000), "{age_ms:?}");
+    }
+}
--- a/crates/mustardhinge-agent/tests/suite/scaffold.rs
+++ b/crates/mustardhinge-agent/tests/suite/scaffold.rs
@@ -1,5 +1,6 @@
 //! A platform, one database group and agents, all on the loopback address.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jsonrpsee::http_client::HttpClient;
@@ -78,25 +79,30 @@
     pub(crate) async fn start_instance(
         &self,
         instance: &str,
-        zone: usize,
+        zone_number: usize,
         more: &str,
     ) -> AgentProcess {
-        let (platform, zone) = (self.platform.address(), ZONES[zone]);
+        let (platform, zone) = (self.platform.address(), ZONES[zone_number]);
         let settings = format!(
             "instance = '{instance}'\nzone = '{zone}'\nlisten = '127.0.0.1:0'\n\
              operator = '127.0.0.1:0'\nplatform = '{platform}'\n\
-             probe_interval_ms = 50\nplatform_timeout_ms = 400\n{more}\n"
+             platform_timeout_ms = 400\n{more}\n"
         );
         let settings = AgentSettings::parse(&settings).unwrap();
         let agent = AgentProcess::builder().settings(settings).start();
         let agent = agent.await.unwrap();
+        self.list_instance(instance, zone_number, agent.address());
+        agent
+    }
+
+    /// Lists an instance whose agent listens at an address.
+    pub(crate) fn list_instance(&self, instance: &str, zone: usize, address: SocketAddr) {
         self.platform.put_instance(InstanceEntry {
             instance: instance.to_owned(),
-            zone: zone.to_owned(),
-            agent_address: agent.address(),
+            zone: ZONES[zone].to_owned(),
+            agent_address: address,
             state: InstanceState::Live,
         });
-        agent
     }
 
     /// Returns the target with a name.
