--- a/crates/mustardhinge-bench/src/trace/mod.rs
+++ b/crates/mustardhinge-bench/src/trace/mod.rs
@@ -17,8 +17,12 @@
 //! time and the actions that the decision took, as text.
 
 mod ack_decision;
+mod adoption_decision;
+mod failover_decision;
 mod floor_decision;
 mod parse_report;
+mod proof_decision;
+mod queue_decision;
 mod replay_difference;
 mod replay_step;
 mod trace_decision;
@@ -27,7 +31,11 @@
 mod trace_replay;
 
 pub use ack_decision::{AckDecision, AckInput, AckSetup};
+pub use adoption_decision::{AdoptionDecision, AdoptionInput, AdoptionSetup};
+pub use failover_decision::{FailoverDecision, FailoverInput, FailoverSetup};
 pub use floor_decision::{FloorDecision, FloorInput, FloorSetup};
+pub use proof_decision::{ProofDecision, ProofInput, ProofSetup};
+pub use queue_decision::{QueueDecision, QueueInput, QueueSetup};
 pub use replay_difference::{ReplayDifference, compare_steps};
 pub use replay_step::ReplayStep;
 pub use trace_decision::TraceDecision;
--- a/crates/mustardhinge-bench/src/trace/trace_replay.rs
+++ b/crates/mustardhinge-bench/src/trace/trace_replay.rs
@@ -4,7 +4,10 @@
 use anyhow::{Context, bail};
 use mustardhinge_core::prelude::*;
 
-use super::{AckDecision, FloorDecision, ReplayStep, TraceDecision, TraceHeader, TraceInput};
+use super::{
+    AckDecision, AdoptionDecision, FailoverDecision, FloorDecision, ProofDecision, QueueDecision,
+    ReplayStep, TraceDecision, TraceHeader, TraceInput,
+};
 
 /// Replays a trace into the decision that its header names.
 ///
@@ -23,6 +26,10 @@
     header.check()?;
     match header.decision.as_str() {
         AckDecision::NAME => replay_inputs::<AckDecision>(header, inputs),
+        AdoptionDecision::NAME => replay_inputs::<AdoptionDecision>(header, inputs),
+        FailoverDecision::NAME => replay_inputs::<FailoverDecision>(header, inputs),
+        ProofDecision::NAME => replay_inputs::<ProofDecision>(header, inputs),
+        QueueDecision::NAME => replay_inputs::<QueueDecision>(header, inputs),
         FloorDecision::NAME => replay_inputs::<FloorDecision>(header, inputs),
         name => bail!("unknown decision {name:?}"),
     }
