Race operators, watch versions in force, measure agents and connections

Two operators change one document at once through two agents: no two updates may be told the same version, versions seen in force on an instance may not go back, and an accepted version must be in force on every instance within 3 s. Three planted faults are found by the check.

--- a/crates/mustardhinge-bench/src/check/check_all.rs
+++ b/crates/mustardhinge-bench/src/check/check_all.rs
@@ -1,7 +1,8 @@
 use super::{
-    RuleViolation, check_customer_rate, check_exactly_once, check_key_withdrawal,
-    check_leaving_target, check_linearizable_rows, check_not_run_truth, check_own_answer,
-    check_planned_stop, check_replaced_primary, check_session_order, check_transaction_isolation,
+    RuleViolation, check_configuration_order, check_customer_rate, check_exactly_once,
+    check_key_withdrawal, check_leaving_target, check_linearizable_rows, check_not_run_truth,
+    check_own_answer, check_planned_stop, check_replaced_primary, check_session_order,
+    check_transaction_isolation,
 };
 use crate::history::RunHistory;
 
@@ -19,5 +20,6 @@
     violations.extend(check_exactly_once(history));
     violations.extend(check_leaving_target(history));
     violations.extend(check_planned_stop(history));
+    violations.extend(check_configuration_order(history));
     violations
 }
--- a/crates/mustardhinge-bench/src/check/mod.rs
+++ b/crates/mustardhinge-bench/src/check/mod.rs
@@ -1,6 +1,7 @@
 //! Checks that hold a run's history against the rules that must always hold.
 
 mod check_all;
+mod configuration_order;
 mod customer_rate;
 mod exactly_once;
 mod key_secrecy;
@@ -18,6 +19,7 @@
 mod transaction_isolation;
 
 pub use check_all::check_history;
+pub use configuration_order::check_configuration_order;
 pub use customer_rate::check_customer_rate;
 pub use exactly_once::check_exactly_once;
 pub use key_secrecy::check_key_secrecy;
--- a/crates/mustardhinge-bench/src/cli/bench_command.rs
+++ b/crates/mustardhinge-bench/src/cli/bench_command.rs
@@ -18,7 +18,7 @@
   mustardhinge-bench record TRACE --out FILE
   mustardhinge-bench compare A.jsonl B.jsonl
   mustardhinge-bench plot HISTORY --out FOLDER
-  mustardhinge-bench slope groups|documents
+  mustardhinge-bench slope groups|documents|connections|agents
   mustardhinge-bench --help | --version
 
 Faults: none, primary-kill, primary-cut, primary-freeze, silent-connections,
--- a/crates/mustardhinge-bench/src/history/mod.rs
+++ b/crates/mustardhinge-bench/src/history/mod.rs
@@ -1,5 +1,6 @@
 //! What callers asked and were told, and what targets did, during one run.
 
+mod configuration_record;
 mod customer_limit;
 mod fault_mark;
 mod key_withdrawal;
@@ -14,6 +15,7 @@
 mod target_commit;
 mod time_micros;
 
+pub use configuration_record::{AcceptedUpdate, VersionSighting};
 pub use customer_limit::CustomerLimit;
 pub use fault_mark::FaultMark;
 pub use key_withdrawal::KeyWithdrawal;
--- a/crates/mustardhinge-bench/src/history/run_history.rs
+++ b/crates/mustardhinge-bench/src/history/run_history.rs
@@ -1,8 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CustomerLimit, FaultMark, KeyWithdrawal, LeavingWork, OperationRecord, PlannedStop,
-    PromotionRecord, TargetCommit,
+    AcceptedUpdate, CustomerLimit, FaultMark, KeyWithdrawal, LeavingWork, OperationRecord,
+    PlannedStop, PromotionRecord, TargetCommit, VersionSighting,
 };
 
 /// Everything recorded during one run that the checks and plots need.
@@ -22,6 +22,10 @@
     pub stops: Vec<PlannedStop>,
     /// The work that leaving targets got after the bound.
     pub leaving: Vec<LeavingWork>,
+    /// The updates of documents that operators were told are accepted.
+    pub updates: Vec<AcceptedUpdate>,
+    /// The versions of documents seen in force on instances.
+    pub sightings: Vec<VersionSighting>,
     /// The faults switched.
     pub faults: Vec<FaultMark>,
 }
--- a/crates/mustardhinge-bench/src/run/bench_run.rs
+++ b/crates/mustardhinge-bench/src/run/bench_run.rs
@@ -10,8 +10,8 @@
 use super::report_builder::{MeasuredFigures, build_report};
 use super::thread_usage::read_thread_cpu;
 use super::{
-    BaselineName, FaultInjector, Fleet, GroupObserver, ObservedGroup, RunPlan, count_reads,
-    read_commits,
+    BaselineName, ConfigurationObserver, FaultInjector, Fleet, GroupObserver, ObservedGroup,
+    RunPlan, count_reads, read_commits,
 };
 use crate::check::check_key_secrecy;
 use crate::history::{
@@ -96,6 +96,7 @@
             .iter()
             .map(|group| GroupObserver::start(group.targets.clone(), clock.clock))
             .collect();
+        let configuration = ConfigurationObserver::start(Arc::clone(fleet), clock.clock);
         let calls_before = fleet.platform.calls().total();
         let cpu_before = read_thread_cpu("agent");
         let mut injector = FaultInjector::new(Arc::clone(fleet), clock);
@@ -111,6 +112,8 @@
             operations: operations?,
             limits: list_limits(&fleet.profile),
             withdrawals: std::mem::take(&mut injector.withdrawals),
+            updates: std::mem::take(&mut injector.updates),
+            sightings: configuration.finish().await?,
             stops: std::mem::take(&mut injector.stops),
             leaving: std::mem::take(&mut injector.leaving),
             faults: std::mem::take(&mut injector.faults),
--- a/crates/mustardhinge-bench/src/run/fault_injector.rs
+++ b/crates/mustardhinge-bench/src/run/fault_injector.rs
@@ -1,13 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::bail;
 use mustardhinge_core::prelude::*;
 use mustardhinge_standins::forward::ForwardHandle;
 use mustardhinge_standins::platform::InstanceState;
 
+use super::operator_race::race_operators;
 use super::{FaultName, Fleet, RunPlan, ServiceText};
-use crate::history::{FaultMark, KeyWithdrawal, LeavingWork, PlannedStop};
+use crate::history::{AcceptedUpdate, FaultMark, KeyWithdrawal, LeavingWork, PlannedStop};
 use crate::load::SessionClock;
 
 /// How long a paused instance stands still.
@@ -41,6 +41,8 @@
     pub withdrawals: Vec<KeyWithdrawal>,
     /// The instances stopped as planned.
     pub stops: Vec<PlannedStop>,
+    /// The updates that operators were told are accepted.
+    pub updates: Vec<AcceptedUpdate>,
     /// The targets marked as leaving.
     pub leaving: Vec<LeavingWork>,
     leaving_marks: Vec<(usize, usize, usize)>,
@@ -56,6 +58,7 @@
             faults: Vec::new(),
             withdrawals: Vec::new(),
             stops: Vec::new(),
+            updates: Vec::new(),
             leaving: Vec::new(),
             leaving_marks: Vec::new(),
         }
@@ -124,7 +127,10 @@
             FaultName::KeyWithdrawal => self.withdraw_key()?,
             FaultName::RollingReplace => self.replace_instances().await?,
             FaultName::TargetLeaving => self.mark_leaving().await?,
-            FaultName::OperatorRace => bail!("{fault} can't be caused yet"),
+            FaultName::OperatorRace => {
+                self.updates
+                    .extend(race_operators(&fleet, self.clock).await?);
+            }
         }
         Ok(())
     }
--- a/crates/mustardhinge-bench/src/run/fleet.rs
+++ b/crates/mustardhinge-bench/src/run/fleet.rs
@@ -44,6 +44,33 @@
         profile: DeploymentProfile,
         baseline: Option<BaselineName>,
         rows: &BTreeMap<ServiceId, Vec<(String, String)>>,
+    ) -> anyhow::Result<Self> {
+        let mut fleet = Self::start_groups(profile, rows).await?;
+        fleet.put_documents(baseline)?;
+        fleet.start_instances(baseline).await?;
+        Ok(fleet)
+    }
+
+    /// Starts everything but the entries, to measure agents at rest.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part can't be started.
+    pub async fn start_agents(profile: DeploymentProfile) -> anyhow::Result<Self> {
+        let mut fleet = Self::start_groups(profile, &BTreeMap::new()).await?;
+        fleet.put_documents(None)?;
+        for number in 1..=fleet.profile.instances {
+            let setup = fleet.make_setup(number, None)?;
+            let instance = FleetInstance::start_agent(setup).await?;
+            fleet.list_instance(&instance, InstanceState::Live);
+            fleet.instances.push(Arc::new(Mutex::new(instance)));
+        }
+        Ok(fleet)
+    }
+
+    async fn start_groups(
+        profile: DeploymentProfile,
+        rows: &BTreeMap<ServiceId, Vec<(String, String)>>,
     ) -> anyhow::Result<Self> {
         let platform = PlatformBuilder::default()
             .instance_lag(INSTANCE_LAG)
@@ -54,15 +81,12 @@
             let rows = rows.get(service).map_or(&[][..], Vec::as_slice);
             groups.push(FleetGroup::start(&profile, service, rows).await?);
         }
-        let mut fleet = Self {
+        Ok(Self {
             profile,
             platform,
             groups,
             instances: Vec::new(),
-        };
-        fleet.put_documents(baseline)?;
-        fleet.start_instances(baseline).await?;
-        Ok(fleet)
+        })
     }
 
     fn put_documents(&self, baseline: Option<BaselineName>) -> anyhow::Result<()> {
@@ -98,18 +122,7 @@
 
     async fn start_instances(&mut self, baseline: Option<BaselineName>) -> anyhow::Result<()> {
         for number in 1..=self.profile.instances {
-            let zone = (number as usize - 1) % self.profile.zones.len();
-            let setup = InstanceSetup {
-                instance: format!("instance-{number}").parse()?,
-                zone: self.profile.zones[zone].clone(),
-                platform: self.platform.address(),
-                platform_delay: self.profile.zone_delay,
-                caller_delay: self.profile.caller_delay,
-                budget_policy: match baseline {
-                    Some(BaselineName::StaticShares) => "static-shares",
-                    _ => "escrow",
-                },
-            };
+            let setup = self.make_setup(number, baseline)?;
             let instance = FleetInstance::start(setup).await?;
             self.list_instance(&instance, InstanceState::Live);
             self.instances.push(Arc::new(Mutex::new(instance)));
@@ -123,6 +136,34 @@
         Ok(())
     }
 
+    fn make_setup(
+        &self,
+        number: u32,
+        baseline: Option<BaselineName>,
+    ) -> anyhow::Result<InstanceSetup> {
+        let zone = (number as usize - 1) % self.profile.zones.len();
+        Ok(InstanceSetup {
+            instance: format!("instance-{number}").parse()?,
+            zone: self.profile.zones[zone].clone(),
+            platform: self.platform.address(),
+            platform_delay: self.profile.zone_delay,
+            caller_delay: self.profile.caller_delay,
+            budget_policy: match baseline {
+                Some(BaselineName::StaticShares) => "static-shares",
+                _ => "escrow",
+            },
+        })
+    }
+
+    /// Returns where the entries listen, without the callers' delay.
+    pub async fn entry_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let mut addresses = Vec::new();
+        for instance in &self.instances {
+            addresses.push(instance.lock().await.entry_address());
+        }
+        addresses
+    }
+
     /// Puts an instance into the platform's list.
     pub fn list_instance(&self, instance: &FleetInstance, state: InstanceState) {
         self.platform.put_instance(InstanceEntry {
--- a/crates/mustardhinge-bench/src/run/fleet_instance.rs
+++ b/crates/mustardhinge-bench/src/run/fleet_instance.rs
@@ -37,6 +37,21 @@
 }
 
 impl FleetInstance {
+    /// Starts the agent alone.
+    pub(super) async fn start_agent(setup: InstanceSetup) -> anyhow::Result<Self> {
+        let agent = start_agent(&setup, ANY_ADDRESS).await?;
+        let link = DelayForwarder::start(ANY_ADDRESS, setup.platform).await?;
+        Ok(Self {
+            agent_address: agent.0.address(),
+            entry_address: ANY_ADDRESS,
+            platform_link: link.clone(),
+            link,
+            agent: Some(agent),
+            entry: None,
+            setup,
+        })
+    }
+
     /// Starts the agent, the entry and the network in front of the entry.
     pub(super) async fn start(mut setup: InstanceSetup) -> anyhow::Result<Self> {
         let platform_link = DelayForwarder::start(ANY_ADDRESS, setup.platform).await?;
@@ -88,6 +103,20 @@
         self.agent_address
     }
 
+    /// Returns where the agent serves operators, while it runs.
+    #[must_use]
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.agent
+            .as_ref()
+            .map(|(agent, _)| agent.operator_address())
+    }
+
+    /// Returns where the entry listens, without the callers' delay.
+    #[must_use]
+    pub fn entry_address(&self) -> SocketAddr {
+        self.entry_address
+    }
+
     /// Returns the entry, while it runs.
     #[must_use]
     pub fn entry(&self) -> Option<&EntryProcess> {
--- a/crates/mustardhinge-bench/src/run/service_text.rs
+++ b/crates/mustardhinge-bench/src/run/service_text.rs
@@ -9,6 +9,9 @@
     REASSIGN_ROUTE,
 };
 
+/// Thousandths of a request in one request.
+const MILLIS_PER_REQUEST: u64 = 1_000;
+
 /// The document of a service, as its operators would write it.
 #[derive(Clone, Debug)]
 pub struct ServiceText<'a> {
@@ -17,6 +20,7 @@
     addresses: &'a [SocketAddr],
     leaving: Vec<usize>,
     withdrawn: Option<CustomerId>,
+    extra_burst: u64,
 }
 
 impl<'a> ServiceText<'a> {
@@ -33,6 +37,7 @@
             addresses,
             leaving: Vec::new(),
             withdrawn: None,
+            extra_burst: 0,
         }
     }
 
@@ -50,6 +55,13 @@
         self
     }
 
+    /// Adds requests to the burst of every customer.
+    #[must_use]
+    pub const fn extra_burst(mut self, requests: u64) -> Self {
+        self.extra_burst = requests;
+        self
+    }
+
     /// Writes the document.
     #[must_use]
     pub fn to_toml(&self) -> String {
@@ -83,11 +95,9 @@
     fn write_customers(&self, text: &mut String) -> std::fmt::Result {
         for customer in &self.profile.customers {
             writeln!(text, "[[customer]]\nname = \"{}\"", customer.customer)?;
-            writeln!(
-                text,
-                "rate = \"{}\"\nburst = \"{}\"",
-                customer.rate, customer.burst
-            )?;
+            let extra = self.extra_burst * MILLIS_PER_REQUEST;
+            let burst = RequestBurst::from_millis(customer.burst.as_millis() + extra);
+            writeln!(text, "rate = \"{}\"\nburst = \"{}\"", customer.rate, burst)?;
             let digest = KeyDigest::of(customer.key().as_bytes());
             if self.withdrawn.as_ref() != Some(&customer.customer) {
                 writeln!(text, "keys = [\"{digest}\"]")?;
--- a/crates/mustardhinge-bench/src/run/thread_usage.rs
+++ b/crates/mustardhinge-bench/src/run/thread_usage.rs
@@ -2,7 +2,8 @@
 
 /// Returns the processor time of this process's threads whose name begins with
 /// `prefix`.
-pub(super) fn read_thread_cpu(prefix: &str) -> Duration {
+#[must_use]
+pub fn read_thread_cpu(prefix: &str) -> Duration {
     let Ok(threads) = std::fs::read_dir("/proc/self/task") else {
         return Duration::ZERO;
     };
--- a/crates/mustardhinge-bench/src/slope/mod.rs
+++ b/crates/mustardhinge-bench/src/slope/mod.rs
@@ -1,5 +1,7 @@
 //! Slopes from which docs/CAPACITY.md works out the two-year size.
 
+mod agent_slope;
+mod connection_slope;
 mod document_slope;
 mod group_slope;
 mod process_usage;
--- a/crates/mustardhinge-bench/src/slope/slope_name.rs
+++ b/crates/mustardhinge-bench/src/slope/slope_name.rs
@@ -3,6 +3,8 @@
 use anyhow::bail;
 
 use super::SlopePoint;
+use super::agent_slope::measure_agents;
+use super::connection_slope::measure_connections;
 use super::document_slope::measure_documents;
 use super::group_slope::measure_groups;
 
@@ -13,6 +15,10 @@
     Groups,
     /// The documents of services, by customers.
     Documents,
+    /// Idle connections at an entry.
+    Connections,
+    /// Agents at rest.
+    Agents,
 }
 
 impl SlopeName {
@@ -25,6 +31,8 @@
         match self {
             Self::Groups => measure_groups(),
             Self::Documents => measure_documents(),
+            Self::Connections => measure_connections(),
+            Self::Agents => measure_agents(),
         }
     }
 }
@@ -36,7 +44,9 @@
         match text {
             "groups" => Ok(Self::Groups),
             "documents" => Ok(Self::Documents),
-            _ => bail!("{text:?} is no slope: groups, documents are"),
+            "connections" => Ok(Self::Connections),
+            "agents" => Ok(Self::Agents),
+            _ => bail!("{text:?} is no slope: groups, documents, connections, agents are"),
         }
     }
 }
--- a/crates/mustardhinge-bench/tests/suite/planted_faults.rs
+++ b/crates/mustardhinge-bench/tests/suite/planted_faults.rs
@@ -262,3 +262,60 @@
     history.leaving[0].late_statements = 0;
     assert_eq!(check_leaving_target(&history), []);
 }
+
+fn sighting(instance: &str, version: u64, at_ms: u64) -> VersionSighting {
+    VersionSighting {
+        service: id("haulage"),
+        instance: id(instance),
+        version: DocumentVersion::new(version),
+        at: MonotonicTime::from_millis(at_ms),
+    }
+}
+
+fn update(operation: &str, version: u64) -> AcceptedUpdate {
+    AcceptedUpdate {
+        service: id("haulage"),
+        operation: operation.to_owned(),
+        version: DocumentVersion::new(version),
+        at: MonotonicTime::from_millis(1_000),
+    }
+}
+
+#[test]
+fn a_version_that_goes_back_is_found() {
+    let sightings = vec![sighting("i-1", 5, 0), sighting("i-1", 7, 10)];
+    let mut history = RunHistory {
+        sightings,
+        ..RunHistory::default()
+    };
+    assert_eq!(check_configuration_order(&history), []);
+    history.sightings.push(sighting("i-1", 5, 20));
+    let violations = check_configuration_order(&history);
+    assert_eq!(rules(&violations), [RuleName::ConfigurationOrder]);
+}
+
+#[test]
+fn two_updates_accepted_under_one_version_are_found() {
+    let mut history = RunHistory {
+        sightings: vec![sighting("i-1", 7, 1_100)],
+        updates: vec![update("first", 7)],
+        ..RunHistory::default()
+    };
+    assert_eq!(check_configuration_order(&history), []);
+    history.updates.push(update("second", 7));
+    let violations = check_configuration_order(&history);
+    assert_eq!(rules(&violations), [RuleName::ConfigurationOrder]);
+}
+
+#[test]
+fn an_accepted_version_that_is_not_in_force_everywhere_is_found() {
+    let mut history = RunHistory {
+        sightings: vec![sighting("i-1", 7, 1_100), sighting("i-2", 6, 0)],
+        updates: vec![update("first", 7)],
+        ..RunHistory::default()
+    };
+    let violations = check_configuration_order(&history);
+    assert_eq!(rules(&violations), [RuleName::ConfigurationOrder]);
+    history.sightings.push(sighting("i-2", 7, 3_999));
+    assert_eq!(check_configuration_order(&history), []);
+}
