--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -2,8 +2,10 @@
 
 mod cold_start;
 mod documents;
+mod escrow;
 mod failover;
 mod operator_api;
 mod peers;
+mod process;
 mod scaffold;
 mod static_shares;
