Wait briefly for a nearly current replica before the primary serves

Cause: a read whose floor no replica had reached went to the primary at once if that had it, also when a replica was a millisecond behind. And a replica's lag was taken as the time since it was last known to be current, so after a rest of 100 ms between two reports each replica looked slow.

The router now waits up to 5 ms for a replica that has been behind for less than that; the history keeps the first and the last time of each floor, so that the time behind is known. A replica that lags for longer is not waited for. No measurement of the share of reads at replicas was made here.

--- a/crates/mustardhinge-core/src/replication/floor_history.rs
+++ b/crates/mustardhinge-core/src/replication/floor_history.rs
@@ -11,7 +11,15 @@
 /// grow from entry to entry.
 #[derive(Clone, Debug, Default)]
 pub struct FloorHistory {
-    floors: VecDeque<(MonotonicTime, LogPosition)>,
+    floors: VecDeque<FloorSpan>,
+}
+
+/// A floor, and the first and the last time at which it was found.
+#[derive(Clone, Copy, Debug)]
+struct FloorSpan {
+    floor: LogPosition,
+    first_at: MonotonicTime,
+    last_at: MonotonicTime,
 }
 
 impl FloorHistory {
@@ -24,13 +32,20 @@
     /// Adds the floor of a time; one that is not newer than the last is
     /// dropped.
     pub fn record(&mut self, at: MonotonicTime, floor: LogPosition) {
-        if self.floors.back().is_some_and(|(last, _)| *last >= at) {
+        if self.floors.back().is_some_and(|last| last.last_at >= at) {
             return;
         }
-        while self.floors.back().is_some_and(|(_, last)| *last >= floor) {
+        while self.floors.back().is_some_and(|last| last.floor > floor) {
             self.floors.pop_back();
         }
-        self.floors.push_back((at, floor));
+        match self.floors.back_mut() {
+            Some(last) if last.floor == floor => last.last_at = at,
+            _ => self.floors.push_back(FloorSpan {
+                floor,
+                first_at: at,
+                last_at: at,
+            }),
+        }
         if self.floors.len() > MAX_FLOORS {
             self.floors.pop_front();
         }
@@ -40,16 +55,29 @@
     /// acknowledged write; the age of a server there is the time since.
     #[must_use]
     pub fn fresh_at(&self, applied: LogPosition) -> Option<MonotonicTime> {
-        let reached = self.floors.partition_point(|(_, floor)| *floor <= applied);
-        let (at, _) = self.floors.get(reached.checked_sub(1)?)?;
-        Some(*at)
+        let reached = self.reached(applied);
+        let span = self.floors.get(reached.checked_sub(1)?)?;
+        Some(span.last_at)
+    }
+
+    /// Returns since when a server at `applied` is known to be behind, or `None`
+    /// if it is at or past the newest floor.
+    #[must_use]
+    pub fn behind_since(&self, applied: LogPosition) -> Option<MonotonicTime> {
+        let span = self.floors.get(self.reached(applied))?;
+        Some(span.first_at)
     }
 
     /// Returns the least position known to hold every write acknowledged
     /// before `since`, or `None` if no floor of that time or later is known.
     #[must_use]
     pub fn floor_since(&self, since: MonotonicTime) -> Option<LogPosition> {
-        let index = self.floors.partition_point(|(at, _)| *at < since);
-        self.floors.get(index).map(|(_, floor)| *floor)
+        let index = self.floors.partition_point(|span| span.last_at < since);
+        self.floors.get(index).map(|span| span.floor)
+    }
+
+    /// Returns how many floors are at or before `applied`.
+    fn reached(&self, applied: LogPosition) -> usize {
+        self.floors.partition_point(|span| span.floor <= applied)
     }
 }
--- a/crates/mustardhinge-core/src/routing/mod.rs
+++ b/crates/mustardhinge-core/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! The choice of a target for each read.
 
+mod read_candidates;
 mod read_query;
 mod read_route;
 mod read_router;
--- a/crates/mustardhinge-core/src/routing/read_router.rs
+++ b/crates/mustardhinge-core/src/routing/read_router.rs
@@ -6,6 +6,7 @@
 use crate::session::ReadRequirement;
 use crate::units::{LogPosition, MonotonicTime};
 
+use super::read_candidates::{ReadCandidates, primary_route};
 use super::{ReadQuery, ReadRoute, RouterSettings, TargetState};
 
 /// Chooses the target of each read of one group.
@@ -45,83 +46,70 @@
         let Some(floor) = required_position(query.requirement, history, now) else {
             return ReadRoute::NeedsFloor;
         };
-        if let Some(route) = self.choose(query, &available, floor) {
-            return route;
-        }
-        let replicas = available.iter().filter(|state| !state.is_primary);
-        let replica = replicas.max_by_key(|state| (state.applied, self.zone == state.zone));
-        let primary = available.iter().find(|state| state.is_primary);
-        let patience = self.replica_patience(query, now);
-        let is_near = |state: &&&TargetState| is_caught_up(state, history, now, patience);
-        let candidates = WaitCandidates {
-            near_replica: replica.filter(is_near).copied(),
-            primary: primary.copied(),
-            replica: replica.copied(),
+        let is_replica = |state: &&TargetState| !state.is_primary;
+        let (mut replicas, primary): (Vec<_>, Vec<_>) = available.into_iter().partition(is_replica);
+        replicas.sort_by_key(|state| self.rank(state));
+        let candidates = ReadCandidates {
+            primary: primary.first().copied(),
+            replicas,
+            floor,
         };
-        self.wait(query, &candidates, floor, now)
+        self.read_at_replica(query, &candidates)
+            .or_else(|| self.wait_for_replica(query, &candidates, history, now))
+            .or_else(|| candidates.read_at_primary())
+            .unwrap_or_else(|| self.wait_for_any(query, &candidates, now))
     }
 
-    /// Chooses among the targets that have applied the floor.
-    fn choose(
+    /// Reads at the best replica that has applied the floor; if that one has
+    /// too much to do, at the primary if that has less.
+    fn read_at_replica(
         &self,
         query: &ReadQuery,
-        available: &[&TargetState],
-        floor: LogPosition,
+        candidates: &ReadCandidates<'_>,
     ) -> Option<ReadRoute> {
-        let current = available.iter().filter(|state| state.applied >= floor);
-        let (primary, mut replicas): (Vec<_>, Vec<_>) =
-            current.copied().partition(|state| state.is_primary);
-        replicas.sort_by_key(|state| self.rank(state));
-        let is_free = |state: &&TargetState| !self.is_overloaded(state);
-        if let Some(first) = replicas.first().copied().filter(is_free) {
-            let second = replicas
-                .get(1)
-                .filter(|state| state.in_flight < state.slots);
-            let hedge = second.filter(|_| query.is_hedgeable());
-            return Some(ReadRoute::Replica {
-                target: first.target.clone(),
-                hedge: hedge.map(|state| state.target.clone()),
-            });
-        }
-        let least_loaded = replicas.first().copied();
-        let spill = primary.into_iter().next();
-        match (spill, least_loaded) {
-            (Some(primary), Some(replica)) if self.is_overloaded(primary) => {
-                Some(replica_route(replica))
-            }
-            (Some(primary), _) => Some(ReadRoute::Primary(primary.target.clone())),
-            (None, Some(replica)) => Some(replica_route(replica)),
-            (None, None) => None,
+        let mut current = candidates.current_replicas();
+        let first = current.next()?;
+        if self.is_overloaded(first) {
+            let primary = candidates.current_primary();
+            let spill = primary.filter(|state| !self.is_overloaded(state));
+            return Some(spill.map_or_else(|| replica_route(first, None), primary_route));
         }
+        let second = current.next().filter(|state| state.in_flight < state.slots);
+        let hedge = second.filter(|_| query.is_hedgeable());
+        Some(replica_route(first, hedge))
     }
 
-    /// Waits for the target that should reach the floor first, or refuses.
-    fn wait(
+    /// Waits for a replica that should reach the floor shortly.
+    fn wait_for_replica(
         &self,
         query: &ReadQuery,
-        candidates: &WaitCandidates<'_>,
-        floor: LogPosition,
+        candidates: &ReadCandidates<'_>,
+        history: &FloorHistory,
         now: MonotonicTime,
-    ) -> ReadRoute {
-        let last_until = query.arrived_at + self.settings.get_primary_wait();
-        let last_until = last_until.min(query.deadline);
-        if now >= last_until {
-            return self.refuse(RefusalReason::FloorNotReached);
-        }
-        if let Some(replica) = candidates.near_replica {
-            let until = now + self.replica_patience(query, now);
-            return wait_for(replica, floor, until.min(last_until));
-        }
-        match candidates.primary.or(candidates.replica) {
-            Some(state) => wait_for(state, floor, last_until),
-            None => self.refuse(RefusalReason::NoTarget),
-        }
+    ) -> Option<ReadRoute> {
+        let until = query.arrived_at + self.settings.get_replica_wait();
+        let until = until.min(query.deadline);
+        let patience = until.saturating_since(now);
+        let replica = candidates.newest_replica()?;
+        let is_near = is_nearly_current(replica, history, now, patience);
+        is_near.then(|| wait_for(replica, candidates.floor, until))
     }
 
-    /// Returns how much longer a read may wait for a replica.
-    fn replica_patience(&self, query: &ReadQuery, now: MonotonicTime) -> Duration {
-        let until = query.arrived_at + self.settings.get_replica_wait();
-        until.saturating_since(now)
+    /// Waits for the primary, or for a replica if there is none; refuses when
+    /// the time for that is over.
+    fn wait_for_any(
+        &self,
+        query: &ReadQuery,
+        candidates: &ReadCandidates<'_>,
+        now: MonotonicTime,
+    ) -> ReadRoute {
+        let until = query.arrived_at + self.settings.get_primary_wait();
+        let until = until.min(query.deadline);
+        let target = candidates.primary.or_else(|| candidates.newest_replica());
+        match target {
+            Some(state) if now < until => wait_for(state, candidates.floor, until),
+            _ => self.refuse(RefusalReason::FloorNotReached),
+        }
     }
 
     /// Orders replicas, the best first.
@@ -143,13 +131,6 @@
     }
 }
 
-/// The targets that a read may wait for.
-struct WaitCandidates<'a> {
-    near_replica: Option<&'a TargetState>,
-    primary: Option<&'a TargetState>,
-    replica: Option<&'a TargetState>,
-}
-
 /// Returns the position that a read requires, or `None` if it takes a floor
 /// round to know it.
 fn required_position(
@@ -168,22 +149,23 @@
     }
 }
 
-/// Returns whether a replica was current so lately that it should reach any
-/// floor within `patience`.
-fn is_caught_up(
+/// Returns whether a replica has been behind for so short a time that it should
+/// reach any floor within `patience`.
+fn is_nearly_current(
     state: &TargetState,
     history: &FloorHistory,
     now: MonotonicTime,
     patience: Duration,
 ) -> bool {
-    let fresh_at = history.fresh_at(state.applied);
-    !patience.is_zero() && fresh_at.is_some_and(|at| now.saturating_since(at) <= patience)
+    let behind_since = history.behind_since(state.applied);
+    let behind = behind_since.map_or(Duration::ZERO, |at| now.saturating_since(at));
+    !patience.is_zero() && behind <= patience
 }
 
-fn replica_route(state: &TargetState) -> ReadRoute {
+fn replica_route(state: &TargetState, hedge: Option<&TargetState>) -> ReadRoute {
     ReadRoute::Replica {
         target: state.target.clone(),
-        hedge: None,
+        hedge: hedge.map(|state| state.target.clone()),
     }
 }
 
--- a/crates/mustardhinge-core/src/routing/router_settings.rs
+++ b/crates/mustardhinge-core/src/routing/router_settings.rs
@@ -10,7 +10,7 @@
 }
 
 impl RouterSettings {
-    const DEFAULT_REPLICA_WAIT: Duration = Duration::from_millis(20);
+    const DEFAULT_REPLICA_WAIT: Duration = Duration::from_millis(5);
     const DEFAULT_PRIMARY_WAIT: Duration = Duration::from_millis(500);
     const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
     const DEFAULT_SPILL_FACTOR: u32 = 4;
--- a/crates/mustardhinge-core/tests/suite/replication.rs
+++ b/crates/mustardhinge-core/tests/suite/replication.rs
@@ -288,3 +288,18 @@
     assert_eq!(history.floor_since(at(11)), Some(position(1, 7)));
     assert_eq!(history.floor_since(at(31)), None);
 }
+
+#[test]
+fn the_history_tells_how_long_a_position_is_behind() {
+    let mut history = FloorHistory::new();
+    for millis in [10, 20, 30] {
+        history.record(at(millis), position(1, 5));
+    }
+    assert_eq!(history.behind_since(position(1, 4)), Some(at(10)));
+    assert_eq!(history.behind_since(position(1, 5)), None);
+    assert_eq!(history.fresh_at(position(1, 5)), Some(at(30)));
+    history.record(at(40), position(1, 6));
+    history.record(at(50), position(1, 5));
+    assert_eq!(history.behind_since(position(1, 4)), Some(at(10)));
+    assert_eq!(history.floor_since(at(45)), Some(position(1, 5)));
+}
--- a/crates/mustardhinge-core/tests/suite/routing.rs
+++ b/crates/mustardhinge-core/tests/suite/routing.rs
@@ -121,11 +121,28 @@
     let wait = ReadRoute::WaitFor {
         target: target(2),
         floor: position(10),
-        until: at(2_020),
+        until: at(2_005),
     };
     assert_eq!(route(floor, &targets([9, 8, 9]), 2_000), wait);
 }
 
+#[test]
+fn a_replica_is_waited_for_briefly_though_the_primary_is_there() {
+    let mut history = FloorHistory::new();
+    history.record(at(1_000), position(8));
+    history.record(at(1_999), position(9));
+    let router = ReadRouter::new(zone("c"), RouterSettings::new());
+    let query = query(ReadRequirement::Floor(position(9)));
+    let route = |now| router.route(&query, &targets([9, 8, 8]), &history, at(now));
+    let wait = ReadRoute::WaitFor {
+        target: target(2),
+        floor: position(9),
+        until: at(2_005),
+    };
+    assert_eq!(route(2_000), wait);
+    assert_eq!(route(2_005), ReadRoute::Primary(target(0)));
+}
+
 #[test]
 fn a_lagging_replica_is_not_waited_for() {
     let floor = ReadRequirement::Floor(position(9));
