Hand over from a leaving primary, and drain before bringing back a server

A server stranded in a greater term was brought back by fencing a primary at work without draining, which would have left the writes under way unknown; it is a planned change now.

--- a/crates/mustardhinge-core/src/failover/election_attempt.rs
+++ b/crates/mustardhinge-core/src/failover/election_attempt.rs
@@ -1,6 +1,6 @@
 use crate::ids::TargetId;
 use crate::replication::{GroupView, ServerReport, ServerRole};
-use crate::units::MonotonicTime;
+use crate::units::{LeaderTerm, MonotonicTime};
 
 use super::{
     AttemptPlan, AttemptProgress, AttemptStep, ElectionContext, FailoverAction, FailoverTimeline,
@@ -13,6 +13,7 @@
 /// new attempt with a greater term may promote another.
 #[derive(Clone, Debug)]
 pub(super) struct ElectionAttempt {
+    pub(super) term: LeaderTerm,
     pub(super) plan: AttemptPlan,
     pub(super) step: AttemptStep,
     pub(super) step_at: MonotonicTime,
@@ -23,13 +24,15 @@
 impl ElectionAttempt {
     /// Starts an attempt; its first action is the claim.
     pub(super) fn start(
+        term: LeaderTerm,
         plan: AttemptPlan,
         last_heard_at: Option<MonotonicTime>,
         now: MonotonicTime,
     ) -> (Self, FailoverAction) {
-        let claim = FailoverAction::Claim { term: plan.term };
-        let timeline = FailoverTimeline::new(plan.term, plan.cause, last_heard_at, now);
+        let claim = FailoverAction::Claim { term };
+        let timeline = FailoverTimeline::new(term, plan.cause, last_heard_at, now);
         let attempt = Self {
+            term,
             plan,
             step: AttemptStep::Claiming,
             step_at: now,
@@ -46,7 +49,7 @@
             return Vec::new();
         }
         self.timeline.claimed_at = Some(now);
-        if !self.plan.is_switchover() {
+        if !self.plan.cause.is_planned() {
             return self.start_fence(context.monitor.view(), now);
         }
         self.enter(AttemptStep::Draining { drained_at: None }, now);
@@ -98,7 +101,7 @@
         let (settings, now) = (context.settings, context.now);
         let view = context.monitor.view();
         let waited = now.saturating_since(self.step_at);
-        let is_overtaken = view.greatest_term() >= self.plan.term;
+        let is_overtaken = view.greatest_term() >= self.term;
         match &self.step {
             AttemptStep::Claiming | AttemptStep::Draining { .. } if is_overtaken => {
                 AttemptProgress::Abandoned(SwitchoverRefusal::Interrupted)
@@ -180,9 +183,8 @@
         };
         let target = target.clone();
         let report = view.report(&target).map(|timed| &timed.report);
-        let is_primary = |report: &ServerReport| {
-            report.role == ServerRole::Primary && report.term == self.plan.term
-        };
+        let is_primary =
+            |report: &ServerReport| report.role == ServerRole::Primary && report.term == self.term;
         if report.is_some_and(is_primary) {
             return self.finish(now);
         }
@@ -191,7 +193,7 @@
         }
         if now.saturating_since(self.sent_at) >= settings.get_resend_interval() {
             self.sent_at = now;
-            let term = self.plan.term;
+            let term = self.term;
             actions.push(FailoverAction::Promote { target, term });
         }
         AttemptProgress::Continue
@@ -203,12 +205,9 @@
         let AttemptStep::Fencing { tally, .. } = &self.step else {
             return None;
         };
-        let (preferred, avoided) = (self.plan.preferred.as_ref(), self.plan.avoided());
-        let chosen = tally.choose(preferred, avoided)?;
-        let is_wanted = match preferred {
-            Some(preferred) => preferred == chosen,
-            None => avoided != Some(chosen),
-        };
+        let preferred = self.plan.preferred.as_ref();
+        let chosen = tally.choose(preferred, &self.plan.avoided)?;
+        let is_wanted = self.plan.is_wanted(chosen);
         let is_awaiting = tally.unanswered().next().is_some();
         (is_wanted || !is_patient || !is_awaiting).then(|| chosen.clone())
     }
@@ -236,7 +235,7 @@
     }
 
     fn start_fence(&mut self, view: &GroupView, now: MonotonicTime) -> Vec<FailoverAction> {
-        let tally = FenceTally::new(self.plan.term, view.members().clone());
+        let tally = FenceTally::new(self.term, view.members().clone());
         let granted_at = None;
         self.enter(AttemptStep::Fencing { tally, granted_at }, now);
         self.resend_fence(now)
@@ -247,7 +246,7 @@
         let AttemptStep::Fencing { tally, .. } = &self.step else {
             return Vec::new();
         };
-        let term = self.plan.term;
+        let term = self.term;
         let fence = |target: &TargetId| FailoverAction::Fence {
             target: target.clone(),
             term,
@@ -259,7 +258,7 @@
         self.timeline.fenced_at = Some(now);
         let action = FailoverAction::Promote {
             target: target.clone(),
-            term: self.plan.term,
+            term: self.term,
         };
         self.enter(AttemptStep::Promoting { target }, now);
         action
--- a/crates/mustardhinge-core/src/failover/election_driver.rs
+++ b/crates/mustardhinge-core/src/failover/election_driver.rs
@@ -7,7 +7,7 @@
 
 use super::{
     AttemptPlan, AttemptProgress, AttemptStep, ClaimAnswer, ElectionAttempt, ElectionContext,
-    FailoverAction, FailoverCause, FailoverTimeline, SwitchoverRefusal,
+    FailoverAction, FailoverTimeline, SwitchoverRefusal,
 };
 
 /// The attempts of one agent at new terms, one after another.
@@ -58,21 +58,14 @@
     /// Starts an attempt in a term that has not been used.
     pub(super) fn start(
         &mut self,
-        cause: FailoverCause,
-        predecessor: Option<TargetId>,
-        preferred: Option<TargetId>,
+        plan: AttemptPlan,
         context: &ElectionContext<'_>,
     ) -> FailoverAction {
         let known = context.monitor.view().greatest_term().max(self.used_term);
         self.used_term = known.next();
-        let plan = AttemptPlan {
-            term: self.used_term,
-            cause,
-            predecessor,
-            preferred,
-        };
         let last_heard_at = context.monitor.last_heard_at();
-        let (attempt, claim) = ElectionAttempt::start(plan, last_heard_at, context.now);
+        let (attempt, claim) =
+            ElectionAttempt::start(self.used_term, plan, last_heard_at, context.now);
         self.attempt = Some(attempt);
         claim
     }
@@ -171,7 +164,7 @@
     }
 
     fn attempt_in(&mut self, term: LeaderTerm) -> Option<&mut ElectionAttempt> {
-        self.attempt.as_mut().filter(|it| it.plan.term == term)
+        self.attempt.as_mut().filter(|it| it.term == term)
     }
 
     fn apply(
@@ -187,16 +180,18 @@
             return actions;
         };
         self.timeline = Some(attempt.timeline);
-        if attempt.plan.is_switchover() {
+        if attempt.plan.cause.is_planned() {
             actions.push(FailoverAction::ReleaseWrites);
+        }
+        if attempt.plan.is_switchover() {
             let refusal = progress.refusal();
             actions.extend(refusal.map(FailoverAction::RefuseSwitchover));
         }
         match progress {
-            AttemptProgress::Promoted(_) => self.promoted_term = attempt.plan.term,
+            AttemptProgress::Promoted(_) => self.promoted_term = attempt.term,
             AttemptProgress::CandidateFailed(target) => {
-                let cause = FailoverCause::NoPrimary;
-                actions.push(self.start(cause, Some(target), None, context));
+                let plan = context.monitor.plan_without(&target);
+                actions.push(self.start(plan, context));
             }
             AttemptProgress::Continue | AttemptProgress::Abandoned(_) => {
                 self.keep_quiet(context);
--- a/crates/mustardhinge-core/src/failover/failover_cause.rs
+++ b/crates/mustardhinge-core/src/failover/failover_cause.rs
@@ -13,11 +13,23 @@
     /// A server has granted a term that came to nothing, and can't follow the
     /// primary of a smaller one.
     ServerStranded,
+    /// The primary is leaving, and another server is not.
+    PrimaryLeaving,
     /// An operator asked for another primary.
     Switchover,
 }
 
 impl FailoverCause {
+    /// Returns whether the primary is at work, so that writes are drained before
+    /// the servers are fenced.
+    #[must_use]
+    pub const fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::ServerStranded | Self::PrimaryLeaving | Self::Switchover
+        )
+    }
+
     /// Returns the label value of the cause.
     #[must_use]
     pub const fn label(self) -> &'static str {
@@ -26,6 +38,7 @@
             Self::ReplicationStalled => "replication_stalled",
             Self::NoPrimary => "no_primary",
             Self::ServerStranded => "server_stranded",
+            Self::PrimaryLeaving => "primary_leaving",
             Self::Switchover => "switchover",
         }
     }
--- a/crates/mustardhinge-core/src/failover/failover_machine.rs
+++ b/crates/mustardhinge-core/src/failover/failover_machine.rs
@@ -1,11 +1,11 @@
 use std::time::Duration;
 
 use crate::ids::TargetId;
-use crate::replication::{GroupMembers, GroupView, ServerReport, ServerRole};
+use crate::replication::{GroupMembers, GroupView, ServerReport};
 use crate::units::{LeaderTerm, MonotonicTime};
 
 use super::{
-    ElectionContext, ElectionDriver, FailoverAction, FailoverCause, FailoverEvent, FailoverPhase,
+    ElectionContext, ElectionDriver, FailoverAction, FailoverEvent, FailoverPhase,
     FailoverSettings, FailoverTimeline, FollowPlan, GroupMonitor, PublishTask, SwitchoverRefusal,
 };
 
@@ -54,6 +54,12 @@
         self.rank = rank;
     }
 
+    /// Sets the servers that are leaving: they become primary only if no other
+    /// can, and one that is primary hands over after a while.
+    pub fn set_leaving(&mut self, leaving: impl IntoIterator<Item = TargetId>) {
+        self.monitor.set_leaving(leaving.into_iter().collect());
+    }
+
     /// Returns what is known of the servers.
     #[must_use]
     pub fn view(&self) -> &GroupView {
@@ -226,13 +232,8 @@
         if now < starts_at || self.driver.is_quiet(now) {
             return None;
         }
-        let primary = self.view().primary();
-        let predecessor = primary.map(|timed| timed.report.target.clone());
-        let keeps_primary = cause == FailoverCause::ServerStranded;
-        let preferred = predecessor.clone().filter(|_| keeps_primary);
-        Some(self.drive(now, |driver, context| {
-            driver.start(cause, predecessor, preferred, context)
-        }))
+        let plan = self.monitor.plan_for(cause);
+        Some(self.drive(now, |driver, context| driver.start(plan, context)))
     }
 
     fn start_switchover(
@@ -240,33 +241,13 @@
         successor: Option<&TargetId>,
         now: MonotonicTime,
     ) -> FailoverAction {
-        match self.plan_switchover(successor) {
-            Ok((primary, successor)) => self.drive(now, |driver, context| {
-                let cause = FailoverCause::Switchover;
-                driver.start(cause, Some(primary), Some(successor), context)
-            }),
-            Err(refusal) => FailoverAction::RefuseSwitchover(refusal),
-        }
-    }
-
-    /// Returns the primary and the server to take over from it.
-    fn plan_switchover(
-        &self,
-        successor: Option<&TargetId>,
-    ) -> Result<(TargetId, TargetId), SwitchoverRefusal> {
         if self.driver.attempt().is_some() {
-            return Err(SwitchoverRefusal::ChangeUnderWay);
+            return FailoverAction::RefuseSwitchover(SwitchoverRefusal::ChangeUnderWay);
+        }
+        match self.monitor.plan_switchover(successor) {
+            Ok(plan) => self.drive(now, |driver, context| driver.start(plan, context)),
+            Err(refusal) => FailoverAction::RefuseSwitchover(refusal),
         }
-        let primary = self.primary().ok_or(SwitchoverRefusal::NoPrimary)?;
-        let reports = self.view().reports().map(|timed| &timed.report);
-        let replicas = reports.filter(|report| {
-            report.role == ServerRole::Replica
-                && report.term == primary.term
-                && successor.is_none_or(|target| *target == report.target)
-        });
-        let chosen = replicas.max_by_key(|report| report.last);
-        let chosen = chosen.ok_or(SwitchoverRefusal::NoSuccessor)?;
-        Ok((primary.target.clone(), chosen.target.clone()))
     }
 
     /// Makes servers follow the primary, and publishes it.
--- a/crates/mustardhinge-core/src/failover/fence_tally.rs
+++ b/crates/mustardhinge-core/src/failover/fence_tally.rs
@@ -78,20 +78,16 @@
     }
 
     /// Returns the server to promote: the preferred one if that is safe, else
-    /// the safe one with the greatest position, if possible not the avoided
+    /// the safe one with the greatest position, if possible not an avoided
     /// one.
     #[must_use]
-    pub fn choose(
-        &self,
-        preferred: Option<&TargetId>,
-        avoided: Option<&TargetId>,
-    ) -> Option<&TargetId> {
+    pub fn choose(&self, preferred: Option<&TargetId>, avoided: &[TargetId]) -> Option<&TargetId> {
         if let Some(target) = preferred.filter(|target| self.is_safe(target)) {
             return self.granted.get_key_value(target).map(|(target, _)| target);
         }
         let safe = self.granted.iter();
         let safe = safe.filter(|(target, _)| self.is_safe(target));
-        let best = safe.max_by_key(|(target, last)| (Some(*target) != avoided, **last));
+        let best = safe.max_by_key(|(target, last)| (!avoided.contains(target), **last));
         best.map(|(target, _)| target)
     }
 }
--- a/crates/mustardhinge-core/src/failover/group_monitor.rs
+++ b/crates/mustardhinge-core/src/failover/group_monitor.rs
@@ -1,9 +1,13 @@
+use std::collections::BTreeSet;
+
 use crate::ids::{InstanceId, TargetId};
-use crate::replication::{GroupMembers, GroupView, ServerReport};
+use crate::replication::{GroupMembers, GroupView, ServerReport, ServerRole};
 use crate::units::{LeaderTerm, MonotonicTime};
 
 use super::primary_diagnosis::current_primary;
-use super::{FailoverCause, FailoverSettings, PrimaryDiagnosis, PrimaryWatch};
+use super::{
+    AttemptPlan, FailoverCause, FailoverSettings, PrimaryDiagnosis, PrimaryWatch, SwitchoverRefusal,
+};
 
 /// What is known of a group's servers, and whether its primary is at work.
 #[derive(Clone, Debug)]
@@ -11,6 +15,7 @@
     view: GroupView,
     watch: Option<PrimaryWatch>,
     diagnosis: PrimaryDiagnosis,
+    leaving: BTreeSet<TargetId>,
 }
 
 impl GroupMonitor {
@@ -20,6 +25,7 @@
             view: GroupView::new(members),
             watch: None,
             diagnosis: PrimaryDiagnosis::default(),
+            leaving: BTreeSet::new(),
         }
     }
 
@@ -109,7 +115,86 @@
         settings: &FailoverSettings,
         now: MonotonicTime,
     ) -> Option<(FailoverCause, MonotonicTime)> {
+        let is_leaving = self.is_primary_leaving();
+        self.diagnosis.note_leaving(is_leaving, now);
         self.diagnosis
             .update(&self.view, self.watch.as_ref(), settings, now)
     }
+
+    /// Sets the servers that are leaving.
+    pub(super) fn set_leaving(&mut self, leaving: BTreeSet<TargetId>) {
+        self.leaving = leaving;
+    }
+
+    /// Returns the plan to meet a cause that was diagnosed.
+    pub(super) fn plan_for(&self, cause: FailoverCause) -> AttemptPlan {
+        let predecessor = self.view.primary();
+        let predecessor = predecessor.map(|timed| timed.report.target.clone());
+        let preferred = match cause {
+            FailoverCause::ServerStranded => predecessor.clone(),
+            FailoverCause::PrimaryLeaving => self.successor(None),
+            _ => None,
+        };
+        AttemptPlan {
+            cause,
+            avoided: self.avoided(predecessor.as_ref()),
+            predecessor,
+            preferred,
+        }
+    }
+
+    /// Returns the plan after a server could not be promoted.
+    pub(super) fn plan_without(&self, failed: &TargetId) -> AttemptPlan {
+        AttemptPlan {
+            cause: FailoverCause::NoPrimary,
+            avoided: self.avoided(Some(failed)),
+            predecessor: None,
+            preferred: None,
+        }
+    }
+
+    /// Returns the plan of a switchover to `successor`, or to any replica.
+    pub(super) fn plan_switchover(
+        &self,
+        successor: Option<&TargetId>,
+    ) -> Result<AttemptPlan, SwitchoverRefusal> {
+        let primary = self.primary().ok_or(SwitchoverRefusal::NoPrimary)?;
+        let chosen = self.successor(successor);
+        let chosen = chosen.ok_or(SwitchoverRefusal::NoSuccessor)?;
+        Ok(AttemptPlan {
+            cause: FailoverCause::Switchover,
+            avoided: self.avoided(Some(&primary.target)),
+            predecessor: Some(primary.target.clone()),
+            preferred: Some(chosen),
+        })
+    }
+
+    /// Returns whether the primary is leaving and a replica that stays could
+    /// take over.
+    fn is_primary_leaving(&self) -> bool {
+        let primary = self.primary();
+        let is_leaving = primary.is_some_and(|primary| self.leaving.contains(&primary.target));
+        is_leaving && self.successor(None).is_some()
+    }
+
+    /// Returns the replica with the newest log among those that stay, or
+    /// `named` if that is a replica.
+    fn successor(&self, named: Option<&TargetId>) -> Option<TargetId> {
+        let primary = self.primary()?;
+        let is_eligible = |report: &&ServerReport| match named {
+            Some(named) => report.target == *named,
+            None => !self.leaving.contains(&report.target),
+        };
+        let reports = self.view.reports().map(|timed| &timed.report);
+        let replicas = reports
+            .filter(|report| report.role == ServerRole::Replica && report.term == primary.term);
+        let chosen = replicas
+            .filter(is_eligible)
+            .max_by_key(|report| report.last)?;
+        Some(chosen.target.clone())
+    }
+
+    fn avoided(&self, other: Option<&TargetId>) -> Vec<TargetId> {
+        self.leaving.iter().chain(other).cloned().collect()
+    }
 }
--- a/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
+++ b/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
@@ -11,6 +11,7 @@
     suspected: Option<(FailoverCause, MonotonicTime)>,
     missing_since: Option<MonotonicTime>,
     stranded_since: Option<MonotonicTime>,
+    leaving_since: Option<MonotonicTime>,
 }
 
 impl PrimaryDiagnosis {
@@ -23,7 +24,8 @@
         settings: &FailoverSettings,
         now: MonotonicTime,
     ) -> Option<(FailoverCause, MonotonicTime)> {
-        let cause = self.cause(view, watch, settings, now);
+        let cause = self.fault(view, watch, settings, now);
+        let cause = cause.or_else(|| self.repair(view, settings, now));
         self.suspected = cause.map(|cause| match self.suspected {
             Some((before, since)) if before == cause => (cause, since),
             _ => (cause, now),
@@ -41,31 +43,55 @@
         self.suspected.is_some()
     }
 
-    fn cause(
+    /// Notes whether the primary is leaving while another server could take
+    /// over from it.
+    pub(super) fn note_leaving(&mut self, is_leaving: bool, now: MonotonicTime) {
+        has_lasted(&mut self.leaving_since, is_leaving, now);
+    }
+
+    /// Returns the fault by which the group has no primary at work.
+    fn fault(
         &mut self,
         view: &GroupView,
         watch: Option<&PrimaryWatch>,
         settings: &FailoverSettings,
         now: MonotonicTime,
     ) -> Option<FailoverCause> {
-        let primary = current_primary(view);
-        let is_missing = has_lasted(&mut self.missing_since, primary.is_none(), now);
-        let is_stranded = primary.is_some_and(|timed| view.greatest_term() > timed.report.term);
-        let is_stranded = has_lasted(&mut self.stranded_since, is_stranded, now);
+        let is_missing = current_primary(view).is_none();
+        let missing = has_lasted(&mut self.missing_since, is_missing, now);
         if !reaches_majority(view, settings.get_silence_limit(), now) {
             return None;
         }
-        if is_missing > settings.get_silence_limit() {
+        if missing > settings.get_silence_limit() {
             return Some(FailoverCause::NoPrimary);
         }
-        let watch = watch.filter(|_| primary.is_some())?;
+        let watch = watch.filter(|_| !is_missing)?;
         if watch.is_silent(settings, now) {
             return Some(FailoverCause::PrimarySilent);
         }
-        if watch.is_stalled(settings, now) {
-            return Some(FailoverCause::ReplicationStalled);
+        let is_stalled = watch.is_stalled(settings, now);
+        is_stalled.then_some(FailoverCause::ReplicationStalled)
+    }
+
+    /// Returns the reason for which a primary at work begins a new term.
+    fn repair(
+        &mut self,
+        view: &GroupView,
+        settings: &FailoverSettings,
+        now: MonotonicTime,
+    ) -> Option<FailoverCause> {
+        let primary = current_primary(view);
+        let is_stranded = primary.is_some_and(|timed| view.greatest_term() > timed.report.term);
+        let stranded = has_lasted(&mut self.stranded_since, is_stranded, now);
+        let limit = settings.get_repair_limit();
+        let reaches_majority = reaches_majority(view, settings.get_silence_limit(), now);
+        primary.filter(|_| reaches_majority)?;
+        if stranded > limit {
+            return Some(FailoverCause::ServerStranded);
         }
-        (is_stranded > settings.get_repair_limit()).then_some(FailoverCause::ServerStranded)
+        let leaving_since = self.leaving_since?;
+        let leaving = now.saturating_since(leaving_since);
+        (leaving > limit).then_some(FailoverCause::PrimaryLeaving)
     }
 }
 
--- a/crates/mustardhinge-core/tests/suite/failover/change.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/change.rs
@@ -148,13 +148,13 @@
     grant(&mut tally, 0, position(1, 9));
     grant(&mut tally, 1, position(2, 4));
     grant(&mut tally, 2, position(3, 10));
-    assert_eq!(tally.choose(None, None), None);
+    assert_eq!(tally.choose(None, &[]), None);
     grant(&mut tally, 3, position(2, 5));
     assert!(tally.is_granted());
-    assert_eq!(tally.choose(Some(&target(0)), None), Some(&target(3)));
+    assert_eq!(tally.choose(Some(&target(0)), &[]), Some(&target(3)));
     grant(&mut tally, 4, position(1, 2));
-    assert_eq!(tally.choose(Some(&target(1)), None), Some(&target(1)));
-    assert_eq!(tally.choose(None, Some(&target(3))), Some(&target(1)));
+    assert_eq!(tally.choose(Some(&target(1)), &[]), Some(&target(1)));
+    assert_eq!(tally.choose(None, &[target(3)]), Some(&target(1)));
     assert!(!tally.is_safe(&target(0)));
 }
 
--- a/crates/mustardhinge-core/tests/suite/failover/switchover.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/switchover.rs
@@ -89,3 +89,35 @@
     assert!(rig.has_done(is_release));
     assert_ne!(rig.machine.primary().unwrap().target, target(0));
 }
+
+#[test]
+fn a_leaving_primary_hands_over_to_a_server_that_stays() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.machine.set_leaving([target(0), target(1)]);
+    rig.run(1_200);
+    assert_eq!(rig.promoted(), vec![2]);
+    assert!(rig.has_done(is_hold) && rig.has_done(is_release));
+    rig.machine.set_leaving([target(0), target(1), target(2)]);
+    rig.run(3_000);
+    assert_eq!(rig.promoted(), vec![2]);
+}
+
+#[test]
+fn a_leaving_server_takes_over_only_if_no_other_can() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.machine.set_leaving([target(2)]);
+    rig.kill(0);
+    rig.run(500);
+    assert_eq!(rig.promoted(), vec![1]);
+}
+
+#[test]
+fn writes_are_drained_before_a_stranded_server_is_brought_back() {
+    let mut rig = FailoverRig::new(3, 0);
+    let term = rig.group.report(0).term.next();
+    assert!(rig.group.fence(2, term, 99));
+    rig.run_until(is_promote);
+    let mut kinds = rig.actions.iter().map(|(_, action)| action);
+    assert!(kinds.any(is_hold));
+    assert!(kinds.any(|action| matches!(action, FailoverAction::Fence { .. })));
+}
