--- a/crates/mustardhinge-core/tests/suite/failover/switchover.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/switchover.rs
@@ -100,6 +100,7 @@
     rig.machine.set_leaving([target(0), target(1), target(2)]);
     rig.run(3_000);
     assert_eq!(rig.promoted(), vec![2]);
+    assert_eq!(rig.count(is_hold), 1);
 }
 
 #[test]
--- a/crates/mustardhinge-core/tests/suite/group/group_harness.rs
+++ b/crates/mustardhinge-core/tests/suite/group/group_harness.rs
@@ -119,7 +119,13 @@
             ScheduleStep::PauseAgent { agent, millis } => {
                 self.agents[agent].paused_until = self.now + Duration::from_millis(millis);
             }
-            ScheduleStep::RestartAgent { agent } => self.agents[agent] = self.new_agent(agent),
+            ScheduleStep::RestartAgent { agent, rank } => {
+                self.agents[agent] = self.new_agent(rank);
+            }
+            ScheduleStep::Leave { agent, server } => {
+                let leaving = [target(server % servers)];
+                self.agents[agent].machine.set_leaving(leaving);
+            }
             ScheduleStep::ToggleServer { server } => {
                 let server = &mut self.group.servers[server % servers];
                 server.is_up = !server.is_up;
--- a/crates/mustardhinge-core/tests/suite/group/schedule_step.rs
+++ b/crates/mustardhinge-core/tests/suite/group/schedule_step.rs
@@ -11,7 +11,8 @@
     Lose { index: usize },
     Advance { millis: u64, deliver: bool },
     PauseAgent { agent: usize, millis: u64 },
-    RestartAgent { agent: usize },
+    RestartAgent { agent: usize, rank: usize },
+    Leave { agent: usize, server: usize },
     ToggleServer { server: usize },
     ToggleLink { agent: usize, server: usize },
     ToggleStore,
@@ -38,7 +39,10 @@
             .prop_map(|(millis, deliver)| Step::Advance { millis, deliver }),
         2 => (agent.clone(), 100..900_u64)
             .prop_map(|(agent, millis)| Step::PauseAgent { agent, millis }),
-        1 => agent.clone().prop_map(|agent| Step::RestartAgent { agent }),
+        2 => (agent.clone(), 0..2_usize)
+            .prop_map(|(agent, rank)| Step::RestartAgent { agent, rank }),
+        1 => (agent.clone(), server.clone())
+            .prop_map(|(agent, server)| Step::Leave { agent, server }),
         4 => server.clone().prop_map(|server| Step::ToggleServer { server }),
         3 => (agent.clone(), server)
             .prop_map(|(agent, server)| Step::ToggleLink { agent, server }),
