Keep the deadlines of waiting writes in order

Each event looked at all waiting writes for overdue ones. All waits have the same length, so a queue in order of arrival tells the next one.

--- a/crates/mustardhinge-core/src/replication/ack_tracker.rs
+++ b/crates/mustardhinge-core/src/replication/ack_tracker.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -16,17 +16,12 @@
 pub struct AckTracker {
     members: GroupMembers,
     timeout: Duration,
-    writes: SlotMap<AckKey, PendingWrite>,
+    positions: SlotMap<AckKey, LogPosition>,
+    deadlines: VecDeque<(MonotonicTime, AckKey)>,
     terms: BTreeMap<LeaderTerm, TermProgress>,
     server_terms: Vec<LeaderTerm>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct PendingWrite {
-    position: LogPosition,
-    deadline: MonotonicTime,
-}
-
 impl AckTracker {
     /// Makes a tracker whose writes wait for `timeout` at most.
     #[must_use]
@@ -35,7 +30,8 @@
         Self {
             members,
             timeout,
-            writes: SlotMap::with_key(),
+            positions: SlotMap::with_key(),
+            deadlines: VecDeque::new(),
             terms: BTreeMap::new(),
             server_terms,
         }
@@ -87,26 +83,24 @@
 
     /// Ends the waits whose time is over.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<(AckKey, AckOutcome)> {
-        let overdue = self
-            .writes
-            .iter()
-            .filter(|(_, write)| write.deadline <= now);
-        let overdue: Vec<_> = overdue.map(|(key, write)| (key, write.position)).collect();
-        for (key, position) in &overdue {
-            self.writes.remove(*key);
-            self.progress(position.term).forget(position.offset, *key);
+        let mut overdue = Vec::new();
+        while let Some(&(deadline, key)) = self.deadlines.front() {
+            if now < deadline {
+                break;
+            }
+            self.deadlines.pop_front();
+            if self.forget(key) {
+                overdue.push((key, AckOutcome::Unknown(AckFailure::TimedOut)));
+            }
         }
-        self.drop_old_terms();
-        let outcome = AckOutcome::Unknown(AckFailure::TimedOut);
-        overdue.into_iter().map(|(key, _)| (key, outcome)).collect()
+        self.drop_ended();
+        overdue
     }
 
     /// Ends one wait, for instance since its caller has gone.
     pub fn cancel(&mut self, key: AckKey) {
-        if let Some(write) = self.writes.remove(key) {
-            let position = write.position;
-            self.progress(position.term).forget(position.offset, key);
-        }
+        self.forget(key);
+        self.drop_ended();
     }
 
     /// Returns the smallest position that a write waits for and that `target`
@@ -126,13 +120,13 @@
     /// Returns the time at which the next wait ends, if any write waits.
     #[must_use]
     pub fn next_deadline(&self) -> Option<MonotonicTime> {
-        self.writes.values().map(|write| write.deadline).min()
+        self.deadlines.front().map(|(deadline, _)| *deadline)
     }
 
     /// Returns the number of writes that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.writes.len()
+        self.positions.len()
     }
 
     fn progress(&mut self, term: LeaderTerm) -> &mut TermProgress {
@@ -148,7 +142,8 @@
             return AckStart::Resolved(outcome);
         }
         let deadline = now + self.timeout;
-        let key = self.writes.insert(PendingWrite { position, deadline });
+        let key = self.positions.insert(position);
+        self.deadlines.push_back((deadline, key));
         self.progress(position.term).wait(position.offset, key);
         AckStart::Waiting(key)
     }
@@ -187,12 +182,32 @@
             resolved.extend(lost.into_iter().map(|key| (key, outcome)));
         }
         for (key, _) in &resolved {
-            self.writes.remove(*key);
+            self.positions.remove(*key);
         }
-        self.drop_old_terms();
+        self.drop_ended();
         resolved
     }
 
+    /// Removes a wait; returns whether it was under way.
+    fn forget(&mut self, key: AckKey) -> bool {
+        let Some(position) = self.positions.remove(key) else {
+            return false;
+        };
+        self.progress(position.term).forget(position.offset, key);
+        true
+    }
+
+    /// Drops what is kept for waits that have ended.
+    fn drop_ended(&mut self) {
+        while let Some((_, key)) = self.deadlines.front() {
+            if self.positions.contains_key(*key) {
+                break;
+            }
+            self.deadlines.pop_front();
+        }
+        self.drop_old_terms();
+    }
+
     /// Drops terms before the newest in which no write waits.
     fn drop_old_terms(&mut self) {
         let newest = self.terms.keys().next_back().copied();
--- a/crates/mustardhinge-core/tests/suite/replication.rs
+++ b/crates/mustardhinge-core/tests/suite/replication.rs
@@ -107,6 +107,25 @@
     assert_eq!(tracker.expire(at(100)), vec![(key, outcome)]);
 }
 
+#[test]
+fn a_wait_that_was_cancelled_ends_without_an_outcome() {
+    let mut group = ModelGroup::new(3);
+    let mut tracker = tracker(&group);
+    let (written, _) = group.write(0).unwrap();
+    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
+        panic!("decided by the primary alone");
+    };
+    let second = tracker.begin_read(written, at(10));
+    tracker.cancel(key);
+    assert_eq!(tracker.waiting(), 1);
+    assert_eq!(tracker.next_deadline(), Some(at(110)));
+    group.replicate(1, 1);
+    let resolved = tracker.observe(&group.report(1));
+    let keys = resolved.into_iter().map(|(key, _)| AckStart::Waiting(key));
+    assert_eq!(keys.collect::<Vec<_>>(), vec![second]);
+    assert_eq!(tracker.next_deadline(), None);
+}
+
 /// An entry that a later primary hands on is not safe before that primary's own
 /// entry is: the primary of a term between may yet cut it off.
 #[test]
