Charge a customer's rate on open routes too

Cause: work on routes open to all was charged to nobody, also when it came with a key.

Now a key that is proven is charged; without proof an open route is served as to a caller without a key, so that it goes on while the agent is away.

--- a/crates/mustardhinge-entry/src/serve/admission.rs
+++ b/crates/mustardhinge-entry/src/serve/admission.rs
@@ -122,8 +122,7 @@
     }
 
     fn check_proof(&self, service: &ServiceRuntime) -> Result<(), RequestEnd> {
-        let control = self.shared.control();
-        if control.is_proven(service.proof_bound(), self.shared.now()) {
+        if self.is_proven(service) {
             return Ok(());
         }
         let reason = RefusalReason::KeyUnproven;
@@ -131,21 +130,28 @@
         Err(RequestEnd::refused(reason, Some(UNPROVEN_RETRY), message))
     }
 
+    fn is_proven(&self, service: &ServiceRuntime) -> bool {
+        let control = self.shared.control();
+        control.is_proven(service.proof_bound(), self.shared.now())
+    }
+
     /// Checks what may have changed while the request waited.
     pub(super) fn recheck(&self, request: &CallerRequest) -> Result<(), RequestEnd> {
         let service = self.current_service()?;
         self.check_key(&service, request)
     }
 
-    /// Takes one request from the customer's budget; work on routes open to all
-    /// is nobody's.
+    /// Takes one request from the customer's budget.
+    ///
+    /// Where the key is not proven, a route open to all is served as to a caller
+    /// without a key, who has no budget.
     async fn check_budget(
         &self,
         service: &ServiceRuntime,
         customer: &CustomerId,
         request: &CallerRequest,
     ) -> Result<(), RequestEnd> {
-        if request.only_prepares() || is_open(service, request) {
+        if request.only_prepares() || self.customer.is_none() {
             return Ok(());
         }
         let admitted = self
@@ -153,6 +159,9 @@
             .budgets
             .admit(&service.document().service, customer, service.zones())
             .await;
+        if admitted.is_err() && is_open(service, request) && !self.is_proven(service) {
+            return Ok(());
+        }
         admitted.map_err(|retry_after| {
             let message = format!("customer {customer} has used up its rate and burst");
             RequestEnd::refused(RefusalReason::RateExceeded, Some(retry_after), &message)
--- a/crates/mustardhinge-entry/tests/suite/keys.rs
+++ b/crates/mustardhinge-entry/tests/suite/keys.rs
@@ -75,3 +75,23 @@
         assert!(!bytes.windows(key.len()).any(|part| part == key));
     }
 }
+
+#[tokio::test]
+async fn a_customer_stays_within_its_rate_on_open_routes_too() {
+    let mut document = haulage();
+    for customer in &mut document.customers {
+        customer.rate = "1/s".parse().unwrap();
+        customer.burst = "3req".parse().unwrap();
+    }
+    let fleet = start(SmallFleet::builder().service(document)).await;
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    let open = "/*route='site-status'*/ SELECT v FROM sites WHERE k = 's1'";
+    let mut refused = 0;
+    for _ in 0..20 {
+        if let Err(error) = client.simple_query(open).await {
+            assert!(detail(&error).contains("reason=rate_exceeded"));
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "20 requests at once are above 3 and 1/s");
+}
