Serve a request end to end through separate processes, in a test

The parts are tested as tasks; that the programs work together with their settings files, ports and signals was not shown by any test.

--- a/crates/mustardhinge-ctl/tests/suite/main.rs
+++ b/crates/mustardhinge-ctl/tests/suite/main.rs
@@ -5,4 +5,6 @@
 mod keys;
 mod lost_answers;
 mod operations;
+mod process_fleet;
+mod processes;
 mod scaffold;
