--- a/crates/mustardhinge-agent/src/peer/peer_service.rs
+++ b/crates/mustardhinge-agent/src/peer/peer_service.rs
@@ -1,8 +1,6 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use jsonrpsee::core::{RpcResult, async_trait};
-use mustardhinge_core::budget::LedgerError;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::PeerApiServer;
 use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
@@ -12,22 +10,29 @@
 };
 
 use super::exchange_answer::answer_exchange;
+use crate::budget::BudgetDesk;
 use crate::group::{WatchRegistry, order_switchover};
 use crate::state::SharedState;
 
-/// The silence after which a target no longer counts as heard.
-const HEARD_BOUND: Duration = Duration::from_millis(300);
-
 /// Answers agents of other instances.
 pub(crate) struct PeerService {
     state: Arc<SharedState>,
     registry: Arc<WatchRegistry>,
+    desk: Arc<BudgetDesk>,
 }
 
 impl PeerService {
     /// Makes the service.
-    pub(crate) const fn new(state: Arc<SharedState>, registry: Arc<WatchRegistry>) -> Self {
-        Self { state, registry }
+    pub(crate) const fn new(
+        state: Arc<SharedState>,
+        registry: Arc<WatchRegistry>,
+        desk: Arc<BudgetDesk>,
+    ) -> Self {
+        Self {
+            state,
+            registry,
+            desk,
+        }
     }
 }
 
@@ -53,7 +58,9 @@
         let handle = self.registry.get(&question.group);
         let answered = handle.map(|handle| {
             let view = handle.view.borrow();
-            !view.reports.is_silent(&question.target, now, HEARD_BOUND)
+            !view
+                .reports
+                .is_silent(&question.target, now, handle.silence_limit)
         });
         Ok(PrimaryAnswer {
             instance: self.state.instance.clone(),
@@ -69,9 +76,9 @@
         Ok(order_switchover(&self.state, &self.registry, group, request.to).await)
     }
 
-    async fn lend_budget(&self, _request: BudgetRequest) -> RpcResult<BudgetGrant> {
+    async fn lend_budget(&self, request: BudgetRequest) -> RpcResult<BudgetGrant> {
         Ok(BudgetGrant {
-            result: Err(LedgerError::NotHolder),
+            result: self.desk.lend(&request),
         })
     }
 }
--- a/crates/mustardhinge-core/tests/suite/budget_lease.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_lease.rs
@@ -128,13 +128,17 @@
 #[test]
 fn the_same_change_by_another_is_no_renewal() {
     let (mut store, mut one, mut two) = held();
-    store.serve(&mut two, at(90));
-    let late = two.step(0, false, at(98)).unwrap();
-    store.show(&mut one, at(91));
-    store.serve(&mut one, at(91));
+    for second in 90..188 {
+        store.serve(&mut two, at(second));
+    }
+    store.show(&mut one, at(188));
+    store.serve(&mut one, at(188));
+    let late = two.step(0, false, at(190)).unwrap();
+    assert_eq!(late.record.floor_epoch, late.record.epoch);
     assert!(!store.write(&late));
-    store.show(&mut two, at(98));
-    assert!(flexible(&two, at(99)) && !flexible(&two, at(100)));
+    store.show(&mut two, at(190));
+    // The last renewal was sent at 186 s.
+    assert!(flexible(&two, at(195)) && !flexible(&two, at(196)));
 }
 
 #[test]
@@ -190,3 +194,21 @@
             .is_some()
     );
 }
+
+#[test]
+fn an_operator_can_free_the_floor_of_an_instance_that_is_gone() {
+    let (mut store, _, mut two) = held();
+    store.serve(&mut two, at(10));
+    assert!(!floor(&two, at(11)));
+    let operator = HolderId {
+        instance: "ctl".parse().unwrap(),
+        incarnation: 1,
+    };
+    let (version, record) = store.0.clone().unwrap();
+    assert!(store.write(&LeaseWrite {
+        expected: version,
+        record: record.with_floor_forced(&operator),
+    }));
+    store.show(&mut two, at(12));
+    assert!(floor(&two, at(12)));
+}
--- a/crates/mustardhinge-core/tests/suite/replication.rs
+++ b/crates/mustardhinge-core/tests/suite/replication.rs
@@ -107,6 +107,25 @@
     assert_eq!(tracker.expire(at(100)), vec![(key, outcome)]);
 }
 
+#[test]
+fn a_wait_that_was_cancelled_ends_without_an_outcome() {
+    let mut group = ModelGroup::new(3);
+    let mut tracker = tracker(&group);
+    let (written, _) = group.write(0).unwrap();
+    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
+        panic!("decided by the primary alone");
+    };
+    let second = tracker.begin_read(written, at(10));
+    tracker.cancel(key);
+    assert_eq!(tracker.waiting(), 1);
+    assert_eq!(tracker.next_deadline(), Some(at(110)));
+    group.replicate(1, 1);
+    let resolved = tracker.observe(&group.report(1));
+    let keys = resolved.into_iter().map(|(key, _)| AckStart::Waiting(key));
+    assert_eq!(keys.collect::<Vec<_>>(), vec![second]);
+    assert_eq!(tracker.next_deadline(), None);
+}
+
 /// An entry that a later primary hands on is not safe before that primary's own
 /// entry is: the primary of a term between may yet cut it off.
 #[test]
@@ -288,3 +307,18 @@
     assert_eq!(history.floor_since(at(11)), Some(position(1, 7)));
     assert_eq!(history.floor_since(at(31)), None);
 }
+
+#[test]
+fn the_history_tells_how_long_a_position_is_behind() {
+    let mut history = FloorHistory::new();
+    for millis in [10, 20, 30] {
+        history.record(at(millis), position(1, 5));
+    }
+    assert_eq!(history.behind_since(position(1, 4)), Some(at(10)));
+    assert_eq!(history.behind_since(position(1, 5)), None);
+    assert_eq!(history.fresh_at(position(1, 5)), Some(at(30)));
+    history.record(at(40), position(1, 6));
+    history.record(at(50), position(1, 5));
+    assert_eq!(history.behind_since(position(1, 4)), Some(at(10)));
+    assert_eq!(history.floor_since(at(45)), Some(position(1, 5)));
+}
