--- a/crates/mustardhinge-core/examples/budget_policies/baselines.rs
+++ b/crates/mustardhinge-core/examples/budget_policies/baselines.rs
@@ -50,7 +50,7 @@
     let mut is_replaced = [false; INSTANCES];
     for (time, instance, customer) in &scenario.requests {
         let replaced_at = Scenario::replaced_at(*instance);
-        if is_replacement(scenario) && *time >= replaced_at && !is_replaced[*instance] {
+        if is_replacement(scenario, *instance) && *time >= replaced_at && !is_replaced[*instance] {
             is_replaced[*instance] = true;
             buckets[*instance] = row(replaced_at);
         }
@@ -90,7 +90,7 @@
     let replaced_at = Scenario::replaced_at(CENTRE);
     match scenario.trouble {
         Trouble::Replaced => Some((replaced_at, replaced_at + 1)),
-        Trouble::Killed => Some((replaced_at, replaced_at + TAKEOVER)),
+        Trouble::Killed | Trouble::HolderKilled => Some((replaced_at, replaced_at + TAKEOVER)),
         _ => None,
     }
 }
@@ -105,8 +105,12 @@
     }
 }
 
-fn is_replacement(scenario: &Scenario) -> bool {
-    matches!(scenario.trouble, Trouble::Replaced | Trouble::Killed)
+fn is_replacement(scenario: &Scenario, instance: usize) -> bool {
+    match scenario.trouble {
+        Trouble::Replaced | Trouble::Killed => true,
+        Trouble::HolderKilled => instance == CENTRE,
+        _ => false,
+    }
 }
 
 fn record(history: &mut AdmissionHistory, time: u64, is_admitted: bool) {
--- a/crates/mustardhinge-core/examples/budget_policies/scenario.rs
+++ b/crates/mustardhinge-core/examples/budget_policies/scenario.rs
@@ -26,6 +26,8 @@
     Replaced,
     /// Each instance dies, ten seconds after the one before.
     Killed,
+    /// Instance 1 dies, which holds its zone's share and keeps the central counter.
+    HolderKilled,
     /// Zone 0 is cut off from the others and the store for two minutes.
     Cut,
     /// The store is out for three minutes.
@@ -99,6 +101,7 @@
                 Trouble::Killed,
                 seed,
             ),
+            Self::new("one holder killed", &even(70), Trouble::HolderKilled, seed),
             Self::new("a zone cut off for 2 min", &even(70), Trouble::Cut, seed),
             Self::new(
                 "the store out for 3 min",
@@ -185,6 +188,7 @@
                 (end, Event::CutZone(None)),
             ],
             Trouble::StoreOut => vec![(start, Event::StoreUp(false)), (end, Event::StoreUp(true))],
+            Trouble::HolderKilled => self.replacement(1),
             Trouble::Replaced | Trouble::Killed => (0..INSTANCES)
                 .flat_map(|instance| self.replacement(instance))
                 .collect(),
