Test late answers and parts that are lent out

Both mechanisms had been switched off without any test failing: an answer that revives what lapsed on its way, and a move of parts that are lent out.

--- a/crates/mustardhinge-core/tests/suite/budget_ledger.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_ledger.rs
@@ -330,3 +330,23 @@
     let (asked, _) = allowance.wants(1, at(2_001)).unwrap();
     assert_eq!(asked, zone("b"));
 }
+
+/// What lapsed on its way stays lapsed, since the ledger has written it off.
+#[test]
+fn a_late_answer_does_not_revive_what_has_lapsed() {
+    let mut allowance = allowance(at(2_000));
+    let mut ledger = full_ledger();
+    let (_, first) = allowance.wants(6, at(2_000)).unwrap();
+    let granted = answer(&mut ledger, &first, 2_000);
+    allowance.on_answer(&zone("a"), &granted, at(2_000));
+    assert_eq!(allowance.try_admit(at(2_900)), Admission::Admitted);
+    let (_, second) = allowance.wants(8, at(2_900)).unwrap();
+    assert_eq!((second.held, second.waiting), (req(5), req(3)));
+    let late = answer(&mut ledger, &second, 3_500);
+    allowance.on_answer(&zone("a"), &late, at(3_600));
+    assert_eq!(
+        (late.granted, allowance.usable(at(3_600))),
+        (req(3), req(3))
+    );
+    assert_eq!(ledger.lent(at(3_600)), req(3));
+}
--- a/crates/mustardhinge-core/tests/suite/budget_zone.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_zone.rs
@@ -304,3 +304,20 @@
         }
     }
 }
+
+/// What is lent out can't be taken off the share that it was lent from.
+#[test]
+fn a_part_that_is_lent_out_does_not_move() {
+    let mut ledger = RecordStore::default().open("a", 1, at(0));
+    let mut spent = req(0);
+    for turn in 1..120 {
+        let now = at(2_000 + turn * 100);
+        let answer = lend(&mut ledger, &ask("b", turn, spent, 2), long(1), now).unwrap();
+        spent = spent.saturating_add(answer.granted);
+    }
+    let now = at(14_000);
+    let mut other = ledger.clone();
+    assert!(other.step(Some(long(1)), &zones(), now).is_some());
+    lend(&mut ledger, &ask("a", 1, req(0), 1_000), long(1), now).unwrap();
+    assert!(ledger.step(Some(long(1)), &zones(), now).is_none());
+}
