--- a/crates/mustardhinge-agent/tests/suite/static_shares.rs
+++ b/crates/mustardhinge-agent/tests/suite/static_shares.rs
@@ -7,9 +7,10 @@
 const DOCUMENT: &str = include_str!("../../../../examples/muscat/haulage-1.toml");
 /// Both are those of `seeb` in the sample, over its eight instances.
 const SHARE_BURST: RequestAmount = RequestAmount::from_requests(10);
-const SHARE_RATE: u64 = 5;
-/// More than a share has.
-const MANY: RequestAmount = RequestAmount::from_requests(100);
+const SHARE_RATE: RequestAmount = RequestAmount::from_requests(5);
+
+/// More than any share has.
+const PLENTY: RequestAmount = RequestAmount::from_requests(100);
 
 fn request(zone: &str, customer: &str) -> BudgetRequest {
     let client = ClientId {
@@ -27,8 +28,8 @@
             sequence: 1,
             spent_total: RequestAmount::ZERO,
             held: RequestAmount::ZERO,
-            waiting: MANY,
-            wanted: MANY,
+            waiting: PLENTY,
+            wanted: PLENTY,
         },
     }
 }
@@ -52,8 +53,11 @@
     let mut shares = shares();
     let mut request = request("muscat-1", "seeb");
     let early = ask(&mut shares, &request, 1_200).unwrap();
-    let lent = RequestAmount::from_requests(SHARE_RATE + 1);
-    assert_eq!(early.granted, lent, "1.2 s at 5/s");
+    assert_eq!(
+        early.granted,
+        SHARE_RATE.saturating_add(RequestAmount::ONE),
+        "1.2 s at 5/s"
+    );
     request.ask.sequence = 2;
     request.ask.ledger_epoch = early.ledger_epoch;
     request.ask.spent_total = early.granted;
@@ -70,7 +74,7 @@
         RequestAmount::ZERO
     );
     request.ask.sequence = 4;
-    (request.ask.waiting, request.ask.wanted) = (MANY, MANY);
+    (request.ask.waiting, request.ask.wanted) = (PLENTY, PLENTY);
     let long_after = ask(&mut shares, &request, 60_000).unwrap();
     assert_eq!(long_after.granted, SHARE_BURST);
 }
