--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/world/agent_events.rs
@@ -0,0 +1,63 @@
+//! What agents and the store do.
+
+use mustardhinge_core::prelude::*;
+
+use super::super::event::{Event, ProcessStart, StoreCall};
+use super::{AGENT_PERIOD, World};
+
+impl World {
+    pub(super) fn is_agent(&self, start: ProcessStart) -> bool {
+        self.agents[start.index].incarnation == start.incarnation
+    }
+
+    pub(super) fn agent_clock(&self, index: usize, time: u64) -> MonotonicTime {
+        MonotonicTime::from_micros(time + self.agents[index].offset)
+    }
+
+    pub(super) fn on_agent_tick(&mut self, time: u64, start: ProcessStart) {
+        if !self.is_agent(start) {
+            return;
+        }
+        self.check_leases(time);
+        let now = self.agent_clock(start.index, time);
+        let rank = u32::try_from(start.index / self.plan.zones).unwrap();
+        let zone = self.agents[start.index].zone;
+        for call in self.agents[start.index].tick(rank, now) {
+            for arrival in self.arrivals(time, Some(zone), None) {
+                self.schedule(arrival, Event::StoreCall(start, call.clone()));
+            }
+        }
+        self.schedule(time + AGENT_PERIOD, Event::AgentTick(start));
+    }
+
+    /// Notes whether two agents of a zone hold the same part of its share.
+    pub(super) fn check_leases(&mut self, time: u64) {
+        let standings = (0..self.agents.len()).filter_map(|index| {
+            let now = self.agent_clock(index, time);
+            let agent = &self.agents[index];
+            Some((agent.zone, now, agent.standing(now)?))
+        });
+        let standings: Vec<_> = standings.collect();
+        for zone in 0..self.plan.zones {
+            let of_zone = standings.iter().filter(|(other, ..)| *other == zone);
+            let flexible = of_zone
+                .clone()
+                .filter(|(_, now, s)| *now < s.flexible_until);
+            let floor = of_zone.filter(|(_, now, s)| s.floor_until.is_some_and(|end| *now < end));
+            if flexible.count() > 1 || floor.count() > 1 {
+                self.overlap = self.overlap.or(Some(time));
+            }
+        }
+    }
+
+    pub(super) fn on_store_call(&mut self, time: u64, start: ProcessStart, call: StoreCall) {
+        if !self.store.is_up {
+            return;
+        }
+        let zone = self.agents[start.index].zone;
+        let answer = self.store.carry_out(zone, call);
+        for arrival in self.arrivals(time, None, Some(zone)) {
+            self.schedule(arrival, Event::StoreAnswer(start, answer.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/world/entry_events.rs
@@ -0,0 +1,143 @@
+//! What entries do, and their messages with ledgers.
+
+use mustardhinge_core::budget::{BudgetAnswer, BudgetAsk, LedgerError};
+use rand::RngExt;
+
+use super::super::event::{AccountId, Event, ProcessStart};
+use super::{ASK_TIMEOUT, ENTRY_PERIOD, MILLI, World, customer_id, instance_id};
+
+impl World {
+    /// Returns when a message arrives, once or more often or never.
+    pub(super) fn arrivals(
+        &mut self,
+        time: u64,
+        from: Option<usize>,
+        to: Option<usize>,
+    ) -> Vec<u64> {
+        let is_cut = from != to
+            && self
+                .cut_zone
+                .is_some_and(|cut| from == Some(cut) || to == Some(cut));
+        let faults = self.plan.faults;
+        if is_cut || self.random.random_range(0..1_000) < faults.loss {
+            return Vec::new();
+        }
+        let (near, far) = self.plan.delays;
+        let base = if from == to { near } else { far };
+        let copies = 1 + u32::from(self.random.random_range(0..1_000) < faults.duplication);
+        let mut arrivals = Vec::new();
+        for _ in 0..copies {
+            let is_late = self.random.random_range(0..1_000) < faults.delay;
+            let late = if is_late {
+                self.random.random_range(0..2_000 * MILLI)
+            } else {
+                0
+            };
+            arrivals.push(time + base + self.random.random_range(0..base / 4) + late);
+        }
+        arrivals
+    }
+
+    pub(super) fn is_entry(&self, start: ProcessStart) -> bool {
+        self.entries[start.index].incarnation == start.incarnation
+    }
+
+    pub(super) fn on_request(&mut self, time: u64, entry: usize, customer: usize) {
+        self.entries[entry].on_request(customer, time, &mut self.histories[customer]);
+        self.pump(time, entry, customer);
+    }
+
+    pub(super) fn on_entry_tick(&mut self, time: u64, start: ProcessStart, customer: usize) {
+        if !self.is_entry(start) {
+            return;
+        }
+        self.pump(time, start.index, customer);
+        let entry = start;
+        self.schedule(time + ENTRY_PERIOD, Event::EntryTick { entry, customer });
+    }
+
+    /// Serves what waits, and sends the next message to a ledger.
+    pub(super) fn pump(&mut self, time: u64, index: usize, customer: usize) {
+        let history = &mut self.histories[customer];
+        self.entries[index].retry_waiting(customer, time, history);
+        let Some((zone, ask)) = self.entries[index].wants(customer, time) else {
+            return;
+        };
+        let account = AccountId {
+            entry: self.entry_start(index),
+            customer,
+            zone: self.zones.iter().position(|other| *other == zone).unwrap(),
+        };
+        let sequence = ask.sequence;
+        self.schedule(time + ASK_TIMEOUT, Event::AskTimeout { account, sequence });
+        self.send_ask(time, account, &ask);
+    }
+
+    pub(super) fn send_ask(&mut self, time: u64, account: AccountId, ask: &BudgetAsk) {
+        self.asks += 1;
+        let Some(agent) = self.choose_agent(account.zone) else {
+            return;
+        };
+        let own_zone = self.entries[account.entry.index].zone;
+        for arrival in self.arrivals(time, Some(own_zone), Some(account.zone)) {
+            let ask = ask.clone();
+            self.schedule(
+                arrival,
+                Event::Ask {
+                    account,
+                    agent,
+                    ask,
+                },
+            );
+        }
+    }
+
+    pub(super) fn choose_agent(&mut self, zone: usize) -> Option<usize> {
+        if self.plan.faults.wrong_members && self.random.random_bool(0.3) {
+            let ranks = self.agents.len() / self.plan.zones;
+            return Some(zone + self.plan.zones * self.random.random_range(0..ranks));
+        }
+        let holder = self.store.holder(zone)?;
+        (0..self.agents.len()).find(|index| instance_id(*index) == *holder)
+    }
+
+    pub(super) fn on_ask(&mut self, time: u64, account: AccountId, agent: usize, ask: &BudgetAsk) {
+        let now = self.agent_clock(agent, time);
+        let zone = self.agents[agent].zone;
+        let sequence = ask.sequence;
+        let customer = customer_id(account.customer);
+        let result = self.agents[agent].answer(&customer, ask, now);
+        let to = self.entries[account.entry.index].zone;
+        for arrival in self.arrivals(time, Some(zone), Some(to)) {
+            let event = Event::Answer {
+                account,
+                sequence,
+                result,
+            };
+            self.schedule(arrival, event);
+        }
+    }
+
+    pub(super) fn on_answer(
+        &mut self,
+        time: u64,
+        account: AccountId,
+        sequence: u64,
+        result: Result<BudgetAnswer, LedgerError>,
+    ) {
+        if !self.is_entry(account.entry) {
+            return;
+        }
+        let AccountId {
+            entry,
+            customer,
+            zone,
+        } = account;
+        let name = self.zones[zone].clone();
+        match result {
+            Ok(answer) => self.entries[entry.index].on_answer(customer, &name, &answer, time),
+            Err(_) => self.entries[entry.index].on_failure(customer, &name, sequence, time),
+        }
+        self.pump(time, entry.index, customer);
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/budget_scaffold.rs
@@ -0,0 +1,39 @@
+//! What the tests of ledgers and entries share.
+
+use mustardhinge_core::budget::{
+    BudgetAnswer, BudgetAsk, BudgetLimit, ClientId, RequestAmount, ShareLedger,
+};
+use mustardhinge_core::prelude::*;
+
+pub(crate) fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+pub(crate) fn zone(name: &str) -> ZoneId {
+    name.parse().unwrap()
+}
+
+pub(crate) const fn req(requests: u64) -> RequestAmount {
+    RequestAmount::from_requests(requests)
+}
+
+pub(crate) fn limit(per_second: u64, burst: u64) -> BudgetLimit {
+    let rate = RequestRate::from_millis(per_second * 1_000);
+    BudgetLimit::new(rate, RequestBurst::from_millis(burst * 1_000))
+}
+
+pub(crate) fn client(incarnation: u64) -> ClientId {
+    ClientId {
+        instance: "i-1".parse().unwrap(),
+        incarnation,
+    }
+}
+
+pub(crate) fn full_ledger() -> ShareLedger {
+    ShareLedger::empty(1, limit(10, 10), at(0))
+}
+
+/// Answers at a time when the ledger has filled to its burst.
+pub(crate) fn answer(ledger: &mut ShareLedger, ask: &BudgetAsk, millis: u64) -> BudgetAnswer {
+    ledger.answer(ask, at(millis)).unwrap()
+}
