Tell the entry of changes only, and keep waits out of the age of proof

The entry asks every 300 ms and was sent all documents each time, which at thousands of services is most of the control traffic. It takes over what is newer and keeps the rest, so it is now told of what was adopted after the revision that it knows.

The age of proof was named as of the answer and counted from the question, so that each waiting question made it a wait older: an entry two steps from the store came near the bound of 2.5 s. It is now named as of the question's arrival. Both seen failing with the mechanism off.

--- a/crates/mustardhinge-agent/src/peer/exchange_answer.rs
+++ b/crates/mustardhinge-agent/src/peer/exchange_answer.rs
@@ -13,6 +13,7 @@
     state: &SharedState,
     request: &ExchangeRequest,
 ) -> ExchangeReply {
+    let asked_at = state.now();
     let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_EXCHANGE_WAIT);
     let mut changes = state.subscribe();
     let mut proofs = state.subscribe_proofs();
@@ -24,8 +25,7 @@
             () = tokio::time::sleep(wait) => {}
         }
     }
-    let now = state.now();
-    state.read(|known| make_reply(state, known, request, now))
+    state.read(|known| make_reply(state, known, request, asked_at))
 }
 
 fn has_news(known: &KnownState, request: &ExchangeRequest) -> bool {
@@ -39,7 +39,7 @@
     state: &SharedState,
     known: &KnownState,
     request: &ExchangeRequest,
-    now: MonotonicTime,
+    asked_at: MonotonicTime,
 ) -> ExchangeReply {
     let is_same_start = known.incarnation == request.peer_incarnation;
     let group_change = if is_same_start {
@@ -58,9 +58,9 @@
         documents: documents.map(to_peer_document).collect(),
         list: (list.revision > request.list_revision).then(|| list.clone()),
         group_change: known.groups.last_change(),
-        groups: known.groups.changed_after(group_change, now),
-        proof_age_ms: known.proof.store_proof_age(now).map(millis),
-        outages: known.proof.outages(now),
+        groups: known.groups.changed_after(group_change, state.now()),
+        proof_age_ms: known.proof.store_proof_age(asked_at).map(millis),
+        outages: known.proof.outages(asked_at),
     }
 }
 
--- a/crates/mustardhinge-agent/src/state/group_table.rs
+++ b/crates/mustardhinge-agent/src/state/group_table.rs
@@ -6,8 +6,8 @@
 
 /// The primaries of the database groups, as far as they are known here.
 ///
-/// Each change has a number, so that another agent can ask for what changed
-/// since its last question.
+/// Each change carries the revision of the state that it made, so that the entry
+/// and other agents can ask for what changed since their last question.
 #[derive(Debug, Default)]
 pub(crate) struct GroupTable {
     groups: BTreeMap<GroupId, GroupRow>,
@@ -25,32 +25,37 @@
 impl GroupTable {
     /// Takes in a state if it says more than the one known: a greater term, the
     /// primary of the same term, or a hold of writes. Returns whether it did.
-    pub(crate) fn offer(&mut self, offered: GroupState, now: MonotonicTime) -> bool {
+    pub(crate) fn offer(&mut self, offered: GroupState, change: u64, now: MonotonicTime) -> bool {
         let hold = Duration::from_millis(offered.writes_held_ms.into());
         let held_until = (!hold.is_zero()).then(|| now + hold);
         let known = self.groups.get(&offered.group);
         if known.is_some_and(|row| !row.learns_from(&offered, now)) {
             return false;
         }
-        self.last_change += 1;
+        self.last_change = change;
         let row = GroupRow {
             term: offered.term,
             primary: offered.primary,
             held_until,
-            change: self.last_change,
+            change,
         };
         self.groups.insert(offered.group, row);
         true
     }
 
     /// Holds the writes of a group until a time, or releases them.
-    pub(crate) fn hold_writes(&mut self, group: &GroupId, until: Option<MonotonicTime>) -> bool {
+    pub(crate) fn hold_writes(
+        &mut self,
+        group: &GroupId,
+        until: Option<MonotonicTime>,
+        change: u64,
+    ) -> bool {
         let Some(row) = self.groups.get_mut(group) else {
             return false;
         };
-        self.last_change += 1;
+        self.last_change = change;
         row.held_until = until;
-        row.change = self.last_change;
+        row.change = change;
         true
     }
 
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -32,6 +32,8 @@
     pub(crate) drain: DrainState,
     /// The documents in force.
     pub(crate) documents: AdoptionTable<AdoptedDocument>,
+    /// The revision in which each document was adopted.
+    pub(crate) adopted_in: BTreeMap<ServiceId, u64>,
     /// The primaries.
     pub(crate) groups: GroupTable,
     /// The platform's list of instances.
@@ -53,6 +55,7 @@
             is_platform_reachable: false,
             drain: DrainState::new(drain_bound),
             documents: AdoptionTable::default(),
+            adopted_in: BTreeMap::new(),
             groups: GroupTable::default(),
             instances: InstanceList::default(),
             members: MembershipView::new(PEER_SILENCE),
@@ -114,15 +117,24 @@
         Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
     }
 
-    /// Returns what the entry needs to know.
-    pub(crate) fn control_state(&self, now: MonotonicTime) -> ControlState {
+    /// Returns what the entry needs to know beyond the revision `after`, for a
+    /// question that came at `asked_at`.
+    pub(crate) fn control_state(
+        &self,
+        after: u64,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> ControlState {
+        let changed = self.adopted_in.iter();
+        let changed = changed.filter(|(_, revision)| **revision > after);
+        let documents = changed.filter_map(|(service, _)| self.document(service));
         ControlState {
             agent_incarnation: self.incarnation,
             revision: self.revision,
-            proof_age_ms: self.proof_age_ms(now),
+            proof_age_ms: self.proof_age_ms(asked_at),
             draining: self.drain.is_draining(),
-            services: self.documents().map(AdoptedDocument::to_state).collect(),
-            groups: self.groups.changed_after(0, now),
+            services: documents.map(AdoptedDocument::to_state).collect(),
+            groups: self.groups.changed_after(after, now),
         }
     }
 }
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -172,25 +172,34 @@
     /// Takes in what was seen of a database group.
     pub(crate) fn take_group(&self, state: GroupState) -> bool {
         let now = self.now();
-        self.update(|known| known.groups.offer(state, now))
+        self.update(|known| {
+            let change = known.revision + 1;
+            known.groups.offer(state, change, now)
+        })
     }
 
     /// Holds the writes of a group until a time, or releases them.
     pub(crate) fn hold_writes(&self, group: &GroupId, until: Option<MonotonicTime>) {
-        self.update(|known| known.groups.hold_writes(group, until));
+        self.update(|known| {
+            let change = known.revision + 1;
+            known.groups.hold_writes(group, until, change)
+        });
     }
 
     /// Returns the control state as soon as it is newer than the one known to
     /// the entry, or the wait is over.
     pub(crate) async fn wait_control_state(&self, request: &ControlRequest) -> ControlState {
+        let asked_at = self.now();
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_CONTROL_WAIT);
         let mut receiver = self.subscribe();
         let incarnation = self.read(|known| known.incarnation);
+        let mut after = 0;
         if request.agent_incarnation == incarnation {
+            after = request.known_revision;
             let is_newer = |revision: &u64| *revision > request.known_revision;
             let _ = tokio::time::timeout(wait, receiver.wait_for(is_newer)).await;
         }
-        self.read(|known| known.control_state(self.now()))
+        self.read(|known| known.control_state(after, asked_at, self.now()))
     }
 
     fn lock(&self) -> MutexGuard<'_, KnownState> {
@@ -204,6 +213,8 @@
     let outcome = known.documents.offer(&service, version, document);
     let adopted = outcome == AdoptionOutcome::Adopted;
     if adopted {
+        let revision = known.revision + 1;
+        known.adopted_in.insert(service.clone(), revision);
         event::DOCUMENT_ADOPTED.log(format_args!("service={service} version={version}"));
     }
     adopted
--- a/crates/mustardhinge-agent/tests/suite/documents.rs
+++ b/crates/mustardhinge-agent/tests/suite/documents.rs
@@ -1,10 +1,11 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
-use mustardhinge_rpc::control::ControlState;
+use mustardhinge_rpc::AgentApiClient;
+use mustardhinge_rpc::control::{ControlRequest, ControlState};
 use tokio::time::sleep;
 
-use super::scaffold::{Fleet, KEY_DIGEST, SERVICE, control_state, wait_for_state};
+use super::scaffold::{Fleet, KEY_DIGEST, SERVICE, control_client, control_state, wait_for_state};
 
 fn rate(state: &ControlState) -> Option<String> {
     let customers = &state.services.first()?.document.customers;
@@ -66,3 +67,45 @@
     assert_eq!(document.customers[0].keys[0].to_string(), KEY_DIGEST);
     agent.stop().await;
 }
+
+#[tokio::test]
+async fn the_time_that_a_question_waits_does_not_age_the_proof() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let state = wait_for_state(&agent, "the document", |state| rate(state).is_some()).await;
+    fleet.platform.set_frozen(true);
+    sleep(Duration::from_secs(1)).await;
+    let before = control_state(&agent).await;
+    let request = ControlRequest {
+        agent_incarnation: state.agent_incarnation,
+        known_revision: before.revision,
+        wait_ms: 1_000,
+    };
+    let client = control_client(&agent);
+    let after = client.control_state(request).await.unwrap();
+    let age_ms = before.proof_age_ms.unwrap();
+    assert!(age_ms >= 500, "{age_ms}");
+    assert!(
+        after.proof_age_ms < Some(age_ms + 700),
+        "{:?}",
+        after.proof_age_ms
+    );
+}
+
+#[tokio::test]
+async fn the_entry_is_told_of_changes_only() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let state = wait_for_state(&agent, "the document", |state| rate(state).is_some()).await;
+    let mut request = ControlRequest {
+        agent_incarnation: state.agent_incarnation,
+        known_revision: state.revision,
+        wait_ms: 0,
+    };
+    let client = control_client(&agent);
+    let news = client.control_state(request.clone()).await.unwrap();
+    assert!(news.services.is_empty());
+    request.agent_incarnation += 1;
+    let all = client.control_state(request).await.unwrap();
+    assert_eq!(all.services.len(), 1);
+}
--- a/crates/mustardhinge-agent/tests/suite/peers.rs
+++ b/crates/mustardhinge-agent/tests/suite/peers.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use jsonrpsee::http_client::HttpClient;
 use mustardhinge_agent::AgentProcess;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::PeerApiClient;
@@ -10,7 +9,9 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::scaffold::{Fleet, SERVICE, control_state, wait_for_primary, wait_for_state};
+use super::scaffold::{
+    Fleet, SERVICE, control_client, control_state, wait_for_primary, wait_for_state,
+};
 
 fn has_rate(state: &ControlState, rate: &str) -> bool {
     let service = state.services.first();
@@ -140,11 +141,6 @@
     }
 }
 
-fn peer_client(agent: &AgentProcess) -> HttpClient {
-    let url = format!("http://{}", agent.address());
-    HttpClient::builder().build(url).unwrap()
-}
-
 fn exchange_request(protocol: u32, groups: Vec<GroupState>) -> ExchangeRequest {
     ExchangeRequest {
         protocol,
@@ -163,7 +159,7 @@
     let fleet = Fleet::start().await;
     let agent = fleet.start_agent(0, "").await;
     let request = exchange_request(PROTOCOL_VERSION + 1, Vec::new());
-    let answer = peer_client(&agent).exchange(request).await.unwrap();
+    let answer = control_client(&agent).exchange(request).await.unwrap();
     assert_eq!(answer, Err(PeerError::OtherProtocol));
 }
 
@@ -179,7 +175,7 @@
         writes_held_ms: 60_000,
     };
     let request = exchange_request(PROTOCOL_VERSION, vec![old]);
-    let reply = peer_client(&agent)
+    let reply = control_client(&agent)
         .exchange(request)
         .await
         .unwrap()
@@ -197,7 +193,7 @@
         group: SERVICE.parse().unwrap(),
         target: primary.clone(),
     };
-    let client = peer_client(&agent);
+    let client = control_client(&agent);
     let answer = client.hears_target(question.clone()).await.unwrap();
     assert_eq!(answer.answered, Some(true));
     for target in &fleet.targets.targets {
--- a/crates/mustardhinge-agent/tests/suite/scaffold.rs
+++ b/crates/mustardhinge-agent/tests/suite/scaffold.rs
@@ -114,10 +114,15 @@
     }
 }
 
-/// Returns what an agent tells the entry.
-pub(crate) async fn control_state(agent: &AgentProcess) -> ControlState {
+/// Returns a client of an agent's calls.
+pub(crate) fn control_client(agent: &AgentProcess) -> HttpClient {
     let url = format!("http://{}", agent.address());
-    let client = HttpClient::builder().build(url).unwrap();
+    HttpClient::builder().build(url).unwrap()
+}
+
+/// Returns all that an agent tells the entry.
+pub(crate) async fn control_state(agent: &AgentProcess) -> ControlState {
+    let client = control_client(agent);
     let request = ControlRequest {
         agent_incarnation: 0,
         known_revision: 0,
--- a/crates/mustardhinge-rpc/src/peer/exchange_reply.rs
+++ b/crates/mustardhinge-rpc/src/peer/exchange_reply.rs
@@ -25,7 +25,7 @@
     /// The groups that changed since the change asked with.
     pub groups: Vec<GroupState>,
     /// The age of the newest proof that the documents are current, in
-    /// milliseconds at the moment of the answer.
+    /// milliseconds when the question arrived; 0 if it is younger than that.
     pub proof_age_ms: Option<u32>,
     /// The availability zones that find the store out, as known here.
     pub outages: Vec<StoreOutage>,
--- a/crates/mustardhinge-rpc/src/peer/store_outage.rs
+++ b/crates/mustardhinge-rpc/src/peer/store_outage.rs
@@ -6,8 +6,8 @@
 pub struct StoreOutage {
     /// The availability zone.
     pub zone: ZoneId,
-    /// How long ago the failed call was begun, in milliseconds at the moment of
-    /// the answer.
+    /// How long before the question arrived the failed call was begun, in
+    /// milliseconds; 0 if it was begun later.
     pub age_ms: u32,
     /// The greatest revision of the store that the zone knows.
     pub store_revision: u64,
