--- a/crates/mustardhinge-core/src/budget/demand_meter.rs
+++ b/crates/mustardhinge-core/src/budget/demand_meter.rs
@@ -1,22 +1,23 @@
 use std::time::Duration;
 
+use super::RequestAmount;
 use crate::units::MonotonicTime;
 
 /// A moving average of how often something happens.
 #[derive(Clone, Copy, Debug)]
 pub struct DemandMeter {
+    /// The time over which the average forgets, in seconds.
+    memory_s: f64,
     events_per_second: f64,
     counted_at: MonotonicTime,
 }
 
 impl DemandMeter {
-    /// The time over which the average forgets, in seconds.
-    const TIME_CONSTANT_S: f64 = 0.5;
-
-    /// Starts at nothing.
+    /// Starts at nothing; the average forgets over the time of `memory`.
     #[must_use]
-    pub const fn new(now: MonotonicTime) -> Self {
+    pub fn new(memory: Duration, now: MonotonicTime) -> Self {
         Self {
+            memory_s: memory.as_secs_f64(),
             events_per_second: 0.0,
             counted_at: now,
         }
@@ -24,15 +25,20 @@
 
     /// Counts events that happened now.
     pub fn count(&mut self, events: u32, now: MonotonicTime) {
-        self.events_per_second = self.per_second(now) + f64::from(events) / Self::TIME_CONSTANT_S;
-        self.counted_at = self.counted_at.max(now);
+        self.add(f64::from(events), now);
+    }
+
+    /// Counts an amount of requests that were lent now.
+    pub fn count_amount(&mut self, amount: RequestAmount, now: MonotonicTime) {
+        let requests = amount.as_millis() as f64 / 1_000.0;
+        self.add(requests, now);
     }
 
     /// Returns the average rate, in events a second.
     #[must_use]
     pub fn per_second(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.saturating_since(self.counted_at).as_secs_f64();
-        self.events_per_second * (-elapsed / Self::TIME_CONSTANT_S).exp()
+        self.events_per_second * (-elapsed / self.memory_s).exp()
     }
 
     /// Returns the events expected in a time to come, rounded down.
@@ -42,4 +48,9 @@
         // A float cast saturates at the bounds of the type.
         events as u32
     }
+
+    fn add(&mut self, events: f64, now: MonotonicTime) {
+        self.events_per_second = self.per_second(now) + events / self.memory_s;
+        self.counted_at = self.counted_at.max(now);
+    }
 }
