Follow the core's amounts of requests in the agent

Amounts lent are now counted in thousandths of a request; the agent and its tests of static shares take the type over, with the same figures.

--- a/crates/mustardhinge-agent/src/budget/budget_desk.rs
+++ b/crates/mustardhinge-agent/src/budget/budget_desk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jsonrpsee::http_client::HttpClient;
-use mustardhinge_core::budget::{BudgetAnswer, LedgerError};
+use mustardhinge_core::budget::{BudgetAnswer, LedgerError, RequestAmount};
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::PeerApiClient;
 use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
@@ -120,7 +120,7 @@
 
 fn count_request(answer: &Result<BudgetAnswer, LedgerError>) {
     let result = match answer {
-        Ok(answer) if answer.granted > 0 => "granted",
+        Ok(answer) if answer.granted > RequestAmount::ZERO => "granted",
         Ok(_) => "empty",
         Err(LedgerError::NotHolder) => "not_holder",
         Err(LedgerError::UnknownCustomer) => "unknown_customer",
--- a/crates/mustardhinge-agent/src/budget/escrow_books.rs
+++ b/crates/mustardhinge-agent/src/budget/escrow_books.rs
@@ -4,7 +4,7 @@
 use mustardhinge_config::document::ServiceDocument;
 use mustardhinge_core::budget::lease::{HolderId, LeaseKeeper, LeaseRecord, LeaseTerms};
 use mustardhinge_core::budget::zone::{BudgetRecord, ZoneLedger};
-use mustardhinge_core::budget::{BudgetAnswer, BudgetLimit, LedgerError};
+use mustardhinge_core::budget::{BudgetAnswer, BudgetLimit, LedgerError, RequestAmount};
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::budget::BudgetRequest;
 
@@ -162,8 +162,8 @@
     }
 
     fn is_idle(&mut self, now: MonotonicTime) -> bool {
-        let books = self.services.values_mut();
-        books.map(|book| book.ledger.lent(now)).sum::<u64>() == 0
+        let mut books = self.services.values_mut();
+        books.all(|book| book.ledger.lent(now) == RequestAmount::ZERO)
     }
 }
 
--- a/crates/mustardhinge-agent/tests/suite/static_shares.rs
+++ b/crates/mustardhinge-agent/tests/suite/static_shares.rs
@@ -1,13 +1,13 @@
 use mustardhinge_agent::budget::StaticShares;
 use mustardhinge_config::document::ServiceDocument;
-use mustardhinge_core::budget::{BudgetAnswer, BudgetAsk, ClientId, LedgerError};
+use mustardhinge_core::budget::{BudgetAnswer, BudgetAsk, ClientId, LedgerError, RequestAmount};
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::budget::BudgetRequest;
 
 const DOCUMENT: &str = include_str!("../../../../examples/muscat/haulage-1.toml");
 /// Both are those of `seeb` in the sample, over its eight instances.
-const SHARE_BURST: u32 = 10;
-const SHARE_RATE: u32 = 5;
+const SHARE_BURST: RequestAmount = RequestAmount::from_requests(10);
+const SHARE_RATE: RequestAmount = RequestAmount::from_requests(5);
 
 fn request(zone: &str, customer: &str) -> BudgetRequest {
     let client = ClientId {
@@ -23,10 +23,10 @@
             zone: zone.parse().unwrap(),
             ledger_epoch: 0,
             sequence: 1,
-            spent_total: 0,
-            held: 0,
-            waiting: 100,
-            wanted: 100,
+            spent_total: RequestAmount::ZERO,
+            held: RequestAmount::ZERO,
+            waiting: RequestAmount::from_requests(100),
+            wanted: RequestAmount::from_requests(100),
         },
     }
 }
@@ -50,21 +50,31 @@
     let mut shares = shares();
     let mut request = request("muscat-1", "seeb");
     let early = ask(&mut shares, &request, 1_200).unwrap();
-    assert_eq!(early.granted, SHARE_RATE + 1, "1.2 s at 5/s");
+    assert_eq!(
+        early.granted,
+        SHARE_RATE.saturating_add(RequestAmount::ONE),
+        "1.2 s at 5/s"
+    );
     request.ask.sequence = 2;
     request.ask.ledger_epoch = early.ledger_epoch;
-    request.ask.spent_total = u64::from(early.granted);
+    request.ask.spent_total = early.granted;
     let second_later = ask(&mut shares, &request, 2_200).unwrap();
-    let room = SHARE_BURST - early.granted;
+    let room = SHARE_BURST.saturating_sub(early.granted);
     assert_eq!(
         second_later.granted, room,
         "lent requests take up burst until reported spent"
     );
     request.ask.sequence = 3;
-    (request.ask.waiting, request.ask.wanted) = (0, 0);
-    assert_eq!(ask(&mut shares, &request, 30_000).unwrap().granted, 0);
+    (request.ask.waiting, request.ask.wanted) = (RequestAmount::ZERO, RequestAmount::ZERO);
+    assert_eq!(
+        ask(&mut shares, &request, 30_000).unwrap().granted,
+        RequestAmount::ZERO
+    );
     request.ask.sequence = 4;
-    (request.ask.waiting, request.ask.wanted) = (100, 100);
+    (request.ask.waiting, request.ask.wanted) = (
+        RequestAmount::from_requests(100),
+        RequestAmount::from_requests(100),
+    );
     let long_after = ask(&mut shares, &request, 60_000).unwrap();
     assert_eq!(long_after.granted, SHARE_BURST);
 }
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -144,8 +144,7 @@
             lease.give_back(self.shared.now());
             return ReadAttempt::Ended(refused);
         }
-        let may_be_undone =
-            choice.is_primary || context.service.targets() > SAFE_REPLICA_GROUP;
+        let may_be_undone = choice.is_primary || context.service.targets() > SAFE_REPLICA_GROUP;
         let rule = if may_be_undone {
             HoldRule::Completion
         } else {
