--- a/crates/mustardhinge-agent/src/budget/escrow_books.rs
+++ b/crates/mustardhinge-agent/src/budget/escrow_books.rs
@@ -162,8 +162,11 @@
     }
 
     fn is_idle(&mut self, now: MonotonicTime) -> bool {
-        let mut books = self.services.values_mut();
-        books.all(|book| book.ledger.lent(now) == RequestAmount::ZERO)
+        let books = self.services.values_mut();
+        books
+            .map(|book| book.ledger.lent(now))
+            .sum::<RequestAmount>()
+            == RequestAmount::ZERO
     }
 }
 
--- a/crates/mustardhinge-agent/tests/suite/static_shares.rs
+++ b/crates/mustardhinge-agent/tests/suite/static_shares.rs
@@ -9,6 +9,9 @@
 const SHARE_BURST: RequestAmount = RequestAmount::from_requests(10);
 const SHARE_RATE: RequestAmount = RequestAmount::from_requests(5);
 
+/// More than any share has.
+const PLENTY: RequestAmount = RequestAmount::from_requests(100);
+
 fn request(zone: &str, customer: &str) -> BudgetRequest {
     let client = ClientId {
         instance: "muscat-1-a".parse().unwrap(),
@@ -25,8 +28,8 @@
             sequence: 1,
             spent_total: RequestAmount::ZERO,
             held: RequestAmount::ZERO,
-            waiting: RequestAmount::from_requests(100),
-            wanted: RequestAmount::from_requests(100),
+            waiting: PLENTY,
+            wanted: PLENTY,
         },
     }
 }
@@ -71,10 +74,7 @@
         RequestAmount::ZERO
     );
     request.ask.sequence = 4;
-    (request.ask.waiting, request.ask.wanted) = (
-        RequestAmount::from_requests(100),
-        RequestAmount::from_requests(100),
-    );
+    (request.ask.waiting, request.ask.wanted) = (PLENTY, PLENTY);
     let long_after = ask(&mut shares, &request, 60_000).unwrap();
     assert_eq!(long_after.granted, SHARE_BURST);
 }
