Serve the entry until it is gone in a planned stop

Agent and entry of an instance get the stop signal together. The agent used to end in a few seconds while the entry ended its requests for up to its drain bound: without proof its keyed requests would have been refused. The agent now stays until the entry has asked nothing for 0.5 s, for its own drain bound at most.

--- a/crates/mustardhinge-agent/src/budget/budget_desk.rs
+++ b/crates/mustardhinge-agent/src/budget/budget_desk.rs
@@ -15,6 +15,8 @@
 
 /// The time after which another agent's ledger is given up.
 const FORWARD_BOUND: Duration = Duration::from_millis(100);
+/// Agents to which connections are kept.
+const MAX_CLIENTS: usize = 64;
 /// Agents of a zone, the best first, that are asked for its ledger.
 const CANDIDATES: usize = 2;
 
@@ -112,6 +114,9 @@
         if let Some(client) = clients.get(peer) {
             return Some(client.clone());
         }
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
         let client = Arc::new(make_client(peer, FORWARD_BOUND)?);
         clients.insert(peer.clone(), client.clone());
         Some(client)
--- a/crates/mustardhinge-agent/src/process/agent_builder.rs
+++ b/crates/mustardhinge-agent/src/process/agent_builder.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use mustardhinge_config::settings::AgentSettings;
@@ -76,6 +77,7 @@
         let parts = StopParts {
             state,
             registry: context.registry,
+            drain_bound: Duration::from_millis(settings.drain_bound_ms.into()),
             keeper: budget.keeper,
         };
         Ok(AgentProcess::new(servers, parts, tasks))
--- a/crates/mustardhinge-agent/src/process/agent_process.rs
+++ b/crates/mustardhinge-agent/src/process/agent_process.rs
@@ -36,6 +36,8 @@
     pub(super) state: Arc<SharedState>,
     /// The watches of database groups.
     pub(super) registry: Arc<WatchRegistry>,
+    /// How long the entry is served at most.
+    pub(super) drain_bound: Duration,
     /// The keeper of the zone's share, if shares move.
     pub(super) keeper: Option<Arc<EscrowKeeper>>,
 }
@@ -83,11 +85,13 @@
         self.parts.state.read(|known| known.is_ready(now))
     }
 
-    /// Ends the agent: the entry hears that the instance drains, changes of
+    /// Ends the agent: the entry hears that the instance drains and is served
+    /// until it is gone, for the drain bound of the settings at most; changes of
     /// primary under way are ended, the zone's share is given back, calls under
     /// way are answered, all within bounds.
     pub async fn stop(mut self) {
         self.parts.state.set_drain(DrainCause::StopSignal, true);
+        let _ = timeout(self.parts.drain_bound, self.wait_for_entry()).await;
         let _ = timeout(HAND_OVER_BOUND, self.finish_changes()).await;
         self.tasks.shutdown().await;
         if let Some(keeper) = &self.parts.keeper {
@@ -99,6 +103,13 @@
         }
     }
 
+    async fn wait_for_entry(&self) {
+        let state = &self.parts.state;
+        while !state.entry.is_gone(state.now()) {
+            sleep(HAND_OVER_PAUSE).await;
+        }
+    }
+
     async fn finish_changes(&self) {
         while self.parts.registry.is_changing() {
             sleep(HAND_OVER_PAUSE).await;
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -96,6 +96,9 @@
             (entry.instance.clone(), member)
         });
         self.members.on_list(list.revision, members);
+        let members = &self.members;
+        self.peers
+            .retain(|instance, _| members.get_member(instance).is_some());
         self.instances = list;
         true
     }
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::document_check::parse_documents;
-use super::{AdoptedDocument, KnownState};
+use super::{AdoptedDocument, EntryPresence, KnownState};
 use crate::platform::{ObjectList, PlatformError};
 
 /// The longest wait that an entry may ask for.
@@ -24,6 +24,8 @@
     pub(crate) instance: InstanceId,
     /// The availability zone of the instance.
     pub(crate) zone: ZoneId,
+    /// Whether the entry still asks questions.
+    pub(crate) entry: EntryPresence,
     known: Mutex<KnownState>,
     changed: watch::Sender<u64>,
     proven: watch::Sender<u64>,
@@ -42,6 +44,7 @@
             instance,
             zone,
             changed: watch::Sender::new(known.revision),
+            entry: EntryPresence::default(),
             proven: watch::Sender::new(0),
             known: Mutex::new(known),
         }
@@ -189,6 +192,7 @@
     /// Returns the control state as soon as it is newer than the one known to
     /// the entry, or the wait is over.
     pub(crate) async fn wait_control_state(&self, request: &ControlRequest) -> ControlState {
+        let _question = self.entry.start_question(|| self.now());
         let asked_at = self.now();
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_CONTROL_WAIT);
         let mut receiver = self.subscribe();
--- a/crates/mustardhinge-agent/tests/suite/documents.rs
+++ b/crates/mustardhinge-agent/tests/suite/documents.rs
@@ -109,3 +109,32 @@
     let all = client.control_state(request).await.unwrap();
     assert_eq!(all.services.len(), 1);
 }
+
+#[tokio::test]
+async fn a_planned_stop_serves_the_entry_until_it_is_gone() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let state = wait_for_state(&agent, "the document", |state| rate(state).is_some()).await;
+    let client = control_client(&agent);
+    let entry = tokio::spawn(async move {
+        let mut ages = Vec::new();
+        for _ in 0..10 {
+            let request = ControlRequest {
+                agent_incarnation: state.agent_incarnation,
+                known_revision: u64::MAX,
+                wait_ms: 200,
+            };
+            let answer = client.control_state(request).await.unwrap();
+            ages.push((answer.draining, answer.proof_age_ms));
+        }
+        ages
+    });
+    sleep(Duration::from_millis(300)).await;
+    agent.stop().await;
+    let ages = entry.await.unwrap();
+    assert!(ages.last().unwrap().0);
+    assert!(
+        ages.iter().all(|(_, age_ms)| *age_ms < Some(1_500)),
+        "{ages:?}"
+    );
+}
