Look at documents only when something has changed

The keeper of the zone's share went through all documents ten times a second, and each exchange through all of them; both now compare one number first. Imports of the agent's modules tidied.

--- a/crates/mustardhinge-agent/src/budget/escrow_books.rs
+++ b/crates/mustardhinge-agent/src/budget/escrow_books.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use mustardhinge_config::document::ServiceDocument;
+use mustardhinge_config::document::{CustomerEntry, ServiceDocument};
 use mustardhinge_core::budget::lease::{HolderId, LeaseKeeper, LeaseRecord, LeaseTerms};
 use mustardhinge_core::budget::zone::{BudgetRecord, ZoneLedger};
 use mustardhinge_core::budget::{BudgetAnswer, BudgetLimit, LedgerError, RequestAmount};
@@ -20,6 +20,7 @@
     lease: LeaseKeeper,
     services: BTreeMap<ServiceId, ServiceBook>,
     read_due_at: MonotonicTime,
+    taken_revision: u64,
 }
 
 struct ServiceBook {
@@ -37,9 +38,17 @@
             holder,
             services: BTreeMap::new(),
             read_due_at: MonotonicTime::default(),
+            taken_revision: 0,
         }
     }
 
+    /// Returns whether a revision of the state is another than the last one.
+    pub(super) fn start_revision(&mut self, revision: u64) -> bool {
+        let is_new = self.taken_revision != revision;
+        self.taken_revision = revision;
+        is_new
+    }
+
     /// Takes a document in force.
     pub(super) fn set_document(
         &mut self,
@@ -58,7 +67,7 @@
         }
         book.version = version;
         book.zones = target_zones(document);
-        let limit = |customer: &mustardhinge_config::document::CustomerEntry| {
+        let limit = |customer: &CustomerEntry| {
             let limit = BudgetLimit::new(customer.rate, customer.burst);
             (customer.name.clone(), limit)
         };
--- a/crates/mustardhinge-agent/src/budget/escrow_keeper.rs
+++ b/crates/mustardhinge-agent/src/budget/escrow_keeper.rs
@@ -119,6 +119,9 @@
         let now = self.state.now();
         let mut books = self.lock();
         self.state.read(|known| {
+            if !books.start_revision(known.revision) {
+                return;
+            }
             for known in known.documents() {
                 books.set_document(known.version, &known.document, now);
             }
--- a/crates/mustardhinge-agent/src/operator/document_writer.rs
+++ b/crates/mustardhinge-agent/src/operator/document_writer.rs
@@ -8,7 +8,7 @@
     UpdateResult,
 };
 
-use super::update_attempt::{AttemptOutcome, UpdateAttempt, platform_out};
+use super::update_attempt::{AttemptOutcome, UpdateAttempt, platform_out, unnamed_operation};
 use crate::platform::{ObjectKind, ObjectUpdate, PlatformClient, StoredObject};
 use crate::state::{AdoptedDocument, SharedState};
 
@@ -234,7 +234,7 @@
     ServiceText {
         service: service.clone(),
         version: object.version,
-        operation_id: operation_id.unwrap_or_else(super::update_attempt::unnamed_operation),
+        operation_id: operation_id.unwrap_or_else(unnamed_operation),
         document: object.value.as_str().unwrap_or_default().to_owned(),
         from_store: true,
     }
--- a/crates/mustardhinge-agent/src/operator/status_report.rs
+++ b/crates/mustardhinge-agent/src/operator/status_report.rs
@@ -1,3 +1,4 @@
+use mustardhinge_config::document::TargetEntry;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::control::GroupState;
 use mustardhinge_rpc::operator::{AgentStatus, GroupSummary, ServiceSummary, TargetSummary};
@@ -67,7 +68,7 @@
     });
     let view = handle.view.borrow();
     let targets = entry.into_iter().flat_map(|entry| entry.targets);
-    let describe = |target: mustardhinge_config::document::TargetEntry| {
+    let describe = |target: TargetEntry| {
         let report = view.reports.report(&target.name);
         TargetSummary {
             answered: !view
--- a/crates/mustardhinge-agent/src/peer/exchange_answer.rs
+++ b/crates/mustardhinge-agent/src/peer/exchange_answer.rs
@@ -47,8 +47,7 @@
     } else {
         0
     };
-    let is_newer = |document: &&AdoptedDocument| document.version.get() > request.store_revision;
-    let documents = known.documents().filter(is_newer);
+    let documents = known.documents_after(request.store_revision);
     let list = &known.instances;
     ExchangeReply {
         incarnation: known.incarnation,
--- a/crates/mustardhinge-agent/src/peer/exchange_loop.rs
+++ b/crates/mustardhinge-agent/src/peer/exchange_loop.rs
@@ -7,8 +7,11 @@
 use mustardhinge_process::event;
 use mustardhinge_rpc::PeerApiClient;
 use mustardhinge_rpc::operator::PeerSummary;
-use mustardhinge_rpc::peer::{ExchangeReply, ExchangeRequest, PROTOCOL_VERSION};
+use mustardhinge_rpc::peer::{
+    ExchangeReply, ExchangeRequest, PROTOCOL_VERSION, PeerDocument, StoreOutage,
+};
 use rand::RngExt;
+use tokio::sync::watch::Receiver;
 
 use crate::state::{AdoptedDocument, SharedState, millis};
 
@@ -115,7 +118,7 @@
         }
         self.peer_change = reply.group_change;
         self.is_reached = true;
-        let parse = |document: &mustardhinge_rpc::peer::PeerDocument| {
+        let parse = |document: &PeerDocument| {
             let operation = document.operation_id.clone();
             AdoptedDocument::parse(document.version, operation, &document.text).ok()
         };
@@ -133,7 +136,7 @@
 
     fn take_proof(
         &self,
-        outages: &[mustardhinge_rpc::peer::StoreOutage],
+        outages: &[StoreOutage],
         proof_age_ms: Option<u32>,
         asked_at: MonotonicTime,
     ) {
@@ -181,11 +184,7 @@
 }
 
 /// Waits until a group has changed after a change.
-async fn wait_for_groups(
-    state: &SharedState,
-    changes: &mut tokio::sync::watch::Receiver<u64>,
-    change: u64,
-) {
+async fn wait_for_groups(state: &SharedState, changes: &mut Receiver<u64>, change: u64) {
     while state.read(|known| known.groups.last_change()) <= change {
         if changes.changed().await.is_err() {
             return std::future::pending().await;
--- a/crates/mustardhinge-agent/src/state/known_state.rs
+++ b/crates/mustardhinge-agent/src/state/known_state.rs
@@ -32,6 +32,8 @@
     pub(crate) drain: DrainState,
     /// The documents in force.
     pub(crate) documents: AdoptionTable<AdoptedDocument>,
+    /// The greatest version of a document here.
+    pub(crate) newest_version: DocumentVersion,
     /// The revision in which each document was adopted.
     pub(crate) adopted_in: BTreeMap<ServiceId, u64>,
     /// The primaries.
@@ -55,6 +57,7 @@
             is_platform_reachable: false,
             drain: DrainState::new(drain_bound),
             documents: AdoptionTable::default(),
+            newest_version: DocumentVersion::default(),
             adopted_in: BTreeMap::new(),
             groups: GroupTable::default(),
             instances: InstanceList::default(),
@@ -69,6 +72,15 @@
         services.filter_map(|service| self.document(service))
     }
 
+    /// Goes through the documents in force whose versions are greater than a
+    /// revision of the store.
+    pub(crate) fn documents_after(&self, revision: u64) -> impl Iterator<Item = &AdoptedDocument> {
+        let has_any = self.newest_version.get() > revision;
+        let documents = has_any.then(|| self.documents());
+        let documents = documents.into_iter().flatten();
+        documents.filter(move |document| document.version.get() > revision)
+    }
+
     /// Returns the document in force of a service.
     pub(crate) fn document(&self, service: &ServiceId) -> Option<&AdoptedDocument> {
         let known = self.documents.get_document(service)?;
--- a/crates/mustardhinge-agent/src/state/shared_state.rs
+++ b/crates/mustardhinge-agent/src/state/shared_state.rs
@@ -219,6 +219,7 @@
     if adopted {
         let revision = known.revision + 1;
         known.adopted_in.insert(service.clone(), revision);
+        known.newest_version = known.newest_version.max(version);
         event::DOCUMENT_ADOPTED.log(format_args!("service={service} version={version}"));
     }
     adopted
