Take a connection reset at its start as refused

Cause: the gap after a killed primary was 298 to 319 ms, nearly all of it the bound of silence, since a reset connection was taken for a slow one. Ruled out: a full server (answers 53300) and silent connections (no reset).

--- a/crates/mustardhinge-agent/src/target/target_connection.rs
+++ b/crates/mustardhinge-agent/src/target/target_connection.rs
@@ -82,7 +82,9 @@
         .source()
         .and_then(|cause| cause.downcast_ref::<io::Error>());
     match cause.map(io::Error::kind) {
-        Some(io::ErrorKind::ConnectionRefused) => TargetError::Refused,
+        Some(io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset) => {
+            TargetError::Refused
+        }
         _ => TargetError::NotConnected,
     }
 }
--- a/crates/mustardhinge-agent/src/target/target_error.rs
+++ b/crates/mustardhinge-agent/src/target/target_error.rs
@@ -4,7 +4,8 @@
     /// No connection came about, or it broke.
     #[error("no connection")]
     NotConnected,
-    /// The target's host refused the connection: its process is gone.
+    /// The target's host refused or reset the connection before the server said
+    /// anything: its process is gone.
     #[error("connection refused")]
     Refused,
     /// No answer came in time.
