Show no key and no digest in findings

An operator who writes a key where its digest belongs got it back in the finding, and a digest that stands twice was shown. Findings of keys now name the place only. Seen failing with the keys read like other texts.

--- a/crates/mustardhinge-agent/tests/suite/operator_api.rs
+++ b/crates/mustardhinge-agent/tests/suite/operator_api.rs
@@ -198,3 +198,20 @@
     let status: AgentStatus = get(&agent, "/status").await;
     assert_eq!(status.groups[0].primary, Some(to));
 }
+
+#[tokio::test]
+async fn answers_but_the_document_show_no_digest() {
+    let fleet = Fleet::start().await;
+    let (agent, version) = ready_agent(&fleet).await;
+    let other = fleet.document("40/s").replace(KEY_DIGEST, &"0".repeat(64));
+    put(&agent, version, "op-1", other).await.unwrap();
+    let error = put(&agent, version, "op-2", fleet.document("40/s")).await;
+    let error = serde_json::to_string(&error.unwrap_err()).unwrap();
+    let status: AgentStatus = get(&agent, "/status").await;
+    let status = serde_json::to_string(&status).unwrap();
+    assert!(error.contains("customer[seeb].keys"), "{error}");
+    for answer in [error, status] {
+        assert!(!answer.contains(KEY_DIGEST), "{answer}");
+        assert!(!answer.contains("00000000"), "{answer}");
+    }
+}
--- a/crates/mustardhinge-config/src/document/customer_entry.rs
+++ b/crates/mustardhinge-config/src/document/customer_entry.rs
@@ -32,7 +32,7 @@
         let name = reader.text("name", "give the customer's name");
         let rate = read_rate(reader);
         let burst = read_burst(reader);
-        let keys = reader.texts("keys", "give the SHA-256 digest, as 64 hexadecimal digits");
+        let keys = reader.hidden_texts("keys", "give the SHA-256 digest, as 64 hexadecimal digits");
         Some(Self {
             name: name?,
             rate: rate?,
--- a/crates/mustardhinge-config/src/reader/table_reader.rs
+++ b/crates/mustardhinge-config/src/reader/table_reader.rs
@@ -65,6 +65,18 @@
         items.into_iter().enumerate().filter_map(read).collect()
     }
 
+    /// Reads a list of texts that may be left out, and that no finding shows.
+    pub(crate) fn hidden_texts<T: FromStr>(&mut self, key: &'static str, advice: &str) -> Vec<T> {
+        let mut read = Vec::new();
+        for (index, item) in self.array(key).into_iter().enumerate() {
+            match item.as_str().and_then(|text| text.parse().ok()) {
+                Some(parsed) => read.push(parsed),
+                None => self.report(&format!("{key}[{index}]"), "not of its form", advice),
+            }
+        }
+        read
+    }
+
     /// Reads a whole number that may be left out.
     pub(crate) fn optional_number(
         &mut self,
@@ -155,7 +167,7 @@
             let path = format!("{key}[{index}].{field}");
             for (path, text) in text_places(path, value.get_ref()) {
                 if let Some(first) = seen.get(text) {
-                    let problem = format!("{text:?} stands at {first} already");
+                    let problem = format!("the same stands at {first} already");
                     self.report(&path, problem, format!("give each {field} once"));
                 } else {
                     seen.insert(text, join_path(&self.path, &path));
