--- a/crates/mustardhinge-core/src/budget/zone/demand_table.rs
+++ b/crates/mustardhinge-core/src/budget/zone/demand_table.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use crate::budget::DemandMeter;
+use crate::budget::{DemandMeter, RequestAmount};
 use crate::ids::ZoneId;
 use crate::units::MonotonicTime;
 
@@ -11,14 +12,17 @@
 }
 
 impl DemandTable {
-    pub(crate) fn count(&mut self, zone: &ZoneId, requests: u32, now: MonotonicTime) {
-        if requests == 0 {
+    /// How long past loans count: long enough that chance moves no shares.
+    const MEMORY: Duration = Duration::from_secs(30);
+
+    pub(crate) fn count(&mut self, zone: &ZoneId, lent: RequestAmount, now: MonotonicTime) {
+        if lent == RequestAmount::ZERO {
             return;
         }
         self.zones
             .entry(zone.clone())
-            .or_insert_with(|| DemandMeter::new(now))
-            .count(requests, now);
+            .or_insert_with(|| DemandMeter::new(Self::MEMORY, now))
+            .count_amount(lent, now);
     }
 
     /// Returns the zone other than `own` that is lent most, and its requests a
