--- a/crates/mustardhinge-core/tests/suite/group/group_harness.rs
+++ b/crates/mustardhinge-core/tests/suite/group/group_harness.rs
@@ -5,13 +5,10 @@
     ClaimAnswer, FailoverAction, FailoverEvent, FailoverMachine, FailoverSettings,
 };
 use mustardhinge_core::prelude::*;
-use mustardhinge_core::replication::{
-    AckKey, AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker,
-    RoundNumber, ServerReport,
-};
+use mustardhinge_core::replication::ServerReport;
 
-use super::model_group::{ModelEntry, index_of, target};
-use super::{ModelGroup, PlantedFault, ScheduleStep};
+use super::model_group::{index_of, target};
+use super::{InstanceModel, ModelGroup, PlantedFault, RuleChecker, ScheduleStep};
 
 /// The time between two ticks of an agent.
 const TICK: Duration = Duration::from_millis(20);
@@ -43,17 +40,9 @@
     is_store_up: bool,
     claimed: LeaderTerm,
     next_claimant: u64,
-    acks: AckTracker,
-    open_writes: BTreeMap<AckKey, (LogPosition, ModelEntry)>,
-    acked: Vec<(LogPosition, ModelEntry)>,
-    promoted: BTreeMap<LeaderTerm, (usize, Vec<ModelEntry>)>,
     grants: BTreeMap<(u64, LeaderTerm), Vec<ServerReport>>,
-    open_reads: BTreeMap<AckKey, Vec<ModelEntry>>,
-    seen: Vec<ModelEntry>,
-    greatest_applied: Vec<LogPosition>,
-    floors: FloorTracker,
-    floor_bound: BTreeMap<RoundNumber, usize>,
-    violations: Vec<String>,
+    instance: InstanceModel,
+    checker: RuleChecker,
 }
 
 impl GroupHarness {
@@ -69,17 +58,9 @@
             is_store_up: true,
             claimed: LeaderTerm::new(1),
             next_claimant: 0,
-            acks: AckTracker::new(members.clone(), Duration::from_secs(60)),
-            open_writes: BTreeMap::new(),
-            acked: Vec::new(),
-            promoted: BTreeMap::new(),
             grants: BTreeMap::new(),
-            open_reads: BTreeMap::new(),
-            seen: Vec::new(),
-            greatest_applied: vec![LogPosition::default(); servers],
-            floors: FloorTracker::new(members, FloorSettings::new()),
-            floor_bound: BTreeMap::new(),
-            violations: Vec::new(),
+            instance: InstanceModel::new(members, fault),
+            checker: RuleChecker::default(),
             group,
         };
         harness.agents = (0..2).map(|rank| harness.new_agent(rank)).collect();
@@ -94,10 +75,7 @@
             self.step(step);
         }
         self.heal();
-        if self.violations.is_empty() {
-            return Ok((self.acked.len(), self.promoted.len()));
-        }
-        Err(self.violations)
+        self.checker.finish()
     }
 
     pub(crate) fn step(&mut self, step: &ScheduleStep) {
@@ -108,7 +86,12 @@
                 self.group.replicate(server % servers, count);
             }
             ScheduleStep::ReportToTrackers { server } => self.report(server % servers),
-            ScheduleStep::JoinFloor => self.join_floor(),
+            ScheduleStep::JoinFloor => {
+                // Reports of the same moment may have been asked for before.
+                self.now = self.now + Duration::from_micros(1);
+                self.instance
+                    .join_floor(self.now, &self.group, &mut self.checker);
+            }
             ScheduleStep::Deliver { index, keep } => self.deliver(index, keep),
             ScheduleStep::Lose { index } => {
                 if !self.messages.is_empty() {
@@ -154,19 +137,16 @@
             agent.paused_until = self.now;
         }
         self.advance(4_000, true);
-        let acked = self.acked.len();
+        let acked = self.checker.acked();
         for server in 0..self.group.servers.len() {
             self.write(server);
         }
         self.advance(1_000, true);
-        if self.acked.len() == acked {
-            let reports = (0..self.group.servers.len()).map(|server| self.group.report(server));
-            let reports: Vec<_> = reports.collect();
-            let phases = self.agents.iter().map(|agent| agent.machine.phase());
-            let phases: Vec<_> = phases.collect();
-            let stuck =
-                format!("no write is acknowledged after the faults: {reports:#?} {phases:?}");
-            self.violations.push(stuck);
+        if self.checker.acked() == acked {
+            let servers = 0..self.group.servers.len();
+            let reports: Vec<_> = servers.map(|server| self.group.report(server)).collect();
+            let stuck = format!("no write is acknowledged after the faults: {reports:#?}");
+            self.checker.violate(stuck);
         }
     }
 
@@ -210,8 +190,8 @@
             if deliver {
                 self.exchange();
             }
-            let actions = self.floors.expire(self.now);
-            self.take_floors(actions);
+            self.instance
+                .expire(self.now, &self.group, &mut self.checker);
         }
     }
 
@@ -294,7 +274,11 @@
                     self.give(agent, event);
                 }
             }
-            Message::Report(report, requested_at) => self.take_report(report, requested_at),
+            Message::Report(report, requested_at) => {
+                let times = (requested_at, self.now);
+                self.instance
+                    .take_report(report, times, &self.group, &mut self.checker);
+            }
         }
     }
 
@@ -331,7 +315,8 @@
                 let server = self.chosen(claimant, term, index_of(&target));
                 let (granted, is_new) = self.group.promote(server, term, name);
                 if is_new {
-                    self.note_promotion(server, term);
+                    let log = self.group.servers[server].log.clone();
+                    self.checker.note_promotion(server, term, log);
                 }
                 let report = self.group.report(server);
                 FailoverEvent::PromoteAnswered {
@@ -371,148 +356,17 @@
         }
     }
 
-    fn note_promotion(&mut self, server: usize, term: LeaderTerm) {
-        let log = self.group.servers[server].log.clone();
-        for (position, entry) in &self.acked {
-            if entry.term < term && !log.contains(entry) {
-                let lost = format!("{position} was lost: it is not in the log of term {term}");
-                self.violations.push(lost);
-            }
-        }
-        let is_undone = |entry: &&ModelEntry| entry.term < term && !log.contains(entry);
-        if self.seen.iter().any(|entry| is_undone(&entry)) {
-            self.violations
-                .push(format!("a row was undone in term {term}"));
-        }
-        if let Some((other, _)) = self.promoted.insert(term, (server, log)) {
-            let twice = format!("{other} and {server} were promoted in term {term}");
-            self.violations.push(twice);
-        }
-    }
-
     fn write(&mut self, server: usize) {
-        let Some((position, entry)) = self.group.write(server) else {
-            return;
-        };
-        if self.fault == PlantedFault::AckAtPrimary {
-            self.acknowledge(position, entry);
-            return;
-        }
-        match self.acks.begin(&target(server), position, self.now) {
-            AckStart::Waiting(key) => {
-                self.open_writes.insert(key, (position, entry));
-            }
-            AckStart::Resolved(AckOutcome::Acknowledged) => self.acknowledge(position, entry),
-            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
+        if let Some(write) = self.group.write(server) {
+            self.instance
+                .write(server, write, self.now, &mut self.checker);
         }
     }
 
-    fn acknowledge(&mut self, position: LogPosition, entry: ModelEntry) {
-        for (term, (_, log)) in &self.promoted {
-            if entry.term < *term && !log.contains(&entry) {
-                let late =
-                    format!("{position} was lost: it was acknowledged, but term {term} lacks it");
-                self.violations.push(late);
-            }
-        }
-        self.acked.push((position, entry));
-    }
-
     fn report(&mut self, server: usize) {
         if self.group.servers[server].is_up {
             let report = self.group.report(server);
             self.messages.push(Message::Report(report, self.now));
         }
     }
-
-    fn take_report(&mut self, mut report: ServerReport, requested_at: MonotonicTime) {
-        let requested_at = match self.fault {
-            PlantedFault::StaleFloorReports => self.now,
-            _ => requested_at,
-        };
-        let greatest = &mut self.greatest_applied[index_of(&report.target)];
-        *greatest = report.applied.max(*greatest);
-        let actions = self.floors.observe(&report, requested_at, self.now);
-        self.take_floors(actions);
-        if self.fault == PlantedFault::AckByOffset {
-            let open = self.open_writes.values().next();
-            let term = open.map_or(report.term, |(position, _)| position.term);
-            report.term = term;
-            report.last.term = term;
-        }
-        for (key, outcome) in self.acks.observe(&report) {
-            let write = self.open_writes.remove(&key);
-            if let (AckOutcome::Acknowledged, Some((position, entry))) = (outcome, write) {
-                self.acknowledge(position, entry);
-            }
-            let read = self.open_reads.remove(&key);
-            if let (AckOutcome::Acknowledged, Some(rows)) = (outcome, read) {
-                self.release_read(rows);
-            }
-        }
-    }
-
-    fn join_floor(&mut self) {
-        // Reports of the same moment may have been asked for before the read.
-        self.now = self.now + Duration::from_micros(1);
-        let (round, action) = self.floors.join(self.now);
-        self.floor_bound.insert(round, self.acked.len());
-        self.take_floors(action.into_iter().collect());
-    }
-
-    fn take_floors(&mut self, actions: Vec<FloorAction>) {
-        for action in actions {
-            let FloorAction::Yield { round, floor } = action else {
-                continue;
-            };
-            let bound = self.floor_bound.remove(&round).unwrap_or(0);
-            for server in 0..self.group.servers.len() {
-                if self.greatest_applied[server] >= floor {
-                    self.read(server, bound);
-                }
-            }
-        }
-    }
-
-    /// Reads at a server, after a round before which `bound` writes were
-    /// acknowledged.
-    fn read(&mut self, server: usize, bound: usize) {
-        let rows = self.group.servers[server].log.clone();
-        let missed = self.acked[..bound]
-            .iter()
-            .find(|(_, entry)| !rows.contains(entry));
-        if let Some((position, _)) = missed {
-            self.violations
-                .push(format!("a read does not see {position}"));
-        }
-        if self.fault == PlantedFault::ReleaseReadsAtOnce {
-            self.release_read(rows);
-            return;
-        }
-        let report = self.group.report(server);
-        self.take_report(report.clone(), self.now);
-        match self.acks.begin_read(report.last, self.now) {
-            AckStart::Waiting(key) => {
-                self.open_reads.insert(key, rows);
-            }
-            AckStart::Resolved(AckOutcome::Acknowledged) => self.release_read(rows),
-            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
-        }
-    }
-
-    /// Gives a read's answer out: its rows have to last.
-    fn release_read(&mut self, rows: Vec<ModelEntry>) {
-        let fresh = rows.into_iter().filter(|entry| !self.seen.contains(entry));
-        let fresh: Vec<_> = fresh.collect();
-        for (term, (_, log)) in &self.promoted {
-            let lost = fresh
-                .iter()
-                .find(|entry| entry.term < *term && !log.contains(entry));
-            if lost.is_some() {
-                self.violations
-                    .push(format!("a row was undone: term {term} lacks it"));
-            }
-        }
-        self.seen.extend(fresh);
-    }
 }
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/group/instance_model.rs
@@ -0,0 +1,159 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mustardhinge_core::prelude::*;
+use mustardhinge_core::replication::{
+    AckKey, AckOutcome, AckStart, AckTracker, FloorAction, FloorSettings, FloorTracker,
+    GroupMembers, RoundNumber, ServerReport,
+};
+
+use super::model_group::{ModelEntry, index_of, target};
+use super::{ModelGroup, PlantedFault, RuleChecker};
+
+/// The trackers of an instance, its writes and its reads.
+pub(crate) struct InstanceModel {
+    fault: PlantedFault,
+    acks: AckTracker,
+    open_writes: BTreeMap<AckKey, (LogPosition, ModelEntry)>,
+    open_reads: BTreeMap<AckKey, Vec<ModelEntry>>,
+    greatest_applied: Vec<LogPosition>,
+    floors: FloorTracker,
+    floor_bounds: BTreeMap<RoundNumber, usize>,
+}
+
+impl InstanceModel {
+    pub(crate) fn new(members: GroupMembers, fault: PlantedFault) -> Self {
+        Self {
+            fault,
+            acks: AckTracker::new(members.clone(), Duration::from_secs(60)),
+            open_writes: BTreeMap::new(),
+            open_reads: BTreeMap::new(),
+            greatest_applied: vec![LogPosition::default(); members.count()],
+            floors: FloorTracker::new(members, FloorSettings::new()),
+            floor_bounds: BTreeMap::new(),
+        }
+    }
+
+    /// A server has committed a write of this instance.
+    pub(crate) fn write(
+        &mut self,
+        server: usize,
+        (position, entry): (LogPosition, ModelEntry),
+        now: MonotonicTime,
+        checker: &mut RuleChecker,
+    ) {
+        if self.fault == PlantedFault::AckAtPrimary {
+            checker.acknowledge(position, entry);
+            return;
+        }
+        match self.acks.begin(&target(server), position, now) {
+            AckStart::Waiting(key) => {
+                self.open_writes.insert(key, (position, entry));
+            }
+            AckStart::Resolved(AckOutcome::Acknowledged) => checker.acknowledge(position, entry),
+            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
+        }
+    }
+
+    /// A report came in; the times are those of its request and now.
+    pub(crate) fn take_report(
+        &mut self,
+        mut report: ServerReport,
+        (requested_at, now): (MonotonicTime, MonotonicTime),
+        group: &ModelGroup,
+        checker: &mut RuleChecker,
+    ) {
+        let requested_at = match self.fault {
+            PlantedFault::StaleFloorReports => now,
+            _ => requested_at,
+        };
+        let greatest = &mut self.greatest_applied[index_of(&report.target)];
+        *greatest = report.applied.max(*greatest);
+        let actions = self.floors.observe(&report, requested_at, now);
+        self.take_floors(actions, now, group, checker);
+        if self.fault == PlantedFault::AckByOffset {
+            let open = self.open_writes.values().next();
+            let term = open.map_or(report.term, |(position, _)| position.term);
+            report.term = term;
+            report.last.term = term;
+        }
+        for (key, outcome) in self.acks.observe(&report) {
+            let write = self.open_writes.remove(&key);
+            let read = self.open_reads.remove(&key);
+            if outcome != AckOutcome::Acknowledged {
+                continue;
+            }
+            if let Some((position, entry)) = write {
+                checker.acknowledge(position, entry);
+            }
+            if let Some(rows) = read {
+                checker.release_read(rows);
+            }
+        }
+    }
+
+    pub(crate) fn join_floor(
+        &mut self,
+        now: MonotonicTime,
+        group: &ModelGroup,
+        checker: &mut RuleChecker,
+    ) {
+        let (round, action) = self.floors.join(now);
+        self.floor_bounds.insert(round, checker.acked());
+        self.take_floors(action.into_iter().collect(), now, group, checker);
+    }
+
+    pub(crate) fn expire(
+        &mut self,
+        now: MonotonicTime,
+        group: &ModelGroup,
+        checker: &mut RuleChecker,
+    ) {
+        let actions = self.floors.expire(now);
+        self.take_floors(actions, now, group, checker);
+    }
+
+    fn take_floors(
+        &mut self,
+        actions: Vec<FloorAction>,
+        now: MonotonicTime,
+        group: &ModelGroup,
+        checker: &mut RuleChecker,
+    ) {
+        for action in actions {
+            let FloorAction::Yield { round, floor } = action else {
+                continue;
+            };
+            let bound = self.floor_bounds.remove(&round).unwrap_or(0);
+            for server in 0..group.servers.len() {
+                if self.greatest_applied[server] >= floor {
+                    checker.check_rows(&group.servers[server].log, bound);
+                    self.read(server, now, group, checker);
+                }
+            }
+        }
+    }
+
+    fn read(
+        &mut self,
+        server: usize,
+        now: MonotonicTime,
+        group: &ModelGroup,
+        checker: &mut RuleChecker,
+    ) {
+        let rows = group.servers[server].log.clone();
+        if self.fault == PlantedFault::ReleaseReadsAtOnce {
+            checker.release_read(rows);
+            return;
+        }
+        let report = group.report(server);
+        self.take_report(report.clone(), (now, now), group, checker);
+        match self.acks.begin_read(report.last, now) {
+            AckStart::Waiting(key) => {
+                self.open_reads.insert(key, rows);
+            }
+            AckStart::Resolved(AckOutcome::Acknowledged) => checker.release_read(rows),
+            AckStart::Resolved(AckOutcome::Unknown(_)) => {}
+        }
+    }
+}
--- a/crates/mustardhinge-core/tests/suite/replication.rs
+++ b/crates/mustardhinge-core/tests/suite/replication.rs
@@ -4,7 +4,7 @@
 
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::replication::{
-    AckFailure, AckOutcome, AckStart, AckTracker, FloorAction, FloorHistory, FloorSettings,
+    AckFailure, AckKey, AckOutcome, AckStart, AckTracker, FloorAction, FloorHistory, FloorSettings,
     FloorTracker, GroupView, ReportError, ServerReport, ServerRole, quorum_floor,
 };
 
@@ -24,6 +24,14 @@
     AckTracker::new(group.members(), TIMEOUT)
 }
 
+/// Starts the wait of a write at server 0, which it alone does not decide.
+fn begin(tracker: &mut AckTracker, written: LogPosition) -> AckKey {
+    match tracker.begin(&target(0), written, at(0)) {
+        AckStart::Waiting(key) => key,
+        AckStart::Resolved(outcome) => panic!("decided by the primary alone: {outcome:?}"),
+    }
+}
+
 #[test]
 fn a_report_is_read_from_its_columns() {
     let report = ServerReport::from_columns(&["t1", "replica", "3", "3/8", "2/7", "t0"]).unwrap();
@@ -52,9 +60,7 @@
     let mut group = ModelGroup::new(3);
     let mut tracker = tracker(&group);
     let (written, _) = group.write(0).unwrap();
-    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
-        panic!("decided by the primary alone");
-    };
+    let key = begin(&mut tracker, written);
     assert_eq!(tracker.observe(&group.report(1)), vec![]);
     assert_eq!(tracker.next_wait(&target(1)), Some(written));
     group.replicate(1, 1);
@@ -79,9 +85,7 @@
     let mut group = ModelGroup::new(3);
     let mut tracker = tracker(&group);
     let (written, _) = group.write(0).unwrap();
-    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
-        panic!("decided by the primary alone");
-    };
+    let key = begin(&mut tracker, written);
     group.fence(1, LeaderTerm::new(2), 1);
     assert_eq!(tracker.observe(&group.report(1)), vec![]);
     assert_eq!(tracker.next_wait(&target(1)), None);
@@ -98,9 +102,7 @@
     let mut group = ModelGroup::new(3);
     let mut tracker = tracker(&group);
     let (written, _) = group.write(0).unwrap();
-    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
-        panic!("decided by the primary alone");
-    };
+    let key = begin(&mut tracker, written);
     assert_eq!(tracker.next_deadline(), Some(at(100)));
     assert_eq!(tracker.expire(at(99)), vec![]);
     let outcome = AckOutcome::Unknown(AckFailure::TimedOut);
@@ -112,9 +114,7 @@
     let mut group = ModelGroup::new(3);
     let mut tracker = tracker(&group);
     let (written, _) = group.write(0).unwrap();
-    let AckStart::Waiting(key) = tracker.begin(&target(0), written, at(0)) else {
-        panic!("decided by the primary alone");
-    };
+    let key = begin(&mut tracker, written);
     let second = tracker.begin_read(written, at(10));
     tracker.cancel(key);
     assert_eq!(tracker.waiting(), 1);
