--- a/crates/mustardhinge-agent/tests/suite/operator_api.rs
+++ b/crates/mustardhinge-agent/tests/suite/operator_api.rs
@@ -1,13 +1,17 @@
+use std::time::Duration;
+
 use mustardhinge_agent::AgentProcess;
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::operator::{
     AgentStatus, DocumentUpdate, DrainRequest, ErrorKind, KeyWithdrawal, OperatorError,
     ServiceText, SwitchoverRequest, SwitchoverResult, UpdateResult,
 };
+use mustardhinge_standins::platform::{InstanceEntry, InstanceState};
 use mustardhinge_standins::target::member::MemberRole;
 use reqwest::{Client, Method};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::sleep;
 
 use super::scaffold::{
     Fleet, KEY_DIGEST, SERVICE, control_state, wait_for_primary, wait_for_state,
@@ -188,7 +192,7 @@
         to: Some(to.clone()),
     };
     let path = format!("/groups/{SERVICE}/switchover");
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    sleep(Duration::from_millis(300)).await;
     let result: Result<SwitchoverResult, _> = call(&agent, Method::POST, &path, &order).await;
     let result = result.unwrap();
     eprintln!("switchover took {} ms", result.took_ms);
@@ -215,3 +219,48 @@
         assert!(!answer.contains("00000000"), "{answer}");
     }
 }
+
+#[tokio::test]
+async fn an_agent_that_does_not_watch_the_group_passes_a_switchover_on() {
+    let fleet = Fleet::start().await;
+    let mut agents = Vec::new();
+    for number in 0..4 {
+        let name = format!("i-{number}");
+        agents.push(fleet.start_instance(&name, 0, "").await);
+    }
+    for agent in &agents {
+        wait_for_primary(agent, 0).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let mut passed_on = 0;
+    for agent in &agents {
+        let status: AgentStatus = get(agent, "/status").await;
+        if status.groups[0].watched {
+            continue;
+        }
+        let order = SwitchoverRequest { to: None };
+        let path = format!("/groups/{SERVICE}/switchover");
+        let result: Result<SwitchoverResult, _> = call(agent, Method::POST, &path, &order).await;
+        let result = result.unwrap();
+        assert_ne!(Some(result.primary), status.groups[0].primary);
+        passed_on += 1;
+        sleep(Duration::from_millis(500)).await;
+    }
+    assert_eq!(passed_on, 3, "one agent of the zone watches the group");
+}
+
+#[tokio::test]
+async fn an_instance_drains_while_the_list_says_that_it_leaves() {
+    let fleet = Fleet::start().await;
+    let (agent, _) = ready_agent(&fleet).await;
+    let entry = |state| InstanceEntry {
+        instance: "muscat-1-a".to_owned(),
+        zone: "muscat-1".to_owned(),
+        agent_address: agent.address(),
+        state,
+    };
+    fleet.platform.put_instance(entry(InstanceState::Leaving));
+    wait_for_state(&agent, "the drain", |state| state.draining).await;
+    fleet.platform.put_instance(entry(InstanceState::Live));
+    wait_for_state(&agent, "the end of the drain", |state| !state.draining).await;
+}
