--- a/crates/mustardhinge-bench/src/run/operator_race.rs
+++ b/crates/mustardhinge-bench/src/run/operator_race.rs
@@ -43,9 +43,9 @@
     for round in 0..ROUNDS {
         let expected = fleet.platform.object("service", group.service.as_str());
         let expected = expected.map_or(0, |object| object.version);
-        let text = |burst: u64| {
+        let text = |extra_ms: u64| {
             ServiceText::new(&fleet.profile, &group.service, &addresses)
-                .extra_burst(burst)
+                .extra_age_ms(extra_ms.into())
                 .to_toml()
         };
         let update = |operator: usize, document: String| {
--- a/crates/mustardhinge-bench/src/run/service_text.rs
+++ b/crates/mustardhinge-bench/src/run/service_text.rs
@@ -9,9 +9,6 @@
     REASSIGN_ROUTE,
 };
 
-/// Thousandths of a request in one request.
-const MILLIS_PER_REQUEST: u64 = 1_000;
-
 /// The document of a service, as its operators would write it.
 #[derive(Clone, Debug)]
 pub struct ServiceText<'a> {
@@ -20,7 +17,7 @@
     addresses: &'a [SocketAddr],
     leaving: Vec<usize>,
     withdrawn: Option<CustomerId>,
-    extra_burst: u64,
+    extra_age_ms: u128,
 }
 
 impl<'a> ServiceText<'a> {
@@ -37,7 +34,7 @@
             addresses,
             leaving: Vec::new(),
             withdrawn: None,
-            extra_burst: 0,
+            extra_age_ms: 0,
         }
     }
 
@@ -55,10 +52,10 @@
         self
     }
 
-    /// Adds requests to the burst of every customer.
+    /// Adds to the age that routes for older rows allow, in milliseconds.
     #[must_use]
-    pub const fn extra_burst(mut self, requests: u64) -> Self {
-        self.extra_burst = requests;
+    pub const fn extra_age_ms(mut self, extra_ms: u128) -> Self {
+        self.extra_age_ms = extra_ms;
         self
     }
 
@@ -95,9 +92,11 @@
     fn write_customers(&self, text: &mut String) -> std::fmt::Result {
         for customer in &self.profile.customers {
             writeln!(text, "[[customer]]\nname = \"{}\"", customer.customer)?;
-            let extra = self.extra_burst * MILLIS_PER_REQUEST;
-            let burst = RequestBurst::from_millis(customer.burst.as_millis() + extra);
-            writeln!(text, "rate = \"{}\"\nburst = \"{}\"", customer.rate, burst)?;
+            writeln!(
+                text,
+                "rate = \"{}\"\nburst = \"{}\"",
+                customer.rate, customer.burst
+            )?;
             let digest = KeyDigest::of(customer.key().as_bytes());
             if self.withdrawn.as_ref() != Some(&customer.customer) {
                 writeln!(text, "keys = [\"{digest}\"]")?;
@@ -107,7 +106,8 @@
     }
 
     fn write_routes(&self, text: &mut String) -> std::fmt::Result {
-        let age = format!("max_age_ms = {}", self.profile.max_age.as_millis());
+        let age_ms = self.profile.max_age.as_millis() + self.extra_age_ms;
+        let age = format!("max_age_ms = {age_ms}");
         let routes = [
             (CONFIRM_ROUTE, String::from("repeatable = true")),
             (ORDER_ROUTE, String::new()),
