--- a/crates/mustardhinge-bench/src/run/report_builder.rs
+++ b/crates/mustardhinge-bench/src/run/report_builder.rs
@@ -132,8 +132,9 @@
             .filter(|ended| *ended >= begin && *ended <= begin + GAP_SPAN)
             .collect();
         moments.push(begin);
+        // The load ends when its last operation is due, not at its answer.
         let last = load_operations(history)
-            .map(|operation| operation.ended)
+            .map(|operation| operation.due)
             .max();
         moments.extend(last.map(|last| last.min(begin + GAP_SPAN)));
         moments.sort_unstable();
