Work the failover gap out of a history, with a test

The test has a caller that waits in vain after the load has ended; with the end of the span at the last answer it reads 5750 ms in place of 250 ms.

--- a/crates/mustardhinge-bench/src/report/mod.rs
+++ b/crates/mustardhinge-bench/src/report/mod.rs
@@ -1,5 +1,6 @@
 //! The figures of a run, one JSON line each, and their comparison.
 
+mod failover_gap;
 mod figure_comparison;
 mod figure_spread;
 mod report_reader;
@@ -7,6 +8,7 @@
 mod run_report;
 mod share_figure;
 
+pub use failover_gap::find_failover_gap;
 pub use figure_comparison::FigureComparison;
 pub use figure_spread::FigureSpread;
 pub use report_reader::read_reports;
--- a/crates/mustardhinge-bench/src/run/report_builder.rs
+++ b/crates/mustardhinge-bench/src/run/report_builder.rs
@@ -1,16 +1,12 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use mustardhinge_core::prelude::*;
 
 use super::RunPlan;
 use super::direct_probe::AddedLatency;
 use crate::check::{check_history, check_linearizable_rows};
 use crate::history::{OperationRecord, OperationResult, RunHistory};
-use crate::report::{RunFigures, RunReport, divide_counts};
-
-/// The span after a fault in which the longest gap is looked for.
-const GAP_SPAN: Duration = Duration::from_secs(10);
+use crate::report::{RunFigures, RunReport, divide_counts, find_failover_gap};
 
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -44,7 +40,7 @@
         violations: check_history(history),
         rows_left_unchecked: rows.left_out as u64,
         replica_read_share: divide_counts(measured.replica_reads, measured.reads),
-        failover_gap_ms: find_failover_gap(plan, history),
+        failover_gap_ms: measure_failover_gap(plan, history),
         worst_customer_goodput_ratio: figures.get_worst_goodput_ratio(),
         worst_customer_p99_ratio: figures.get_worst_p99_ratio(),
         wrongful_refusals: Some(figures.wrongful_refusals),
@@ -114,33 +110,12 @@
     }
 }
 
-/// Returns the longest time without a confirmed write of a service after the
-/// primary was taken away; none if no fault did so.
-fn find_failover_gap(plan: &RunPlan, history: &RunHistory) -> Option<f64> {
+/// Returns the gap after the primary was taken away; none if no fault did so.
+fn measure_failover_gap(plan: &RunPlan, history: &RunHistory) -> Option<f64> {
     if !plan.faults.iter().any(|fault| fault.is_primary_fault()) {
         return None;
     }
     let begin = history.faults.iter().find(|fault| fault.began)?.at;
-    let mut services: Vec<&ServiceId> = history.limits.iter().map(|limit| &limit.service).collect();
-    services.dedup();
-    let gaps = services.into_iter().map(|service| {
-        let mut moments: Vec<MonotonicTime> = load_operations(history)
-            .filter(|operation| operation.service == *service)
-            .filter(|operation| operation.kind.written_value().is_some())
-            .filter(|operation| operation.result.is_completed())
-            .map(|operation| operation.ended)
-            .filter(|ended| *ended >= begin && *ended <= begin + GAP_SPAN)
-            .collect();
-        moments.push(begin);
-        // The load ends when its last operation is due, not at its answer.
-        let last = load_operations(history)
-            .map(|operation| operation.due)
-            .max();
-        moments.extend(last.map(|last| last.min(begin + GAP_SPAN)));
-        moments.sort_unstable();
-        let pairs = moments.windows(2);
-        pairs.map(|pair| pair[1].saturating_since(pair[0])).max()
-    });
-    let longest = gaps.flatten().max()?;
-    Some(longest.as_secs_f64() * MILLIS_PER_SECOND)
+    let gap = find_failover_gap(history, begin)?;
+    Some(gap.as_secs_f64() * MILLIS_PER_SECOND)
 }
--- a/crates/mustardhinge-bench/tests/suite/reports.rs
+++ b/crates/mustardhinge-bench/tests/suite/reports.rs
@@ -1,8 +1,10 @@
 //! Reports, figures, comparison and plots.
 
+use std::time::Duration;
+
 use mustardhinge_bench::history::{CustomerLimit, FaultMark};
 use mustardhinge_bench::plot::plot_history;
-use mustardhinge_bench::report::{FigureComparison, RunFigures, RunReport};
+use mustardhinge_bench::report::{FigureComparison, RunFigures, RunReport, find_failover_gap};
 use mustardhinge_core::prelude::*;
 
 use crate::builders::*;
@@ -80,3 +82,23 @@
     let p99 = RunFigures::of(&history).customers[0].p99.unwrap();
     assert!((890..=910).contains(&p99.as_millis()), "{p99:?}");
 }
+
+#[test]
+fn the_failover_gap_ends_with_the_load() {
+    let mut waits_in_vain = operation(3, (1_300, 7_000), write("k", "z"));
+    waits_in_vain.result = not_run("no_primary");
+    let operations = vec![
+        operation(1, (900, 1_000), write("k", "v")),
+        operation(2, (1_200, 1_250), write("k", "w")),
+        waits_in_vain,
+    ];
+    let mut history = history(operations, Vec::new());
+    history.limits.push(CustomerLimit {
+        service: id("haulage"),
+        customer: id("c-1"),
+        rate: "1/s".parse().unwrap(),
+        burst: "1req".parse().unwrap(),
+    });
+    let gap = find_failover_gap(&history, MonotonicTime::from_millis(950));
+    assert_eq!(gap, Some(Duration::from_millis(250)));
+}
