Wake waiters of a target only when something changed

Cause: every statement took the state as changed, reads too, and so woke all waits, replica streams and appliers of the target.

--- a/crates/mustardhinge-standins/src/target/session/transaction_runner.rs
+++ b/crates/mustardhinge-standins/src/target/session/transaction_runner.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use mustardhinge_core::prelude::LogPosition;
+use mustardhinge_core::prelude::{LeaderTerm, LogPosition};
 use pgwire::messages::response::TransactionStatus;
 use tokio_util::sync::CancellationToken;
 
@@ -10,6 +10,7 @@
 use crate::target::RecordedOutcome;
 use crate::target::member::SqlError;
 use crate::target::statement::SqlStatement;
+use crate::target::storage::RowChange;
 use crate::target::target_shared::TargetShared;
 
 /// Runs the statements of one connection, and keeps its transaction.
@@ -81,13 +82,26 @@
 
     /// Rolls back whatever is open.
     pub(super) fn rollback(&mut self) {
-        self.shared
-            .change(|member| member.locks.release(self.number));
-        if let Some(transaction) = self.transaction.take() {
-            let records = &transaction.records;
-            let outcome = RecordedOutcome::RolledBack;
-            self.shared.statements.settle(records, &outcome);
+        let Some(transaction) = self.transaction.take() else {
+            return;
+        };
+        if transaction.write_term.is_some() {
+            let number = self.number;
+            self.shared.change(|member| member.locks.release(number));
+        } else {
+            self.stop_waiting();
         }
+        let outcome = RecordedOutcome::RolledBack;
+        self.shared
+            .statements
+            .settle(&transaction.records, &outcome);
+    }
+
+    /// Notes that the connection waits for no lock; nobody waits to hear it.
+    fn stop_waiting(&self) {
+        let number = self.number;
+        self.shared
+            .change_quietly(|member| member.locks.stop_waiting(number));
     }
 
     fn is_explicit(&self) -> bool {
@@ -111,8 +125,7 @@
         if !self.is_explicit() {
             return self.rollback();
         }
-        self.shared
-            .change(|member| member.locks.stop_waiting(self.number));
+        self.stop_waiting();
         if let Some(transaction) = &mut self.transaction {
             transaction.is_failed = true;
         }
@@ -125,12 +138,10 @@
             return Ok(None);
         };
         let records = transaction.records;
-        let result = self.shared.change(|member| {
-            member.locks.release(self.number);
-            let term = transaction.write_term;
-            term.map(|term| member.commit(term, transaction.changes))
-                .transpose()
-        });
+        let result = match transaction.write_term {
+            Some(term) => self.commit_changes(term, transaction.changes).map(Some),
+            None => Ok(None),
+        };
         let outcome = match &result {
             Ok(position) => RecordedOutcome::Committed {
                 position: *position,
@@ -141,6 +152,19 @@
         result
     }
 
+    /// Releases the locks and commits what the transaction changed since it began
+    /// to write in `term`.
+    fn commit_changes(
+        &self,
+        term: LeaderTerm,
+        changes: Vec<RowChange>,
+    ) -> Result<LogPosition, SqlError> {
+        self.shared.change(|member| {
+            member.locks.release(self.number);
+            member.commit(term, changes)
+        })
+    }
+
     async fn run_statement(
         &mut self,
         statement: &SqlStatement,
