--- a/crates/mustardhinge-standins/src/target/session/client_session.rs
+++ b/crates/mustardhinge-standins/src/target/session/client_session.rs
@@ -1,22 +1,20 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use bytes::{BufMut, BytesMut};
-use pgwire::messages::data::{
-    DataRow, FORMAT_CODE_TEXT, FieldDescription, NoData, ParameterDescription, RowDescription,
-};
+use bytes::BytesMut;
+use pgwire::messages::data::{NoData, ParameterDescription};
 use pgwire::messages::extendedquery::{
     BindComplete, CloseComplete, Describe, ParseComplete, TARGET_TYPE_BYTE_STATEMENT,
 };
-use pgwire::messages::response::{
-    CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery,
-};
+use pgwire::messages::response::{CommandComplete, EmptyQueryResponse, ReadyForQuery};
 use pgwire::messages::startup::ParameterStatus;
 use pgwire::messages::{
     DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion,
 };
 use tokio::net::TcpStream;
 
+use super::answer_fault::hold_up_answer;
+use super::answer_messages::{TEXT_TYPE, data_row, error_response, row_description};
 use super::extended_state::ExtendedState;
 use super::reply_rows::ReplyRows;
 use super::session_startup::{StartupOutcome, start_session};
@@ -30,11 +28,6 @@
 use crate::target::statement::{SqlStatement, parse_statements};
 use crate::target::target_shared::TargetShared;
 
-/// The object id of the type `text`.
-const TEXT_TYPE: u32 = 25;
-/// The size that stands for a type of any size.
-const VARIABLE_SIZE: i16 = -1;
-
 /// One caller's connection.
 struct ClientSession {
     link: MessageLink,
@@ -265,7 +258,7 @@
     }
 
     async fn put_reply(&mut self, reply: StatementReply) -> Result<(), LinkError> {
-        self.hold_up_answer(&reply).await?;
+        hold_up_answer(&self.runner.shared.faults, &reply).await?;
         if let Some(position) = reply.position {
             let status = ParameterStatus::new("group_position".to_owned(), position.to_string());
             self.link
@@ -292,40 +285,8 @@
             .put(&PgWireBackendMessage::CommandComplete(complete))
     }
 
-    /// Delays or loses the answer if a fault switch asks for it.
-    async fn hold_up_answer(&self, reply: &StatementReply) -> Result<(), LinkError> {
-        let faults = &self.runner.shared.faults;
-        let late_ms = faults.borrow().late_ms;
-        if late_ms > 0 {
-            tokio::time::sleep(std::time::Duration::from_millis(late_ms.into())).await;
-        }
-        let mut is_lost = false;
-        faults.send_if_modified(|faults| {
-            let counter = if reply.is_group_change {
-                &mut faults.lose_group_answers
-            } else if reply.position.is_some() {
-                &mut faults.lose_commit_answers
-            } else {
-                return false;
-            };
-            is_lost = *counter > 0;
-            *counter = counter.saturating_sub(1);
-            is_lost
-        });
-        if is_lost {
-            return Err(LinkError::AnswerLost);
-        }
-        Ok(())
-    }
-
     fn put_row_description(&mut self, columns: &[&str]) -> Result<(), LinkError> {
-        let field = |name: &&str| {
-            let name = (*name).to_owned();
-            FieldDescription::new(name, 0, 0, TEXT_TYPE, VARIABLE_SIZE, -1, FORMAT_CODE_TEXT)
-        };
-        let description = RowDescription::new(columns.iter().map(field).collect());
-        self.link
-            .put(&PgWireBackendMessage::RowDescription(description))
+        self.link.put(&row_description(columns))
     }
 
     fn put_error(&mut self, error: &SqlError) -> Result<(), LinkError> {
@@ -338,26 +299,3 @@
         self.link.flush().await
     }
 }
-
-fn data_row<'a>(values: impl Iterator<Item = &'a str>) -> PgWireBackendMessage {
-    let mut data = BytesMut::new();
-    let mut count = 0;
-    for value in values {
-        let length = i32::try_from(value.len()).unwrap_or(i32::MAX);
-        data.put_i32(length);
-        data.put_slice(value.as_bytes());
-        count += 1;
-    }
-    PgWireBackendMessage::DataRow(DataRow::new(data, count))
-}
-
-/// Makes the message that tells a caller of an error.
-pub(super) fn error_response(error: &SqlError) -> PgWireBackendMessage {
-    let fields = vec![
-        (b'S', "ERROR".to_owned()),
-        (b'V', "ERROR".to_owned()),
-        (b'C', error.sqlstate().to_owned()),
-        (b'M', error.to_string()),
-    ];
-    PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields))
-}
--- a/crates/mustardhinge-standins/src/target/session/mod.rs
+++ b/crates/mustardhinge-standins/src/target/session/mod.rs
@@ -1,5 +1,7 @@
 //! Connections of callers: messages, statements and transactions.
 
+mod answer_fault;
+mod answer_messages;
 mod client_session;
 mod extended_state;
 mod link_error;
--- a/crates/mustardhinge-standins/src/target/session/session_startup.rs
+++ b/crates/mustardhinge-standins/src/target/session/session_startup.rs
@@ -8,7 +8,7 @@
     SslNegotiationMetaMessage,
 };
 
-use super::client_session::error_response;
+use super::answer_messages::error_response;
 use super::{LinkError, MessageLink};
 use crate::target::connection_count::ConnectionCount;
 use crate::target::member::SqlError;
