Test budgets under clocks of different speed

The margins in leases and lapses could be taken out without a test failing. Directed tests with clocks 2.5 % too slow and too fast now fail without each of the three margins, and the fleet of the window rule runs its processes at such speeds.

--- a/crates/mustardhinge-core/examples/budget_policies/main.rs
+++ b/crates/mustardhinge-core/examples/budget_policies/main.rs
@@ -27,6 +27,8 @@
 mod object_store;
 #[path = "../../tests/suite/budget_fleet/plan.rs"]
 mod plan;
+#[path = "../../tests/suite/budget_fleet/skewed_clock.rs"]
+mod skewed_clock;
 #[path = "../../tests/suite/budget_fleet/world/mod.rs"]
 #[allow(dead_code, reason = "the tests use more of it")]
 mod world;
--- a/crates/mustardhinge-core/tests/suite/budget_entry.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_entry.rs
@@ -182,3 +182,18 @@
     );
     assert_eq!(ledger.lent(at(3_600)), req(3));
 }
+
+/// The entry's clock runs 2.5 % too slow, the ledger's as much too fast.
+#[test]
+fn clocks_of_different_speed_keep_lent_requests_counted() {
+    let mut allowance = allowance(at(0));
+    let mut ledger = full_ledger();
+    let (_, ask) = allowance.wants(5, at(0)).unwrap();
+    let granted = answer(&mut ledger, &ask, 2_000);
+    allowance.on_answer(&zone("a"), &granted, at(0));
+    let (slow, fast) = (at(1_020 * 975 / 1_000), at(2_000 + 1_020 * 1_025 / 1_000));
+    assert_eq!(
+        (allowance.usable(slow), ledger.lent(fast)),
+        (req(5), req(5))
+    );
+}
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/agent.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/agent.rs
@@ -9,11 +9,12 @@
 
 use super::event::{StoreAnswer, StoreCall};
 use super::faults::PlantedFault;
+use super::skewed_clock::SkewedClock;
 
 pub(super) struct Agent {
     pub(super) zone: usize,
     pub(super) incarnation: u64,
-    pub(super) offset: u64,
+    pub(super) clock: SkewedClock,
     pub(super) paused_until: u64,
     pub(super) frozen: u64,
     pub(super) adopted: usize,
@@ -34,7 +35,7 @@
         Self {
             zone,
             incarnation: holder.incarnation,
-            offset: 0,
+            clock: SkewedClock::default(),
             paused_until: 0,
             frozen: 0,
             adopted: 0,
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/entry.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/entry.rs
@@ -5,6 +5,7 @@
 
 use super::customer_side::CustomerSide;
 use super::history::AdmissionHistory;
+use super::skewed_clock::SkewedClock;
 
 /// How long a request waits for budget, in micros.
 const LONGEST_WAIT: u64 = 400_000;
@@ -12,7 +13,7 @@
 pub(super) struct Entry {
     pub(super) zone: usize,
     pub(super) incarnation: u64,
-    pub(super) offset: u64,
+    pub(super) clock: SkewedClock,
     pub(super) paused_until: u64,
     sides: Vec<CustomerSide>,
 }
@@ -35,7 +36,7 @@
         Self {
             zone,
             incarnation: client.incarnation,
-            offset: 0,
+            clock: SkewedClock::default(),
             paused_until: 0,
             sides: (0..customers).map(side).collect(),
         }
@@ -103,6 +104,6 @@
     }
 
     fn clock(&self, time: u64) -> MonotonicTime {
-        MonotonicTime::from_micros(time + self.offset)
+        self.clock.read(time)
     }
 }
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/faults.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/faults.rs
@@ -19,6 +19,9 @@
     pub(super) leave_ms: u64,
     /// Between two cuts of some zone, each of up to six seconds.
     pub(super) cut_ms: u64,
+    /// How much faster or slower than the true time clocks run at most, in
+    /// thousandths.
+    pub(super) skew: u64,
     /// Between two changes of the customers' limits.
     pub(super) change_ms: u64,
     /// Whether entries ask any agent of a zone instead of its holder.
@@ -37,6 +40,7 @@
             outage_ms: 9_000,
             leave_ms: 8_000,
             cut_ms: 9_000,
+            skew: 25,
             change_ms: 7_000,
             wrong_members: true,
         }
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/mod.rs
@@ -9,4 +9,5 @@
 mod object_store;
 mod plan;
 mod rules;
+mod skewed_clock;
 mod world;
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/rules.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/rules.rs
@@ -10,9 +10,11 @@
 use super::world::World;
 
 const SECOND: u64 = 1_000_000;
+/// The greatest skew of clocks, in thousandths; less than the product allows for.
+const MOST_SKEW: u64 = 25;
 const LENGTH: u64 = 40 * SECOND;
 /// The time after which a lower limit holds: lent requests have lapsed.
-const LAPSE: u64 = 1_062_000;
+const LAPSE: u64 = 1_100_000;
 /// Runs in which a planted fault must be found.
 const PLANTED_RUNS: u64 = 10;
 
@@ -66,14 +68,22 @@
         rate: all.clone().map(|limit| limit.rate).max().unwrap(),
         burst: all.map(|limit| limit.burst).max().unwrap(),
     };
-    let overall = history.first_excess(greatest, 0, plan.length);
+    let overall = history.first_excess(with_skew(greatest), 0, plan.length);
     let settled = world.settled.iter().filter_map(|(from, revision)| {
         let to = world.changed.get(*revision).copied().unwrap_or(plan.length);
-        history.first_excess(plan.limits[*revision][0], from + LAPSE, to)
+        history.first_excess(with_skew(plan.limits[*revision][0]), from + LAPSE, to)
     });
     overall.into_iter().chain(settled).min()
 }
 
+/// Returns the limit by clocks that run too fast by the greatest skew.
+const fn with_skew(limit: PlainLimit) -> PlainLimit {
+    PlainLimit {
+        rate: (limit.rate * (1_000 + MOST_SKEW)).div_ceil(1_000),
+        ..limit
+    }
+}
+
 const CHANGING: [PlainLimit; 4] = [limit(60, 30), limit(20, 9), limit(90, 12), limit(15, 30)];
 
 /// Returns whether a planted fault shows, in runs that are sound without it.
@@ -96,15 +106,15 @@
         seed in any::<u64>(),
         is_steady in any::<bool>(),
         messages in (0_u32..200, 0_u32..300, 0_u32..300),
-        processes in (0_u64..3_000, 0_u64..4_000, 0_u64..9_000),
+        processes in (0_u64..3_000, 0_u64..4_000, 0_u64..9_000, 0..=MOST_SKEW),
         others in (0_u64..12_000, 0_u64..12_000, 0_u64..12_000),
         wrong_members in any::<bool>(),
     ) {
         let (loss, duplication, delay) = messages;
-        let (pause_ms, death_ms, leave_ms) = processes;
+        let (pause_ms, death_ms, leave_ms, skew) = processes;
         let (outage_ms, cut_ms, change_ms) = others;
         let faults = FaultRates {
-            loss, duplication, delay, pause_ms, death_ms, outage_ms, cut_ms, change_ms, wrong_members, leave_ms,
+            loss, duplication, delay, pause_ms, death_ms, outage_ms, cut_ms, change_ms, wrong_members, leave_ms, skew,
         };
         let load = if is_steady { Load::Steady(200) } else { Load::Bursts(150) };
         let plan = plan(seed, load, &CHANGING, faults);
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/world/agent_events.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/world/agent_events.rs
@@ -11,7 +11,7 @@
     }
 
     pub(super) fn agent_clock(&self, index: usize, time: u64) -> MonotonicTime {
-        MonotonicTime::from_micros(time + self.agents[index].offset)
+        self.agents[index].clock.read(time)
     }
 
     pub(super) fn on_agent_tick(&mut self, time: u64, start: ProcessStart) {
--- a/crates/mustardhinge-core/tests/suite/budget_fleet/world/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/world/mod.rs
@@ -18,6 +18,7 @@
 use super::history::{AdmissionHistory, PlainLimit};
 use super::object_store::ObjectStore;
 use super::plan::WorldPlan;
+use super::skewed_clock::SkewedClock;
 
 const MILLI: u64 = 1_000;
 /// Time between two looks of an agent at its lease.
@@ -126,7 +127,7 @@
             self.plan.terms,
             self.plan.planted,
         );
-        agent.offset = self.random.random_range(0..3_600 * 1_000 * MILLI);
+        agent.clock = self.make_clock();
         agent.adopted = self.revision;
         let limits = self.core_limits(self.revision);
         agent
@@ -135,6 +136,17 @@
         agent
     }
 
+    fn make_clock(&mut self) -> SkewedClock {
+        let skew = self.plan.faults.skew;
+        let offset = self.random.random_range(0..3_600 * 1_000 * MILLI);
+        let speed = if skew > 0 {
+            self.random.random_range(1_000 - skew..=1_000 + skew)
+        } else {
+            1_000
+        };
+        SkewedClock { offset, speed }
+    }
+
     fn make_entry(&mut self, index: usize) -> Entry {
         let incarnation = self.take_incarnation();
         let client = ClientId {
@@ -144,7 +156,7 @@
         let zone = index % self.plan.zones;
         let customers = self.histories.len();
         let mut entry = Entry::new(zone, &client, &self.zones, customers);
-        entry.offset = self.random.random_range(0..3_600 * 1_000 * MILLI);
+        entry.clock = self.make_clock();
         entry
     }
 
--- a/crates/mustardhinge-core/tests/suite/budget_lease.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_lease.rs
@@ -212,3 +212,18 @@
     store.show(&mut two, at(12));
     assert!(floor(&two, at(12)));
 }
+
+/// The holder's clock runs 2.5 % too slow, the other one's as much too fast.
+#[test]
+fn clocks_of_different_speed_keep_leases_apart() {
+    let slow = |true_ms: u64| MonotonicTime::from_micros(true_ms * 975);
+    let fast = |true_ms: u64| MonotonicTime::from_micros(true_ms * 1_025);
+    let (mut store, one, mut two) = held();
+    let flexible_end = 9_757;
+    store.serve(&mut two, fast(flexible_end));
+    assert!(flexible(&two, fast(flexible_end)) && !flexible(&one, slow(flexible_end)));
+    let (mut store, one, mut two) = held();
+    let floor_end = 97_561;
+    store.serve(&mut two, fast(floor_end));
+    assert!(floor(&two, fast(floor_end)) && !floor(&one, slow(floor_end)));
+}
