--- a/crates/mustardhinge-agent/src/group/group_watch.rs
+++ b/crates/mustardhinge-agent/src/group/group_watch.rs
@@ -6,7 +6,6 @@
 use mustardhinge_core::failover::{FailoverAction, FailoverEvent, FailoverMachine, FailoverPhase};
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::replication::GroupMembers;
-use mustardhinge_process::event;
 use mustardhinge_rpc::control::GroupState;
 use mustardhinge_rpc::peer::PrimaryQuestion;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -14,6 +13,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::failover_calls::FailoverCalls;
+use super::failover_log::log_phase;
 use super::target_probe::probe_target;
 use super::watch_handle::WatchView;
 use super::{GroupContext, SwitchoverError, SwitchoverOrder, WatchEvent, WatchHandle};
@@ -32,6 +32,12 @@
 /// The time that entries get to hear of a hold and to end their writes.
 const DRAIN_WAIT: Duration = Duration::from_millis(30);
 
+/// An operator's order that is being carried out.
+struct PendingSwitchover {
+    from_term: LeaderTerm,
+    reply: oneshot::Sender<Result<(LeaderTerm, TargetId), SwitchoverError>>,
+}
+
 /// The watch of one database group.
 pub(super) struct GroupWatch {
     calls: FailoverCalls,
@@ -39,7 +45,7 @@
     events: mpsc::Receiver<WatchEvent>,
     sender: mpsc::Sender<WatchEvent>,
     view: watch::Sender<WatchView>,
-    switchover: Option<oneshot::Sender<Result<(LeaderTerm, TargetId), SwitchoverError>>>,
+    switchover: Option<PendingSwitchover>,
     asked_at: MonotonicTime,
     tasks: JoinSet<()>,
 }
@@ -163,7 +169,10 @@
 
     fn start_switchover(&mut self, order: SwitchoverOrder) {
         self.answer_switchover(Err(SwitchoverError::NotWatched));
-        self.switchover = Some(order.reply);
+        self.switchover = Some(PendingSwitchover {
+            from_term: self.machine.view().greatest_term(),
+            reply: order.reply,
+        });
         self.advance(FailoverEvent::SwitchoverRequested {
             successor: order.successor,
         });
@@ -205,52 +214,18 @@
         state.hold_writes(&self.calls.group, until);
     }
 
-    /// Shows the state of the watch, and logs and counts what has changed.
+    /// Shows the state of the watch, and logs a change of phase.
     fn show(&self, before: FailoverPhase) {
         let phase = self.machine.phase();
         self.view.send_replace(WatchView {
             reports: self.machine.view().clone(),
             phase,
         });
-        if phase == before {
-            return;
-        }
-        let group = &self.calls.group;
-        metrics::counter!("mustardhinge_failover_phases_total", "phase" => phase.label())
-            .increment(1);
-        match phase {
-            FailoverPhase::BackingOff => {
-                event::PRIMARY_SUSPECTED.log(format_args!("group={group}"));
-            }
-            FailoverPhase::Claiming => self.log_start(),
-            FailoverPhase::Watching => self.log_end(),
-            _ => {}
-        }
-    }
-
-    fn log_start(&self) {
-        if let Some(timeline) = self.machine.timeline() {
-            let (group, term, cause) = (&self.calls.group, timeline.term, timeline.cause);
-            event::TERM_STARTED.log(format_args!("group={group} term={term} cause={cause}"));
+        if phase != before {
+            log_phase(&self.calls.group, &self.machine);
         }
     }
 
-    fn log_end(&self) {
-        let Some(timeline) = self.machine.timeline() else {
-            return;
-        };
-        let (group, term) = (&self.calls.group, timeline.term);
-        let Some(took) = timeline.promotion() else {
-            event::TERM_ABANDONED.log(format_args!("group={group} term={term}"));
-            return;
-        };
-        let detection = timeline.detection().unwrap_or_default().as_millis();
-        let promotion = took.as_millis();
-        event::PRIMARY_PROMOTED.log(format_args!(
-            "group={group} term={term} detect_ms={detection} promote_ms={promotion}"
-        ));
-    }
-
     /// Tells the entry and the peers of the primary at once.
     fn publish_primary(&self) {
         let Some(primary) = self.machine.primary() else {
@@ -265,18 +240,20 @@
     }
 
     fn finish_switchover(&mut self) {
-        if self.switchover.is_none() || self.machine.phase() != FailoverPhase::Watching {
+        let Some(switchover) = &self.switchover else {
             return;
-        }
-        if let Some(primary) = self.machine.primary() {
+        };
+        let from_term = switchover.from_term;
+        let primary = self.machine.primary();
+        if let Some(primary) = primary.filter(|primary| primary.term > from_term) {
             let outcome = (primary.term, primary.target.clone());
             self.answer_switchover(Ok(outcome));
         }
     }
 
     fn answer_switchover(&mut self, outcome: Result<(LeaderTerm, TargetId), SwitchoverError>) {
-        if let Some(reply) = self.switchover.take() {
-            let _ = reply.send(outcome);
+        if let Some(switchover) = self.switchover.take() {
+            let _ = switchover.reply.send(outcome);
         }
     }
 }
--- a/crates/mustardhinge-agent/src/group/mod.rs
+++ b/crates/mustardhinge-agent/src/group/mod.rs
@@ -3,6 +3,7 @@
 
 mod claim_record;
 mod failover_calls;
+mod failover_log;
 mod group_context;
 mod group_watch;
 mod primary_record;
