--- a/crates/mustardhinge-agent/src/budget/budget_desk.rs
+++ b/crates/mustardhinge-agent/src/budget/budget_desk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jsonrpsee::http_client::HttpClient;
-use mustardhinge_core::budget::{BudgetAnswer, LedgerError};
+use mustardhinge_core::budget::{BudgetAnswer, LedgerError, RequestAmount};
 use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::PeerApiClient;
 use mustardhinge_rpc::budget::{BudgetGrant, BudgetRequest};
@@ -15,6 +15,8 @@
 
 /// The time after which another agent's ledger is given up.
 const FORWARD_BOUND: Duration = Duration::from_millis(100);
+/// Agents to which connections are kept.
+const MAX_CLIENTS: usize = 64;
 /// Agents of a zone, the best first, that are asked for its ledger.
 const CANDIDATES: usize = 2;
 
@@ -112,6 +114,9 @@
         if let Some(client) = clients.get(peer) {
             return Some(client.clone());
         }
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
         let client = Arc::new(make_client(peer, FORWARD_BOUND)?);
         clients.insert(peer.clone(), client.clone());
         Some(client)
@@ -120,7 +125,7 @@
 
 fn count_request(answer: &Result<BudgetAnswer, LedgerError>) {
     let result = match answer {
-        Ok(answer) if answer.granted > 0 => "granted",
+        Ok(answer) if answer.granted > RequestAmount::ZERO => "granted",
         Ok(_) => "empty",
         Err(LedgerError::NotHolder) => "not_holder",
         Err(LedgerError::UnknownCustomer) => "unknown_customer",
