Hold new writes before a planned change of primary; report silent targets

Cause: the agents announce a hold of writes before a switchover, and the entry passed over it, so that writes under way were superseded: the new test, four writers while an operator switches over, failed 3 times of 3 with "the write is not confirmed: term_superseded". The entry now waits, within the request's deadline, until the hold ends or a greater term's primary is there: 5 runs of 5 passed.

An entry also tells its agent at once when a target stops answering, so that the agent need not wait for its own next probe.

--- a/crates/mustardhinge-entry/src/budget/budget_table.rs
+++ b/crates/mustardhinge-entry/src/budget/budget_table.rs
@@ -5,7 +5,8 @@
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::ProcessClock;
 
-use super::{AgentClient, CustomerBudget};
+use super::CustomerBudget;
+use crate::control::AgentClient;
 
 type BudgetKey = (ServiceId, CustomerId);
 
--- a/crates/mustardhinge-entry/src/budget/customer_budget.rs
+++ b/crates/mustardhinge-entry/src/budget/customer_budget.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::AgentClient;
+use crate::control::AgentClient;
 
 /// The longest time for which a request waits until its customer's budget has
 /// been refilled; beyond it, it is refused at once.
--- a/crates/mustardhinge-entry/src/budget/agent_client.rs
+++ b/crates/mustardhinge-entry/src/control/agent_client.rs
@@ -3,13 +3,15 @@
 
 use jsonrpsee::ws_client::WsClient;
 use mustardhinge_core::budget::BudgetAnswer;
+use mustardhinge_core::prelude::*;
 use mustardhinge_rpc::AgentApiClient;
 use mustardhinge_rpc::budget::BudgetRequest;
+use mustardhinge_rpc::control::TargetObservation;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// How long the agent may take to answer, other zones' ledgers included.
-const BUDGET_CALL_BOUND: Duration = Duration::from_millis(250);
+const CALL_BOUND: Duration = Duration::from_millis(250);
 
 /// The present connection to the agent, for calls from the traffic threads.
 #[derive(Clone, Debug)]
@@ -24,11 +26,25 @@
         Self { connection }
     }
 
+    /// Tells the agent that a target does not answer, so that it looks at once.
+    pub async fn report_silence(&self, group: GroupId, target: TargetId) {
+        let Some(client) = self.connection.borrow().clone() else {
+            return;
+        };
+        let observation = TargetObservation {
+            group,
+            target,
+            answered: false,
+        };
+        let call = client.observe_targets(vec![observation]);
+        let _ = timeout(CALL_BOUND, call).await;
+    }
+
     /// Asks a ledger; none if it does not answer in time.
     pub async fn ask_budget(&self, request: BudgetRequest) -> Option<BudgetAnswer> {
         let client = self.connection.borrow().clone()?;
         let call = client.acquire_budget(request);
-        let grant = timeout(BUDGET_CALL_BOUND, call).await.ok()?.ok()?;
+        let grant = timeout(CALL_BOUND, call).await.ok()?.ok()?;
         grant.result.ok()
     }
 }
--- a/crates/mustardhinge-entry/src/control/control_link.rs
+++ b/crates/mustardhinge-entry/src/control/control_link.rs
@@ -6,13 +6,13 @@
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use mustardhinge_core::prelude::*;
-use mustardhinge_process::{ProcessClock, event};
+use mustardhinge_process::event;
 use mustardhinge_rpc::AgentApiClient;
-use mustardhinge_rpc::control::{ControlRequest, ControlState, ServiceState};
+use mustardhinge_rpc::control::{ControlRequest, ControlState, GroupState, ServiceState};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use super::{ControlSnapshot, ServiceRuntime};
+use super::{ControlSnapshot, EntryPlace, ServiceRuntime, WriteHold};
 
 /// How long the agent may hold back an unchanged answer.
 const WAIT_MS: u32 = 300;
@@ -30,8 +30,7 @@
 #[derive(Debug)]
 pub struct ControlLink {
     agent: SocketAddr,
-    zone: ZoneId,
-    clock: ProcessClock,
+    place: EntryPlace,
     snapshot: watch::Sender<Arc<ControlSnapshot>>,
     connection: watch::Sender<Option<Arc<WsClient>>>,
     agent_incarnation: u64,
@@ -43,15 +42,13 @@
     #[must_use]
     pub fn new(
         agent: SocketAddr,
-        zone: ZoneId,
-        clock: ProcessClock,
+        place: EntryPlace,
         snapshot: watch::Sender<Arc<ControlSnapshot>>,
         connection: watch::Sender<Option<Arc<WsClient>>>,
     ) -> Self {
         Self {
             agent,
-            zone,
-            clock,
+            place,
             snapshot,
             connection,
             agent_incarnation: 0,
@@ -88,7 +85,7 @@
                 known_revision: self.known_revision,
                 wait_ms: WAIT_MS,
             };
-            let asked_at = self.clock.now();
+            let asked_at = self.place.clock.now();
             let state = client.control_state(request).await?;
             self.adopt(state, asked_at);
         }
@@ -105,6 +102,7 @@
             .map(|ms| Duration::from_millis(ms.into()));
         let proven_at = age.map(|age| asked_at - age);
         let old = Arc::clone(&self.snapshot.borrow());
+        let holds = merge_holds(&old, &state.groups, self.place.clock.now());
         let services = if is_known {
             old.services.clone()
         } else {
@@ -113,6 +111,7 @@
         self.snapshot.send_replace(Arc::new(ControlSnapshot {
             proven_at: proven_at.max(old.proven_at),
             is_draining: state.draining,
+            holds,
             services,
         }));
     }
@@ -131,13 +130,8 @@
             if previous.is_some_and(|known| known.version() >= state.version) {
                 continue;
             }
-            let prepared = ServiceRuntime::prepare(
-                state.version,
-                state.document,
-                previous,
-                &self.zone,
-                self.clock,
-            );
+            let prepared =
+                ServiceRuntime::prepare(state.version, state.document, previous, &self.place);
             match prepared {
                 Ok(runtime) => drop(services.insert(service, Arc::new(runtime))),
                 Err(error) => event::DOCUMENT_NOT_SERVED.log(format_args!(
@@ -149,3 +143,20 @@
         services
     }
 }
+
+/// Takes over the holds of the groups that changed; those that are over go.
+fn merge_holds(
+    old: &ControlSnapshot,
+    changed: &[GroupState],
+    now: MonotonicTime,
+) -> BTreeMap<GroupId, WriteHold> {
+    let mut holds = old.holds.clone();
+    for state in changed {
+        let bound = Duration::from_millis(state.writes_held_ms.into());
+        let until = now + bound;
+        let term = state.term;
+        holds.insert(state.group.clone(), WriteHold { term, until });
+    }
+    holds.retain(|_, hold| hold.until > now);
+    holds
+}
--- a/crates/mustardhinge-entry/src/control/mod.rs
+++ b/crates/mustardhinge-entry/src/control/mod.rs
@@ -1,9 +1,15 @@
 //! What the agent told the entry, ready for the threads that serve.
 
+mod agent_client;
 mod control_link;
 mod control_snapshot;
+mod entry_place;
 mod service_runtime;
+mod write_hold;
 
+pub use agent_client::AgentClient;
 pub use control_link::ControlLink;
 pub use control_snapshot::ControlSnapshot;
+pub use entry_place::EntryPlace;
 pub use service_runtime::ServiceRuntime;
+pub use write_hold::WriteHold;
--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -7,8 +7,8 @@
 use mustardhinge_core::key::KeyTable;
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::routing::{ReadRouter, RouterSettings, TargetState};
-use mustardhinge_process::ProcessClock;
 
+use super::EntryPlace;
 use crate::group::{GroupHandle, GroupSnapshot, GroupWatch};
 use crate::target::{PoolSettings, TargetPool};
 
@@ -41,13 +41,12 @@
         version: DocumentVersion,
         document: ServiceDocument,
         previous: Option<&Arc<Self>>,
-        zone: &ZoneId,
-        clock: ProcessClock,
+        place: &EntryPlace,
     ) -> Result<Self, LimitError> {
         let reusable = previous.filter(|old| old.has_same_servers(&document));
         let (group, pools) = match reusable {
             Some(old) => (old.group.clone(), old.pools.clone()),
-            None => start_group(&document, clock)?,
+            None => start_group(&document, place)?,
         };
         let keys = document.customers.iter().flat_map(|customer| {
             let name = customer.name.clone();
@@ -67,7 +66,7 @@
             routes: routes
                 .map(|route| (route.name.clone(), route.clone()))
                 .collect(),
-            router: ReadRouter::new(zone.clone(), RouterSettings::new()),
+            router: ReadRouter::new(place.zone.clone(), RouterSettings::new()),
             document,
             group,
             pools,
@@ -185,7 +184,8 @@
 
 type GroupParts = (GroupHandle, BTreeMap<TargetId, Arc<TargetPool>>);
 
-fn start_group(document: &ServiceDocument, clock: ProcessClock) -> Result<GroupParts, LimitError> {
+fn start_group(document: &ServiceDocument, place: &EntryPlace) -> Result<GroupParts, LimitError> {
+    let clock = place.clock;
     let limits = &document.limits;
     let limit = PoolLimit::new(
         limits.connections_per_target,
@@ -203,7 +203,13 @@
     }
     let ack_timeout = Duration::from_millis(limits.statement_deadline_ms.into());
     let database = document.service.as_str();
-    let group = GroupWatch::start(&document.group, database, ack_timeout, clock);
+    let group = GroupWatch::start(
+        &document.group,
+        database,
+        ack_timeout,
+        place.agent.clone(),
+        clock,
+    );
     Ok((group, pools))
 }
 
--- a/crates/mustardhinge-entry/src/group/group_watch.rs
+++ b/crates/mustardhinge-entry/src/group/group_watch.rs
@@ -11,6 +11,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
+use crate::control::AgentClient;
+
 use super::{GroupCommand, GroupHandle, GroupSnapshot, TargetWatch, WatchDemand};
 
 /// How long nothing happens at most before overdue waits are looked for.
@@ -21,6 +23,8 @@
 /// It runs on the control thread.
 #[derive(Debug)]
 pub struct GroupWatch {
+    group: GroupId,
+    agent: AgentClient,
     clock: ProcessClock,
     commands: mpsc::UnboundedReceiver<GroupCommand>,
     snapshot: watch::Sender<GroupSnapshot>,
@@ -40,6 +44,7 @@
         group: &GroupEntry,
         database: &str,
         ack_timeout: Duration,
+        agent: AgentClient,
         clock: ProcessClock,
     ) -> GroupHandle {
         let members = GroupMembers::new(group.targets.iter().map(|entry| entry.name.clone()));
@@ -59,6 +64,8 @@
             tokio::spawn(watch.run());
         }
         let watch = Self {
+            group: group.name.clone(),
+            agent,
             clock,
             commands,
             snapshot,
@@ -148,8 +155,7 @@
     ) {
         self.floors.set_silent(&target, report.is_none());
         let Some(report) = report else {
-            self.snapshot
-                .send_if_modified(|snapshot| snapshot.silent.insert(target));
+            self.take_silence(target);
             return;
         };
         let acknowledged = self.acks.observe(&report);
@@ -168,6 +174,18 @@
         self.perform(actions);
     }
 
+    /// Notes that a target does not answer; the agent is told at the first time.
+    fn take_silence(&mut self, target: TargetId) {
+        let name = target.clone();
+        let is_new = self
+            .snapshot
+            .send_if_modified(|snapshot| snapshot.silent.insert(target));
+        if is_new {
+            let (agent, group) = (self.agent.clone(), self.group.clone());
+            tokio::spawn(async move { agent.report_silence(group, name).await });
+        }
+    }
+
     fn expire(&mut self) {
         let now = self.clock.now();
         let overdue = self.acks.expire(now);
--- a/crates/mustardhinge-entry/src/process/entry_process.rs
+++ b/crates/mustardhinge-entry/src/process/entry_process.rs
@@ -16,9 +16,9 @@
 use super::EntryShared;
 use super::listener::CallerListener;
 use super::tls_setup::load_acceptor;
-use crate::budget::{AgentClient, BudgetTable};
+use crate::budget::BudgetTable;
 use crate::caller::StartupPhase;
-use crate::control::{ControlLink, ControlSnapshot};
+use crate::control::{AgentClient, ControlLink, ControlSnapshot, EntryPlace};
 
 /// The time between looks at whether the drain is over.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
@@ -47,9 +47,14 @@
         let tls = settings.tls.as_ref().map(load_acceptor).transpose()?;
         let (snapshot, control) = watch::channel(Arc::new(ControlSnapshot::default()));
         let (connection, connection_receiver) = watch::channel(None);
-        let zone = settings.zone.clone();
-        let link = ControlLink::new(settings.agent, zone, clock, snapshot, connection);
-        let budgets = budget_table(&settings, AgentClient::new(connection_receiver), clock);
+        let agent = AgentClient::new(connection_receiver);
+        let place = EntryPlace {
+            zone: settings.zone.clone(),
+            agent: agent.clone(),
+            clock,
+        };
+        let link = ControlLink::new(settings.agent, place, snapshot, connection);
+        let budgets = budget_table(&settings, agent, clock);
         let shared = Arc::new(EntryShared::new(clock, control, budgets));
         let callers = CallerListener {
             shared: Arc::clone(&shared),
--- a/crates/mustardhinge-entry/src/serve/write_path.rs
+++ b/crates/mustardhinge-entry/src/serve/write_path.rs
@@ -71,6 +71,7 @@
             let Some((target, term)) = found else {
                 return Err(no_primary());
             };
+            let (target, term) = self.pass_hold(context, target, term).await;
             let pool = context.service.pool(&target).ok_or_else(no_primary)?;
             match pool.lend(&context.customer, context.deadline).await {
                 Ok(lease) => return Ok((lease, term)),
@@ -83,6 +84,25 @@
         }
     }
 
+    /// Waits while the primary gets no new writes before a planned change, and
+    /// returns the next primary if it is there by then.
+    async fn pass_hold(
+        &self,
+        context: &RunContext,
+        target: TargetId,
+        term: LeaderTerm,
+    ) -> (TargetId, LeaderTerm) {
+        let now = self.shared.now();
+        let group = &context.service.document().group.name;
+        let hold = self.shared.control().write_hold(group, term, now);
+        let bound = hold.min(context.time_left(now));
+        if bound.is_zero() {
+            return (target, term);
+        }
+        let next = context.service.group().await_other_primary(term, bound);
+        next.await.unwrap_or((target, term))
+    }
+
     async fn try_write(
         &mut self,
         request: &CallerRequest,
--- a/crates/mustardhinge-entry/tests/suite/faults.rs
+++ b/crates/mustardhinge-entry/tests/suite/faults.rs
@@ -1,6 +1,9 @@
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use mustardhinge_fleet::SmallFleet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio_postgres::Client;
 
 use super::cluster::{
@@ -71,6 +74,54 @@
     assert_eq!(all_keys(&client).await, ["d1", "d2"]);
 }
 
+/// Sends a request without fields to an agent's operator API.
+async fn post(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: agent\r\ncontent-type: application/json\r\n\
+         content-length: 2\r\nconnection: close\r\n\r\n{{}}"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+#[tokio::test]
+async fn a_planned_switchover_fails_no_write() {
+    let fleet = haulage_fleet().await;
+    let writers = [0, 1, 0, 1].map(|number| fleet.instances[number].address);
+    let mut tasks = Vec::new();
+    for (writer, address) in writers.into_iter().enumerate() {
+        tasks.push(tokio::spawn(async move {
+            let client = connect(&caller(address)).await.unwrap();
+            let started_at = Instant::now();
+            let mut written = 0;
+            while started_at.elapsed() < Duration::from_secs(2) {
+                let insert =
+                    format!("INSERT INTO moves (k, v) VALUES ('w{writer}-{written}', 'x')");
+                client.simple_query(&insert).await.unwrap();
+                written += 1;
+            }
+            written
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let answer = post(
+        fleet.instances[0].operator_address,
+        "/groups/haulage-1/switchover",
+    );
+    let answer = answer.await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let mut written = 0;
+    for task in tasks {
+        written += task.await.expect("every write is confirmed");
+    }
+    let client = connect(&caller(fleet.instances[1].address)).await.unwrap();
+    let rows = first_column(&client, "SELECT k FROM moves").await;
+    assert_eq!(rows.len(), written);
+}
+
 #[tokio::test]
 async fn reads_go_on_while_a_replica_is_frozen() {
     let fleet = haulage_fleet().await;
