--- a/crates/mustardhinge-ctl/tests/suite/command_line.rs
+++ b/crates/mustardhinge-ctl/tests/suite/command_line.rs
@@ -83,3 +83,21 @@
         let _ = CtlInvocation::parse(words.into_iter().map(Into::into).collect());
     }
 }
+
+#[test]
+fn every_command_of_the_help_text_stands_in_the_page() {
+    let page = include_str!("../../../../docs/COMMAND-LINE.md");
+    let commands = mustardhinge_ctl::args::HELP
+        .lines()
+        .skip_while(|line| *line != "Commands:")
+        .skip(1)
+        .take_while(|line| !line.is_empty())
+        .filter(|line| !line.starts_with("   "));
+    let mut count = 0;
+    for line in commands {
+        let name = line.split_whitespace().next().unwrap();
+        assert!(page.contains(&format!("| `{name}")), "{name}");
+        count += 1;
+    }
+    assert_eq!(count, 10);
+}
