Start a group's watch and connections with its first use

Cause: an entry opened its watch and pools for every document that its agent knows. At 13,000 groups no instance can, and no target has the connections; a service without callers should cost an instance nothing but its document.

A read now joins a floor round when no target has reported.

Left: a group that is no longer used keeps its watch until the document's servers change.

--- a/crates/mustardhinge-entry/src/control/entry_place.rs
+++ b/crates/mustardhinge-entry/src/control/entry_place.rs
@@ -1,5 +1,6 @@
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::ProcessClock;
+use tokio::runtime::Handle;
 
 use super::AgentClient;
 
@@ -10,6 +11,8 @@
     pub zone: ZoneId,
     /// The agent of the instance.
     pub agent: AgentClient,
+    /// The runtime that carries control.
+    pub control: Handle,
     /// The clock of the process.
     pub clock: ProcessClock,
 }
--- /dev/null
+++ b/crates/mustardhinge-entry/src/control/lazy_group.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use mustardhinge_config::document::{GroupEntry, ServiceDocument};
+use mustardhinge_core::connection::{LimitError, PoolLimit};
+use mustardhinge_core::prelude::*;
+use mustardhinge_process::event;
+
+use super::EntryPlace;
+use crate::group::{GroupHandle, GroupWatch};
+use crate::target::{PoolSettings, TargetPool};
+
+/// Connections of an instance to a target that its group's watch keeps.
+const WATCH_CONNECTIONS: u32 = 1;
+
+/// A group whose watch and connections start with its first use.
+///
+/// An instance knows the documents of many services; only those that its
+/// callers use cost it connections.
+#[derive(Debug)]
+pub(super) struct LazyGroup {
+    group: GroupEntry,
+    settings: PoolSettings,
+    ack_timeout: Duration,
+    place: EntryPlace,
+    parts: OnceLock<GroupParts>,
+}
+
+#[derive(Debug)]
+struct GroupParts {
+    watch: GroupHandle,
+    pools: BTreeMap<TargetId, Arc<TargetPool>>,
+}
+
+impl LazyGroup {
+    /// Prepares the group of a document without starting it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the limits leave no connection for each instance.
+    pub(super) fn new(document: &ServiceDocument, place: &EntryPlace) -> Result<Self, LimitError> {
+        let limits = &document.limits;
+        let limit = PoolLimit::new(
+            limits.connections_per_target,
+            limits.slots_per_target,
+            limits.max_instances,
+        )?;
+        let connections = limit.connections().saturating_sub(WATCH_CONNECTIONS);
+        Ok(Self {
+            group: document.group.clone(),
+            settings: PoolSettings::new(document.service.as_str()).connections(connections),
+            ack_timeout: Duration::from_millis(limits.statement_deadline_ms.into()),
+            place: place.clone(),
+            parts: OnceLock::new(),
+        })
+    }
+
+    /// Returns the watch of the group.
+    pub(super) fn watch(&self) -> &GroupHandle {
+        &self.parts().watch
+    }
+
+    /// Returns the connections to a target.
+    pub(super) fn pool(&self, target: &TargetId) -> Option<&Arc<TargetPool>> {
+        self.parts().pools.get(target)
+    }
+
+    fn parts(&self) -> &GroupParts {
+        self.parts.get_or_init(|| self.start())
+    }
+
+    fn start(&self) -> GroupParts {
+        let _control = self.place.control.enter();
+        let database = self.settings.get_database();
+        let targets = self.group.targets.iter();
+        let pools = targets.map(|entry| {
+            let name = entry.name.clone();
+            let settings = self.settings.clone();
+            let pool = TargetPool::new(name.clone(), entry.address, settings, self.place.clock);
+            tokio::spawn(open_first(Arc::clone(&pool)));
+            (name, pool)
+        });
+        let pools = pools.collect();
+        let watch = GroupWatch::start(&self.group, database, self.ack_timeout, &self.place);
+        GroupParts { watch, pools }
+    }
+}
+
+async fn open_first(pool: Arc<TargetPool>) {
+    if let Err(error) = pool.open_ahead().await {
+        let cause = error.to_string();
+        event::TARGET_NOT_REACHED.log(format_args!("target={} error={cause:?}", pool.target()));
+    }
+}
--- a/crates/mustardhinge-entry/src/control/mod.rs
+++ b/crates/mustardhinge-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod control_link;
 mod control_snapshot;
 mod entry_place;
+mod lazy_group;
 mod service_runtime;
 mod write_hold;
 
--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -3,17 +3,15 @@
 use std::time::Duration;
 
 use mustardhinge_config::document::{RouteEntry, ServiceDocument};
-use mustardhinge_core::connection::{LimitError, PoolLimit};
+use mustardhinge_core::connection::LimitError;
 use mustardhinge_core::key::KeyTable;
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::routing::{ReadRouter, RouterSettings, TargetState};
 
 use super::EntryPlace;
-use crate::group::{GroupHandle, GroupSnapshot, GroupWatch};
-use crate::target::{PoolSettings, TargetPool};
-
-/// Connections of an instance to a target that its group's watch keeps.
-const WATCH_CONNECTIONS: u32 = 1;
+use super::lazy_group::LazyGroup;
+use crate::group::{GroupHandle, GroupSnapshot};
+use crate::target::TargetPool;
 
 /// One service as the entry serves it.
 #[derive(Debug)]
@@ -24,16 +22,13 @@
     zones: Vec<ZoneId>,
     routes: BTreeMap<RouteName, RouteEntry>,
     router: ReadRouter,
-    group: GroupHandle,
-    pools: BTreeMap<TargetId, Arc<TargetPool>>,
+    group: Arc<LazyGroup>,
 }
 
 impl ServiceRuntime {
     /// Prepares a document for service; watch and connections are taken over
     /// from `previous` if the group is unchanged.
     ///
-    /// Has to be called on the control runtime.
-    ///
     /// # Errors
     ///
     /// Fails if the limits leave no connection for each instance.
@@ -44,9 +39,9 @@
         place: &EntryPlace,
     ) -> Result<Self, LimitError> {
         let reusable = previous.filter(|old| old.has_same_servers(&document));
-        let (group, pools) = match reusable {
-            Some(old) => (old.group.clone(), old.pools.clone()),
-            None => start_group(&document, place)?,
+        let group = match reusable {
+            Some(old) => Arc::clone(&old.group),
+            None => Arc::new(LazyGroup::new(&document, place)?),
         };
         let keys = document.customers.iter().flat_map(|customer| {
             let name = customer.name.clone();
@@ -69,7 +64,6 @@
             router: ReadRouter::new(place.zone.clone(), RouterSettings::new()),
             document,
             group,
-            pools,
         })
     }
 
@@ -125,21 +119,16 @@
         &self.router
     }
 
-    /// Returns the watch of the group.
+    /// Returns the watch of the group, which starts with the first use.
     #[must_use]
     pub fn group(&self) -> &GroupHandle {
-        &self.group
+        self.group.watch()
     }
 
     /// Returns the connections to a target.
     #[must_use]
     pub fn pool(&self, target: &TargetId) -> Option<&Arc<TargetPool>> {
-        self.pools.get(target)
-    }
-
-    /// Returns the connections to all targets.
-    pub fn pools(&self) -> impl Iterator<Item = &Arc<TargetPool>> {
-        self.pools.values()
+        self.group.pool(target)
     }
 
     /// Returns the time that a statement may wait and run.
@@ -165,7 +154,7 @@
         let primary = snapshot.writable_primary().map(|(target, _)| target);
         let targets = self.document.group.targets.iter();
         let state_of = |entry: &mustardhinge_config::document::TargetEntry| {
-            let pool = self.pools.get(&entry.name)?;
+            let pool = self.group.pool(&entry.name)?;
             let report = &snapshot.view.report(&entry.name)?.report;
             Some(TargetState {
                 target: entry.name.clone(),
@@ -181,44 +170,3 @@
         targets.filter_map(state_of).collect()
     }
 }
-
-type GroupParts = (GroupHandle, BTreeMap<TargetId, Arc<TargetPool>>);
-
-fn start_group(document: &ServiceDocument, place: &EntryPlace) -> Result<GroupParts, LimitError> {
-    let clock = place.clock;
-    let limits = &document.limits;
-    let limit = PoolLimit::new(
-        limits.connections_per_target,
-        limits.slots_per_target,
-        limits.max_instances,
-    )?;
-    let settings = PoolSettings::new(document.service.as_str())
-        .connections(limit.connections().saturating_sub(WATCH_CONNECTIONS));
-    let mut pools = BTreeMap::new();
-    for entry in &document.group.targets {
-        let name = entry.name.clone();
-        let pool = TargetPool::new(name.clone(), entry.address, settings.clone(), clock);
-        tokio::spawn(open_first(Arc::clone(&pool)));
-        pools.insert(name, pool);
-    }
-    let ack_timeout = Duration::from_millis(limits.statement_deadline_ms.into());
-    let database = document.service.as_str();
-    let group = GroupWatch::start(
-        &document.group,
-        database,
-        ack_timeout,
-        place.agent.clone(),
-        clock,
-    );
-    Ok((group, pools))
-}
-
-async fn open_first(pool: Arc<TargetPool>) {
-    if let Err(error) = pool.open_ahead().await {
-        mustardhinge_process::event::TARGET_NOT_REACHED.log(format_args!(
-            "target={} error={:?}",
-            pool.target(),
-            error.to_string()
-        ));
-    }
-}
--- a/crates/mustardhinge-entry/src/group/group_watch.rs
+++ b/crates/mustardhinge-entry/src/group/group_watch.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
 
-use crate::control::AgentClient;
+use crate::control::{AgentClient, EntryPlace};
 
 use super::{GroupCommand, GroupHandle, GroupSnapshot, TargetWatch, WatchDemand};
 
@@ -44,9 +44,9 @@
         group: &GroupEntry,
         database: &str,
         ack_timeout: Duration,
-        agent: AgentClient,
-        clock: ProcessClock,
+        place: &EntryPlace,
     ) -> GroupHandle {
+        let clock = place.clock;
         let members = GroupMembers::new(group.targets.iter().map(|entry| entry.name.clone()));
         let (command_sender, commands) = mpsc::unbounded_channel();
         let (snapshot, snapshot_receiver) = watch::channel(GroupSnapshot::new(members.clone()));
@@ -65,7 +65,7 @@
         }
         let watch = Self {
             group: group.name.clone(),
-            agent,
+            agent: place.agent.clone(),
             clock,
             commands,
             snapshot,
--- a/crates/mustardhinge-entry/src/process/entry_process.rs
+++ b/crates/mustardhinge-entry/src/process/entry_process.rs
@@ -51,6 +51,7 @@
         let place = EntryPlace {
             zone: settings.zone.clone(),
             agent: agent.clone(),
+            control: Handle::current(),
             clock,
         };
         let link = ControlLink::new(settings.agent, place, snapshot, connection);
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -86,6 +86,9 @@
             is_repeatable: context.is_repeatable,
         };
         let group = context.service.group();
+        if group.snapshot().view.reports().next().is_none() {
+            group.floor().await.ok_or_else(floor_unknown)?;
+        }
         loop {
             let snapshot = group.snapshot();
             let states = context.service.target_states(&snapshot, excluded);
--- a/crates/mustardhinge-entry/tests/suite/sessions.rs
+++ b/crates/mustardhinge-entry/tests/suite/sessions.rs
@@ -72,3 +72,15 @@
         "a row was read that may be undone"
     );
 }
+
+#[tokio::test]
+async fn a_service_without_callers_costs_no_connections() {
+    let builder = SmallFleet::builder().service(haulage());
+    let fleet = builder.start().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let target = fleet.group("haulage-1").first();
+    let before = target.open_connections();
+    let client = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    first_column(&client, "SELECT 1").await;
+    assert!(target.open_connections() > before);
+}
