Take an error on opening a connection as a sign of life

Cause: a server that answers a new connection with an error, such as 53300 (too many connections), is alive, but the failover machine heard nothing of it. An agent that started while all connections of a healthy primary were taken found no primary and promoted another; one that lost its connection would have counted the primary as silent.

The machine now gets ConnectionDeclined for such an answer. It refreshes the watch of a known primary, and counts as heard when another agent asks. An agent that has never had the primary's report leaves the group alone as long as a report names that server as the primary, its signs of life are fresh, and fewer than a majority report that they follow another server or none. The majority that an attempt needs still counts reports only, since a server without a free connection can't be asked for a term.

Ruled out: to take the answer as a report (it says neither term nor role), and to bound the wait by the contested limit, since a primary may be full for long. Servers report whom they follow, not whether they still hear it, so the rule reads the former. Errors such as 57P03 (starting up) count as life too.

After: all pass, with the other tests of core (187) and agent (55).

--- a/crates/mustardhinge-agent/src/group/failover_calls.rs
+++ b/crates/mustardhinge-agent/src/group/failover_calls.rs
@@ -117,6 +117,9 @@
             Err(TargetError::Refused) => Some(Err(FailoverEvent::ConnectionRefused {
                 target: target.clone(),
             })),
+            Err(TargetError::Declined(_)) => Some(Err(FailoverEvent::ConnectionDeclined {
+                target: target.clone(),
+            })),
             Err(_) => None,
         }
     }
--- a/crates/mustardhinge-agent/src/group/target_probe.rs
+++ b/crates/mustardhinge-agent/src/group/target_probe.rs
@@ -63,6 +63,12 @@
         Err(TargetError::Refused) => Some(FailoverEvent::ConnectionRefused {
             target: target.clone(),
         }),
+        Err(TargetError::Declined(reason)) => {
+            log::debug!("target={target} declined={reason:?}");
+            Some(FailoverEvent::ConnectionDeclined {
+                target: target.clone(),
+            })
+        }
         Err(error) => {
             log::debug!("target={target} probe={error}");
             None
--- a/crates/mustardhinge-agent/src/target/target_connection.rs
+++ b/crates/mustardhinge-agent/src/target/target_connection.rs
@@ -78,6 +78,9 @@
 }
 
 fn connect_error(error: &tokio_postgres::Error) -> TargetError {
+    if let Some(database) = error.as_db_error() {
+        return TargetError::Declined(database.message().to_owned());
+    }
     let cause = error
         .source()
         .and_then(|cause| cause.downcast_ref::<io::Error>());
--- a/crates/mustardhinge-agent/src/target/target_error.rs
+++ b/crates/mustardhinge-agent/src/target/target_error.rs
@@ -8,6 +8,10 @@
     /// anything: its process is gone.
     #[error("connection refused")]
     Refused,
+    /// The server answered the opening of a connection with an error: it is
+    /// alive.
+    #[error("connection declined: {0}")]
+    Declined(String),
     /// No answer came in time.
     #[error("no answer in time")]
     Silent,
--- a/crates/mustardhinge-core/src/failover/failover_event.rs
+++ b/crates/mustardhinge-core/src/failover/failover_event.rs
@@ -22,6 +22,12 @@
         /// The server.
         target: TargetId,
     },
+    /// A server answered the opening of a connection with an error of its own:
+    /// it is alive, but gives no report.
+    ConnectionDeclined {
+        /// The server.
+        target: TargetId,
+    },
     /// Another instance says whether a server answered its last call.
     PeerObserved {
         /// The other instance.
--- a/crates/mustardhinge-core/src/failover/failover_machine.rs
+++ b/crates/mustardhinge-core/src/failover/failover_machine.rs
@@ -131,6 +131,7 @@
                 self.monitor.note_refusal(&target, now);
                 return self.drive(now, |driver, context| driver.note_refusal(&target, context));
             }
+            FailoverEvent::ConnectionDeclined { target } => self.monitor.note_sign(&target, now),
             FailoverEvent::PeerObserved {
                 observer,
                 target,
--- a/crates/mustardhinge-core/src/failover/group_monitor.rs
+++ b/crates/mustardhinge-core/src/failover/group_monitor.rs
@@ -76,11 +76,20 @@
 
     /// Notes that a server's host refused a connection.
     pub(super) fn note_refusal(&mut self, target: &TargetId, now: MonotonicTime) {
+        self.view.clear_sign(target);
         if let Some(watch) = &mut self.watch {
             watch.note_refusal(target, now);
         }
     }
 
+    /// Notes that a server is alive though it gave no report.
+    pub(super) fn note_sign(&mut self, target: &TargetId, now: MonotonicTime) {
+        self.view.note_sign(target, now);
+        if let Some(watch) = &mut self.watch {
+            watch.note_sign(target, now);
+        }
+    }
+
     /// Notes whether another instance heard a server.
     pub(super) fn note_peer(
         &mut self,
--- a/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
+++ b/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
@@ -58,11 +58,13 @@
         now: MonotonicTime,
     ) -> Option<FailoverCause> {
         let is_missing = current_primary(view).is_none();
-        let missing = has_lasted(&mut self.missing_since, is_missing, now);
-        if !reaches_majority(view, settings.get_silence_limit(), now) {
+        let limit = settings.get_silence_limit();
+        let is_lost = is_missing && !view.has_unreported_primary(now, limit);
+        let missing = has_lasted(&mut self.missing_since, is_lost, now);
+        if !reaches_majority(view, limit, now) {
             return None;
         }
-        if missing > settings.get_silence_limit() {
+        if missing > limit {
             return Some(FailoverCause::NoPrimary);
         }
         let watch = watch.filter(|_| !is_missing)?;
@@ -107,11 +109,11 @@
     since.map_or(Duration::ZERO, |since| now.saturating_since(since))
 }
 
-/// Returns whether a majority of the servers has answered within `limit`.
+/// Returns whether a majority of the servers has reported within `limit`.
 fn reaches_majority(view: &GroupView, limit: Duration, now: MonotonicTime) -> bool {
     let members = view.members();
     let heard = members
         .iter()
-        .filter(|target| !view.is_silent(target, now, limit));
+        .filter(|target| view.has_reported(target, now, limit));
     heard.count() >= members.majority()
 }
--- a/crates/mustardhinge-core/src/failover/primary_watch.rs
+++ b/crates/mustardhinge-core/src/failover/primary_watch.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Notes that a server is alive though it gave no report.
+    pub(super) fn note_sign(&mut self, target: &TargetId, now: MonotonicTime) {
+        if *target == self.target {
+            self.heard_at = now;
+            self.refused_at = None;
+        }
+    }
+
     /// Notes that the primary's host refused a connection.
     pub(super) fn note_refusal(&mut self, target: &TargetId, now: MonotonicTime) {
         if *target == self.target {
--- a/crates/mustardhinge-core/src/replication/group_view.rs
+++ b/crates/mustardhinge-core/src/replication/group_view.rs
@@ -10,6 +10,7 @@
 pub struct GroupView {
     members: GroupMembers,
     reports: Vec<Option<TimedReport>>,
+    signs: Vec<Option<MonotonicTime>>,
 }
 
 impl GroupView {
@@ -17,7 +18,12 @@
     #[must_use]
     pub fn new(members: GroupMembers) -> Self {
         let reports = vec![None; members.count()];
-        Self { members, reports }
+        let signs = vec![None; members.count()];
+        Self {
+            members,
+            reports,
+            signs,
+        }
     }
 
     /// Takes in a report; one asked for before the report that is held, or of
@@ -48,6 +54,20 @@
         true
     }
 
+    /// Notes that a server is alive though it gave no report.
+    pub fn note_sign(&mut self, target: &TargetId, now: MonotonicTime) {
+        if let Some(index) = self.members.index_of(target) {
+            self.signs[index] = Some(now);
+        }
+    }
+
+    /// Forgets a server's sign of life, since its process is gone.
+    pub fn clear_sign(&mut self, target: &TargetId) {
+        if let Some(index) = self.members.index_of(target) {
+            self.signs[index] = None;
+        }
+    }
+
     /// Returns the servers of the group.
     #[must_use]
     pub fn members(&self) -> &GroupMembers {
@@ -89,11 +109,47 @@
         self.members.count() - ahead.count() < self.members.majority()
     }
 
-    /// Returns whether no report of the server came in within `limit`.
+    /// Returns whether neither a report nor another sign of life of the server
+    /// came in within `limit`.
     #[must_use]
     pub fn is_silent(&self, target: &TargetId, now: MonotonicTime, limit: Duration) -> bool {
+        !self.has_sign(target, now, limit) && !self.has_reported(target, now, limit)
+    }
+
+    /// Returns whether a report of the server came in within `limit`.
+    #[must_use]
+    pub fn has_reported(&self, target: &TargetId, now: MonotonicTime, limit: Duration) -> bool {
         self.report(target)
-            .is_none_or(|timed| now.saturating_since(timed.received_at) > limit)
+            .is_some_and(|timed| now.saturating_since(timed.received_at) <= limit)
+    }
+
+    /// Returns whether a server that the others may still follow is alive
+    /// without reporting: at least one report names it as the primary, and
+    /// fewer than a majority name another server or none.
+    #[must_use]
+    pub fn has_unreported_primary(&self, now: MonotonicTime, limit: Duration) -> bool {
+        let named = self.reports().filter_map(|timed| {
+            let primary = timed.report.primary.as_ref()?;
+            (*primary != timed.report.target).then_some(primary)
+        });
+        named
+            .filter(|primary| self.has_sign(primary, now, limit))
+            .any(|primary| !self.is_left(primary))
+    }
+
+    /// Returns whether a majority reports that it does not follow the server.
+    fn is_left(&self, primary: &TargetId) -> bool {
+        let others = self
+            .reports()
+            .filter(|timed| timed.report.target != *primary);
+        let left = others.filter(|timed| timed.report.primary.as_ref() != Some(primary));
+        left.count() >= self.members.majority()
+    }
+
+    fn has_sign(&self, target: &TargetId, now: MonotonicTime, limit: Duration) -> bool {
+        let index = self.members.index_of(target);
+        let sign = index.and_then(|index| self.signs[index]);
+        sign.is_some_and(|at| now.saturating_since(at) <= limit)
     }
 
     /// Returns a time and the floor of reads at that time, from the newest
--- a/crates/mustardhinge-core/tests/suite/failover/failover_rig.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/failover_rig.rs
@@ -29,6 +29,7 @@
     pub(crate) now: MonotonicTime,
     pub(crate) store: StoreState,
     pub(crate) refusing: Vec<usize>,
+    pub(crate) declining: Vec<usize>,
     pub(crate) replicating: bool,
     pub(crate) losing_answers: bool,
     pub(crate) draining: bool,
@@ -49,6 +50,7 @@
             now,
             store: StoreState::Up,
             refusing: Vec::new(),
+            declining: Vec::new(),
             replicating: true,
             losing_answers: false,
             draining: true,
@@ -90,6 +92,20 @@
         self.group.servers[server].is_up = false;
     }
 
+    /// Lets a server answer each new connection with an error.
+    pub(crate) fn decline(&mut self, server: usize) {
+        self.group.servers[server].is_up = false;
+        self.declining.push(server);
+    }
+
+    /// Puts a machine in place that has heard nothing yet.
+    pub(crate) fn start_anew(&mut self) {
+        let members = self.group.members();
+        self.machine = FailoverMachine::new(members, 0, FailoverSettings::new(), 7, self.now);
+        self.pending.clear();
+        self.actions.clear();
+    }
+
     pub(crate) fn revive(&mut self, server: usize) {
         self.group.servers[server].is_up = true;
         self.refusing.retain(|refusing| *refusing != server);
@@ -165,6 +181,8 @@
                 });
             } else if self.refusing.contains(&server) {
                 self.give(FailoverEvent::ConnectionRefused { target });
+            } else if self.declining.contains(&server) {
+                self.give(FailoverEvent::ConnectionDeclined { target });
             }
         }
     }
--- a/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
@@ -148,3 +148,41 @@
     assert_eq!(rig.promoted(), vec![0]);
     assert_eq!(rig.group.report(2).primary, Some(target(0)));
 }
+
+#[test]
+fn a_primary_that_declines_connections_is_left_alone() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.decline(0);
+    rig.run(10_000);
+    assert!(!rig.has_done(is_claim));
+    rig.declining.clear();
+    let waited = rig.run_until(is_claim);
+    assert!((280..400).contains(&waited), "{waited} ms");
+}
+
+#[test]
+fn a_new_agent_leaves_a_primary_alone_that_declines_connections() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.decline(0);
+    rig.start_anew();
+    rig.run(10_000);
+    assert!(!rig.has_done(is_claim));
+    rig.declining.clear();
+    let waited = rig.run_until(is_claim);
+    assert!((500..800).contains(&waited), "{waited} ms");
+}
+
+#[test]
+fn a_primary_that_declines_connections_is_replaced_if_a_majority_lost_it() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.decline(0);
+    rig.start_anew();
+    rig.run(1_000);
+    let term = rig.group.report(1).term.next();
+    assert!(rig.group.fence(1, term, 99));
+    rig.run(1_000);
+    assert!(!rig.has_done(is_claim));
+    assert!(rig.group.fence(2, term, 99));
+    rig.run_until(is_promote);
+    assert_ne!(rig.promoted(), vec![0]);
+}
