Let a leaving primary hand over

Cause: the failover machine knows of leaving servers, but nothing told it of the document's leaving targets, so that a primary marked as leaving kept its role for good, and a leaving replica could become primary.

The watch of a group now gives the leaving targets of the document to its machine when it starts. A watch already starts anew when its group's entry changes, the leaving mark included, so no further event is needed; such a restart ends an attempt under way, as any change of the entry did before.

Ruled out for now: an event that sets the leaving targets in a running watch, which would spare that restart.

Before: a_primary_that_the_document_calls_leaving_hands_over, written first, failed (no primary in a greater term within 8 s). After: it passes, with the 55 other tests of the agent.

--- a/crates/mustardhinge-agent/src/group/group_watch.rs
+++ b/crates/mustardhinge-agent/src/group/group_watch.rs
@@ -61,7 +61,8 @@
         let now = context.state.now();
         let members = GroupMembers::new(group.targets.iter().map(|target| target.name.clone()));
         let seed = rand::random();
-        let machine = FailoverMachine::new(members, rank, context.settings, seed, now);
+        let mut machine = FailoverMachine::new(members, rank, context.settings, seed, now);
+        machine.set_leaving(leaving_targets(group));
         let view = watch::Sender::new(WatchView {
             reports: machine.view().clone(),
             phase: machine.phase(),
@@ -258,6 +259,12 @@
     }
 }
 
+/// Returns the targets whose operators have asked that they get no new work.
+fn leaving_targets(group: &GroupEntry) -> impl Iterator<Item = TargetId> {
+    let leaving = group.targets.iter().filter(|target| target.leaving);
+    leaving.map(|target| target.name.clone())
+}
+
 fn make_links(group: &GroupEntry) -> BTreeMap<TargetId, Arc<TargetLink>> {
     let links = group.targets.iter().map(|target| {
         let link = Arc::new(TargetLink::new(target.address));
--- a/crates/mustardhinge-agent/tests/suite/failover.rs
+++ b/crates/mustardhinge-agent/tests/suite/failover.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use mustardhinge_config::document::edit::set_leaving;
 use mustardhinge_core::prelude::*;
 use mustardhinge_standins::target::member::MemberRole;
 use tokio::time::{Instant, sleep};
@@ -234,3 +235,17 @@
     wait_for_primary(&agent, 0).await;
     agent.stop().await;
 }
+
+#[tokio::test]
+async fn a_primary_that_the_document_calls_leaving_hands_over() {
+    let fleet = Fleet::start().await;
+    let agent = fleet.start_agent(0, "").await;
+    let (term, before) = wait_for_primary(&agent, 0).await;
+    let document = fleet.document("40/s");
+    let document = set_leaving(&document, &before, true).unwrap();
+    fleet.put_document(1, "second", &document);
+    let (_, after) = wait_for_primary(&agent, term.get()).await;
+    assert_ne!(after, before);
+    wait_for_role(&fleet, &after, MemberRole::Primary).await;
+    agent.stop().await;
+}
