--- a/crates/mustardhinge-bench/tests/suite/main.rs
+++ b/crates/mustardhinge-bench/tests/suite/main.rs
@@ -6,3 +6,4 @@
 mod planted_faults;
 mod reports;
 mod traces;
+mod whole_run;
