Test that a leaving primary gets no new work

Red at: haulage-2-db-1 got 104 statements after the bound and stayed primary. The agent does not yet tell the failover machine which targets are leaving (FailoverMachine::set_leaving has no caller there).

--- a/crates/mustardhinge-bench/tests/suite/whole_run.rs
+++ b/crates/mustardhinge-bench/tests/suite/whole_run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_bench::load::DeploymentName;
-use mustardhinge_bench::run::{BenchRun, RunPlan};
+use mustardhinge_bench::run::{BenchRun, FaultName, RunPlan};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_short_run_serves_and_breaks_no_rule() {
@@ -20,3 +20,16 @@
     assert!(outcome.report.replica_read_share.is_some());
     assert!(!outcome.history.commits.is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_primary_gets_no_new_work_after_the_bound() {
+    let plan = RunPlan {
+        deployment: DeploymentName::Muscat,
+        seed: 1,
+        duration: Duration::from_secs(8),
+        faults: vec![FaultName::TargetLeaving],
+        baseline: None,
+    };
+    let outcome = BenchRun::new(plan).run().await.unwrap();
+    assert_eq!(outcome.report.violations, []);
+}
