--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -145,6 +145,9 @@
 
     /// Returns what is known of each target, for routing; those in `excluded`
     /// count as silent.
+    ///
+    /// Where all are silent, none counts as such: they may be slow, and there is
+    /// no better choice.
     #[must_use]
     pub fn target_states(
         &self,
@@ -167,6 +170,12 @@
                 is_silent: snapshot.silent.contains(&entry.name) || excluded.contains(&entry.name),
             })
         };
-        targets.filter_map(state_of).collect()
+        let mut states: Vec<TargetState> = targets.filter_map(state_of).collect();
+        if states.iter().all(|state| state.is_silent) {
+            for state in &mut states {
+                state.is_silent = excluded.contains(&state.target);
+            }
+        }
+        states
     }
 }
--- a/crates/mustardhinge-entry/src/group/group_watch.rs
+++ b/crates/mustardhinge-entry/src/group/group_watch.rs
@@ -15,6 +15,10 @@
 
 use super::{GroupCommand, GroupHandle, GroupSnapshot, TargetWatch, WatchDemand};
 
+/// How long a floor round may take; two reports fit in it, so that one of a
+/// connection that fell silent does not fail the round.
+const FLOOR_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// How long nothing happens at most before overdue waits are looked for.
 const IDLE_CHECK: Duration = Duration::from_millis(100);
 
@@ -72,7 +76,7 @@
             demands,
             acks: AckTracker::new(members.clone(), ack_timeout),
             ack_replies: BTreeMap::new(),
-            floors: FloorTracker::new(members, FloorSettings::new()),
+            floors: FloorTracker::new(members, FloorSettings::new().timeout(FLOOR_TIMEOUT)),
             floor_replies: BTreeMap::new(),
             awaited: BTreeMap::new(),
         };
--- a/crates/mustardhinge-entry/src/group/target_watch.rs
+++ b/crates/mustardhinge-entry/src/group/target_watch.rs
@@ -13,7 +13,7 @@
 use crate::target::{ConnectionError, TargetConnection};
 
 /// How long a target may take to answer a report, or to open the connection.
-const REPORT_BOUND: Duration = Duration::from_millis(300);
+const REPORT_BOUND: Duration = Duration::from_millis(600);
 
 /// How long a target may wait inside one `group_wait`.
 const WAIT_STEP_MS: u32 = 2;
--- a/crates/mustardhinge-entry/src/process/entry_shared.rs
+++ b/crates/mustardhinge-entry/src/process/entry_shared.rs
@@ -1,14 +1,20 @@
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::ProcessClock;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::CancelRegistry;
 use crate::budget::BudgetTable;
 use crate::control::{ControlSnapshot, ServiceRuntime};
 
+/// How long requests wait for proof of their keys once it has run out; after
+/// that they are refused at once.
+const PROOF_GRACE: Duration = Duration::from_millis(400);
+
 /// What all callers' tasks share.
 #[derive(Debug)]
 pub struct EntryShared {
@@ -21,6 +27,7 @@
     control: watch::Receiver<Arc<ControlSnapshot>>,
     draining: watch::Sender<bool>,
     callers: AtomicUsize,
+    unproven_since: Mutex<Option<MonotonicTime>>,
 }
 
 impl EntryShared {
@@ -38,6 +45,7 @@
             control,
             draining: watch::Sender::new(false),
             callers: AtomicUsize::new(0),
+            unproven_since: Mutex::default(),
         }
     }
 
@@ -82,6 +90,36 @@
         self.control.clone()
     }
 
+    /// Waits for proof of the keys younger than `bound`, if it ran out only now,
+    /// as after a pause of the process.
+    pub async fn await_proof(&self, bound: Duration) {
+        let now = self.now();
+        let Some(left) = self.proof_grace(bound, now) else {
+            return;
+        };
+        let mut control = self.control.clone();
+        let is_proven =
+            |snapshot: &Arc<ControlSnapshot>| snapshot.is_proven(bound, self.clock.now());
+        let _ = timeout(left, control.wait_for(is_proven)).await;
+    }
+
+    /// Returns how long a request may wait for proof; none if there is proof, or
+    /// there has been none for longer than the grace.
+    fn proof_grace(&self, bound: Duration, now: MonotonicTime) -> Option<Duration> {
+        let is_proven = self.control.borrow().is_proven(bound, now);
+        let mut since = self
+            .unproven_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if is_proven {
+            *since = None;
+            return None;
+        }
+        let until = *since.get_or_insert(now) + PROOF_GRACE;
+        let left = until.saturating_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns the number of connected callers.
     #[must_use]
     pub fn callers(&self) -> usize {
--- a/crates/mustardhinge-entry/src/serve/admission.rs
+++ b/crates/mustardhinge-entry/src/serve/admission.rs
@@ -26,6 +26,9 @@
         let service = self.current_service()?;
         self.check_draining()?;
         self.check_kind(request)?;
+        if self.customer.is_some() {
+            self.shared.await_proof(service.proof_bound()).await;
+        }
         self.check_key(&service, request)?;
         let customer = self.lane();
         self.check_budget(&service, &customer, request).await?;
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -17,9 +17,9 @@
 /// SQLSTATE of a write at a server that takes none.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
-/// How long the first target of a read may stay silent before the read goes on
-/// to another; the last target has all the time that is left.
-const SILENCE_BOUND: Duration = Duration::from_millis(1_000);
+/// How long the first try of what may be repeated waits for a target that stays
+/// silent; the last try has all the time that is left.
+pub(super) const SILENCE_BOUND: Duration = Duration::from_millis(1_000);
 
 /// The greatest group in which a replica and its primary are a majority, so that
 /// what a replica holds can't be undone.
--- a/crates/mustardhinge-entry/src/serve/recorded_path.rs
+++ b/crates/mustardhinge-entry/src/serve/recorded_path.rs
@@ -1,11 +1,12 @@
+use std::time::Duration;
+
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::replication::{AckOutcome, ServerReport};
 use pgwire::messages::response::{CommandComplete, TransactionStatus};
 
-use super::read_path::count_retry;
+use super::read_path::{SILENCE_BOUND, count_retry};
 use super::reply_writer::{answer_steps, local_answer};
 use super::run_context::RunContext;
-use super::write_path::no_primary;
 use super::{CallerSession, CallerStream, RequestEnd};
 use crate::group::first_row;
 use crate::request::{CallerRequest, HoldRule, RelayError, ReplyEnd, RequestRecord};
@@ -81,8 +82,9 @@
                     refused
                 };
             }
-            was_sent = true;
-            match self.try_recorded(&recorded, lease, term).await {
+            let is_retry = std::mem::replace(&mut was_sent, true);
+            let attempt = self.try_while_primary(&recorded, lease, term, is_retry);
+            match attempt.await {
                 RecordedAttempt::Ended(end) => return end,
                 RecordedAttempt::PrimaryFailed => count_retry("recorded_primary_failed"),
                 RecordedAttempt::NotPrimary(term) => {
@@ -96,13 +98,36 @@
         }
     }
 
-    async fn try_recorded(
+    /// Tries once; given up as soon as another primary is known, which then
+    /// tells whether the request ran.
+    async fn try_while_primary(
         &mut self,
         recorded: &RecordedRun<'_>,
         lease: TargetLease,
         term: LeaderTerm,
+        is_retry: bool,
     ) -> RecordedAttempt {
-        let attempt = self.attempt(recorded, lease, term).await;
+        let left = recorded.context.time_left(self.shared.now());
+        let bound = if is_retry {
+            left
+        } else {
+            left.min(SILENCE_BOUND)
+        };
+        let group = recorded.context.service.group().clone();
+        tokio::select! {
+            biased;
+            attempt = self.try_recorded(recorded, lease, (term, bound)) => attempt,
+            Some(_) = group.await_other_primary(term, left) => RecordedAttempt::PrimaryFailed,
+        }
+    }
+
+    async fn try_recorded(
+        &mut self,
+        recorded: &RecordedRun<'_>,
+        lease: TargetLease,
+        place: (LeaderTerm, Duration),
+    ) -> RecordedAttempt {
+        let attempt = self.attempt(recorded, lease, place).await;
         match attempt {
             Ok(attempt) => attempt,
             Err(RecordedError::Relay(RelayError::Caller(error))) => {
@@ -122,9 +147,8 @@
         &mut self,
         recorded: &RecordedRun<'_>,
         mut lease: TargetLease,
-        term: LeaderTerm,
+        (term, bound): (LeaderTerm, Duration),
     ) -> Result<RecordedAttempt, RecordedError> {
-        let bound = recorded.context.time_left(self.shared.now());
         lease.connection().queue_query("BEGIN")?;
         lease.connection().stream().flush().await?;
         let expect_begin = tokio::time::timeout(bound, lease.connection().collect_answer());
@@ -276,7 +300,10 @@
             AckOutcome::Unknown(_) if self.shared.now() < recorded.context.deadline => {
                 RecordedAttempt::PrimaryFailed
             }
-            AckOutcome::Unknown(_) => RecordedAttempt::Ended(no_primary()),
+            AckOutcome::Unknown(failure) => {
+                let message = format!("the recorded write is not confirmed: {}", failure.label());
+                RecordedAttempt::Ended(RequestEnd::unknown(&message))
+            }
         })
     }
 }
--- a/crates/mustardhinge-entry/src/serve/target_run.rs
+++ b/crates/mustardhinge-entry/src/serve/target_run.rs
@@ -3,7 +3,7 @@
 
 use super::{CallerSession, CallerStream};
 use crate::request::{CallerRequest, HoldRule, RelayError, ReplyEnd, ReplyRelay, ReplyStep};
-use crate::target::TargetLease;
+use crate::target::{ConnectionError, TargetLease};
 use crate::wire::FrameError;
 
 /// How a request went on one connection.
@@ -54,6 +54,7 @@
         let mut relay = ReplyRelay::new(steps, rule, bound);
         let result = relay.run(connection, &mut self.stream).await;
         note_lost_prepares(lease, &result);
+        close_silent(lease, &result);
         TargetRun {
             result,
             has_forwarded: relay.has_forwarded(),
@@ -87,6 +88,14 @@
     }
 }
 
+/// A connection that fell silent may not be the only one: the idle ones to the
+/// target are closed, so that they cost no further waits.
+fn close_silent(lease: &TargetLease, result: &Result<ReplyEnd, RelayError>) {
+    if let Err(RelayError::Target(ConnectionError::Overdue)) = result {
+        lease.pool().close_idle();
+    }
+}
+
 fn failed(error: FrameError) -> TargetRun {
     TargetRun {
         result: Err(RelayError::Target(error.into())),
--- a/crates/mustardhinge-entry/src/serve/transaction_path.rs
+++ b/crates/mustardhinge-entry/src/serve/transaction_path.rs
@@ -4,6 +4,7 @@
 
 use super::reply_writer::local_answer;
 use super::run_context::RunContext;
+use super::write_path::NO_PRIMARY_RETRY;
 use super::{CallerSession, CallerStream, CallerTransaction, RequestEnd};
 use crate::request::{CallerRequest, HoldRule, RelayError, ReplyEnd};
 use crate::statement::StatementKind;
@@ -79,7 +80,7 @@
         }
         let message = "the primary does not hold the session's own writes";
         let reason = RefusalReason::FloorNotReached;
-        Err(RequestEnd::refused(reason, None, message))
+        Err(RequestEnd::refused(reason, Some(NO_PRIMARY_RETRY), message))
     }
 
     /// Runs a request inside the open transaction.
--- a/crates/mustardhinge-entry/src/serve/write_path.rs
+++ b/crates/mustardhinge-entry/src/serve/write_path.rs
@@ -42,7 +42,10 @@
                 Ok(found) => found,
                 Err(refused) => return refused,
             };
-            match self.try_write(request, context, lease, unsent).await {
+            match self
+                .try_write(request, context, (lease, term), unsent)
+                .await
+            {
                 WriteAttempt::Ended(end) => return end,
                 WriteAttempt::NotPrimary(again) => {
                     count_retry("not_primary");
@@ -107,7 +110,7 @@
         &mut self,
         request: &CallerRequest,
         context: &RunContext,
-        mut lease: TargetLease,
+        (mut lease, term): (TargetLease, LeaderTerm),
         unsent: UnsentRequest,
     ) -> WriteAttempt {
         if let Err(refused) = self.recheck(request) {
@@ -117,13 +120,19 @@
         let now = self.shared.now();
         let sent = unsent.send(now);
         let bound = context.time_left(now);
-        let run = self
-            .run_on(&mut lease, request, HoldRule::Completion, bound)
-            .await;
-        let TargetRun {
+        let group = context.service.group().clone();
+        let run = tokio::select! {
+            biased;
+            run = self.run_on(&mut lease, request, HoldRule::Completion, bound) => Some(run),
+            Some(_) = group.await_other_primary(term, bound) => None,
+        };
+        let Some(TargetRun {
             result,
             has_forwarded,
-        } = run;
+        }) = run
+        else {
+            return WriteAttempt::Ended(replaced_write(sent));
+        };
         match result {
             Ok(end) => {
                 let target = lease.pool().target().clone();
@@ -158,6 +167,13 @@
     NotRunProof::from_sqlstate(&code)
 }
 
+/// Ends a write whose primary was replaced before it answered: no answer of it
+/// can be confirmed any more.
+fn replaced_write(sent: SentRequest) -> RequestEnd {
+    let _outcome: StatementOutcome = sent.abandon();
+    RequestEnd::unknown("the primary was replaced before it answered")
+}
+
 fn broken_write(sent: SentRequest, error: RelayError) -> RequestEnd {
     let _outcome: StatementOutcome = sent.abandon();
     match error {
--- a/crates/mustardhinge-entry/tests/suite/writes.rs
+++ b/crates/mustardhinge-entry/tests/suite/writes.rs
@@ -1,4 +1,8 @@
-use super::cluster::{caller, connect, detail, first_column, haulage_fleet, sqlstate};
+use mustardhinge_fleet::SmallFleet;
+
+use super::cluster::{
+    caller, connect, detail, first_column, haulage, haulage_fleet, sqlstate, start,
+};
 
 const CONFIRM: &str = "/*request_id='r-1'*/ INSERT INTO discharges (k, v) VALUES ('d1', 'done')";
 
@@ -64,3 +68,18 @@
     let error = client.simple_query(insert).await.unwrap_err();
     assert_eq!(sqlstate(&error), "08007");
 }
+
+#[tokio::test]
+async fn a_recorded_write_that_no_majority_holds_is_unknown_not_refused() {
+    let mut document = haulage();
+    document.limits.statement_deadline_ms = 2_000;
+    let fleet = start(SmallFleet::builder().service(document).instances(2)).await;
+    for target in &fleet.group("haulage-1").targets {
+        target.change_faults(|faults| faults.replication_cut = true);
+    }
+    for instance in &fleet.instances {
+        let client = connect(&caller(instance.address)).await.unwrap();
+        let error = client.simple_query(CONFIRM).await.unwrap_err();
+        assert_eq!(detail(&error), "outcome=unknown");
+    }
+}
