Find the lines of a document in linear time

Cause: before a document is checked, the line of each of its keys is noted. Each of these look-ups counted the line breaks from the start of the text up to the key, so that the work was keys times bytes, the square of the customers. The same held for the findings of a text that is not TOML.

Now the starts of the lines are read once, and each look-up is a binary search among them. `LineTable` and `LineIndex` stand in `line`, a public module, since tests stand outside of the source.

Ruled out by reading: the check for duplicates keeps a map from text to place and looks each text up once; the readers of tables and lists go through each item once. Weighed: noting lines only once there is a finding. It would spare the work for correct documents, but leave the square for wrong ones.

Not changed: `find_differences` compares lists of customers pairwise; it is no part of parsing and was not measured.

Test: the steps of the index (bytes read and line starts compared) may grow at most 16 times from 300 to 2,400 customers. With the search replaced by the count from the start it was seen failing, then put back. Further tests compare each line with a plain count.

--- a/crates/mustardhinge-config/src/lib.rs
+++ b/crates/mustardhinge-config/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod document;
 pub mod finding;
+pub mod line;
 pub mod settings;
 
 mod reader;
--- a/crates/mustardhinge-config/src/reader/mod.rs
+++ b/crates/mustardhinge-config/src/reader/mod.rs
@@ -1,6 +1,5 @@
 //! Reads TOML tables field by field, collecting every finding with its place.
 
-mod line_index;
 mod read_context;
 mod table_reader;
 
--- a/crates/mustardhinge-config/src/reader/read_context.rs
+++ b/crates/mustardhinge-config/src/reader/read_context.rs
@@ -3,8 +3,8 @@
 use toml::de::DeTable;
 
 use super::TableReader;
-use super::line_index::{LineIndex, line_at};
 use crate::finding::{Finding, FindingPlace, Findings};
+use crate::line::{LineIndex, LineTable};
 
 /// Collects the findings of one text while it is read.
 pub(crate) struct ReadContext {
@@ -60,10 +60,11 @@
 }
 
 fn syntax_findings(file: Option<&String>, text: &str, errors: &[toml::de::Error]) -> Findings {
+    let table = LineTable::new(text);
     let finding = |error: &toml::de::Error| Finding {
         place: FindingPlace {
             file: file.cloned(),
-            line: error.span().map(|span| line_at(text, span.start)),
+            line: error.span().map(|span| table.find_line(span.start)),
             key_path: String::new(),
         },
         problem: format!("not TOML: {}", error.message()),
--- a/crates/mustardhinge-config/src/reader/table_reader.rs
+++ b/crates/mustardhinge-config/src/reader/table_reader.rs
@@ -6,7 +6,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::ReadContext;
-use super::line_index::join_path;
+use crate::line::join_path;
 
 /// Reads the fields of one table; what isn't asked for is an unknown key.
 pub(crate) struct TableReader<'a> {
--- a/crates/mustardhinge-config/tests/suite/main.rs
+++ b/crates/mustardhinge-config/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod document;
 mod edit;
+mod line;
 mod samples;
 mod settings;
