--- a/crates/mustardhinge-bench/src/load/caller_session.rs
+++ b/crates/mustardhinge-bench/src/load/caller_session.rs
@@ -97,7 +97,7 @@
         OperationRecord {
             number: operation.number,
             service: self.plan.service.clone(),
-            customer: find_customer(&self.plan, &operation.kind),
+            customer: self.plan.customer.clone(),
             session: self.plan.session.clone(),
             instance: self.endpoints[self.instance].instance.clone(),
             request,
@@ -160,14 +160,6 @@
     }
 }
 
-/// A read on an open route runs for nobody's account, whatever key came with it.
-fn find_customer(plan: &SessionPlan, kind: &OperationKind) -> Option<CustomerId> {
-    match kind {
-        OperationKind::OpenRead { .. } => None,
-        _ => plan.customer.clone(),
-    }
-}
-
 /// Confirmations carry a request id; orders and reassignments do not.
 fn make_request_id(operation: &PlannedOperation) -> Option<RequestId> {
     match operation.kind {
