--- a/crates/mustardhinge-core/src/units/document_version.rs
+++ b/crates/mustardhinge-core/src/units/document_version.rs
@@ -1,49 +1,6 @@
-use std::fmt;
-use std::str::FromStr;
+use super::count_unit::count_unit;
 
-use serde::{Deserialize, Serialize};
-
-use super::UnitError;
-
-/// The version that the platform gave to an object; only grows.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct DocumentVersion(u64);
-
-impl DocumentVersion {
-    /// Makes the number from its count.
-    #[must_use]
-    pub const fn new(count: u64) -> Self {
-        Self(count)
-    }
-
-    /// Returns the count.
-    #[must_use]
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-
-    /// Returns the number after this one.
-    #[must_use]
-    pub const fn next(self) -> Self {
-        Self(self.0 + 1)
-    }
-}
-
-impl fmt::Display for DocumentVersion {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for DocumentVersion {
-    type Err = UnitError;
-
-    fn from_str(text: &str) -> Result<Self, UnitError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| UnitError::new(text, "a version number"))
-    }
+count_unit! {
+    /// The version that the platform gave to an object; only grows.
+    DocumentVersion, "a version number"
 }
--- a/crates/mustardhinge-core/src/units/mod.rs
+++ b/crates/mustardhinge-core/src/units/mod.rs
@@ -1,8 +1,10 @@
 //! Numbers with a unit, each a type of its own.
 
+mod count_unit;
 mod document_version;
 mod leader_term;
 mod log_position;
+mod milli_unit;
 mod monotonic_time;
 mod request_burst;
 mod request_rate;
--- a/crates/mustardhinge-entry/src/serve/mod.rs
+++ b/crates/mustardhinge-entry/src/serve/mod.rs
@@ -7,6 +7,8 @@
 mod commit_check;
 mod read_path;
 mod recorded_path;
+mod recorded_run;
+mod recorded_settle;
 mod reply_writer;
 mod request_end;
 mod request_reader;
