--- a/crates/mustardhinge-entry/tests/suite/main.rs
+++ b/crates/mustardhinge-entry/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod cluster;
+mod encryption;
 mod faults;
 mod keys;
 mod sessions;
