Send a read that calls functions once; never say of a sent read "not run"

Cause, found by reading: a SELECT counts as a read whatever functions it calls, and a read whose target did not answer went on to the next one. At a primary such a call may have written, so it could land twice. And after three silent targets the read was refused as "not run", though any of them may have run it; so was a read whose rows could not be shown to last.

A statement that calls a function other than the harmless ones known by name is now sent once, unless its route says that it may be repeated; once a target may have got a byte, the end is an answer, the target's error or "unknown".

Ruled out: asking whether the target is primary, since it may become one meanwhile. Weighed: a list of functions with effects, which users' own functions are never on.

--- a/crates/mustardhinge-entry/src/request/caller_request.rs
+++ b/crates/mustardhinge-entry/src/request/caller_request.rs
@@ -14,6 +14,8 @@
     pub tag: StatementTag,
     /// How many statements it executes.
     pub statements: usize,
+    /// Whether a statement calls a function that may have effects of its own.
+    pub calls_function: bool,
     /// The simple query, if it is one.
     pub query: Option<WireFrame>,
     /// The batch, if it is one.
@@ -41,6 +43,7 @@
             kind: scan.kind,
             tag: scan.tag,
             statements: scan.count,
+            calls_function: scan.calls_function,
             query: Some(frame.clone()),
             batch: None,
         })
@@ -59,6 +62,7 @@
             kind,
             tag: tag.unwrap_or_default(),
             statements: scans.len(),
+            calls_function: scans.iter().any(|scan| scan.calls_function),
             query: None,
             batch: Some(plan),
         })
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -36,7 +36,10 @@
     /// The read has ended.
     Ended(RequestEnd),
     /// The target failed before the caller got anything.
-    TargetFailed,
+    TargetFailed {
+        /// Whether the read may have run there.
+        is_sent: bool,
+    },
     /// The statement turned out to write.
     Writes,
 }
@@ -49,27 +52,33 @@
         context: &RunContext,
     ) -> RequestEnd {
         let mut excluded = Vec::new();
+        let mut was_sent = false;
+        let may_repeat = context.is_repeatable || !request.calls_function;
         while excluded.len() < MAX_READ_ATTEMPTS {
             let choice = match self.route_read(context, &excluded).await {
                 Ok(choice) => choice,
-                Err(refused) => return refused,
+                Err(refused) => return end_of(refused, was_sent),
             };
             let left = context.time_left(self.shared.now());
-            let bound = if excluded.is_empty() {
+            let bound = if excluded.is_empty() && may_repeat {
                 left.min(SILENCE_BOUND)
             } else {
                 left
             };
             match self.try_read(request, context, &choice, bound).await {
-                ReadAttempt::Ended(end) => return end,
+                ReadAttempt::Ended(end) => return end_of(end, was_sent),
                 ReadAttempt::Writes => return self.run_write(request, context).await,
-                ReadAttempt::TargetFailed => {
+                ReadAttempt::TargetFailed { is_sent } => {
+                    was_sent |= is_sent;
+                    if is_sent && !may_repeat {
+                        return RequestEnd::unknown("the target did not answer");
+                    }
                     count_retry("read_target_failed");
                     excluded.push(choice.target);
                 }
             }
         }
-        no_target()
+        end_of(no_target(), was_sent)
     }
 
     /// Chooses a target, waiting for a floor or for a replica where that is
@@ -136,11 +145,13 @@
         bound: Duration,
     ) -> ReadAttempt {
         let Some(pool) = context.service.pool(&choice.target) else {
-            return ReadAttempt::TargetFailed;
+            return ReadAttempt::TargetFailed { is_sent: false };
         };
         let mut lease = match pool.lend(&context.customer, context.deadline).await {
             Ok(lease) => lease,
-            Err(PoolRefusal::Connection(_)) => return ReadAttempt::TargetFailed,
+            Err(PoolRefusal::Connection(_)) => {
+                return ReadAttempt::TargetFailed { is_sent: false };
+            }
             Err(refusal) => return ReadAttempt::Ended(refused_by_pool(&refusal)),
         };
         if let Err(refused) = self.recheck(request) {
@@ -183,12 +194,16 @@
         AckOutcome::Acknowledged => RequestEnd::Answered(held),
         AckOutcome::Unknown(failure) => {
             let message = format!("the rows read may be undone: {}", failure.label());
-            let retry_after = Some(RetryDelay::new(Duration::from_millis(250)));
-            RequestEnd::refused(RefusalReason::FloorNotReached, retry_after, &message)
+            RequestEnd::unknown(&message)
         }
     }
 }
 
+/// Returns the end of a read of which an earlier target may have got bytes.
+fn end_of(end: RequestEnd, was_sent: bool) -> RequestEnd {
+    if was_sent { end.after_sending() } else { end }
+}
+
 fn read_outcome(run: TargetRun) -> ReadAttempt {
     match run.result {
         Ok(end) => {
@@ -202,7 +217,7 @@
             }
         }
         Err(RelayError::Caller(error)) => ReadAttempt::Ended(RequestEnd::CallerGone(error)),
-        Err(_) if !run.has_forwarded => ReadAttempt::TargetFailed,
+        Err(_) if !run.has_forwarded => ReadAttempt::TargetFailed { is_sent: true },
         Err(error) => {
             let message = format!("the answer broke off: {error}");
             ReadAttempt::Ended(RequestEnd::unknown(&message))
--- a/crates/mustardhinge-entry/src/serve/request_end.rs
+++ b/crates/mustardhinge-entry/src/serve/request_end.rs
@@ -27,6 +27,18 @@
         Self::Failed(ErrorReply::not_run(reason, retry_after, message))
     }
 
+    /// Returns the end of a request that was sent to a target before: it can't
+    /// be said of it any more that it did not run.
+    #[must_use]
+    pub fn after_sending(self) -> Self {
+        match self {
+            Self::Failed(reply) if reply.is_not_run() => {
+                Self::unknown("an earlier target did not answer, and no other can be asked")
+            }
+            other => other,
+        }
+    }
+
     /// Ends a request whose outcome is unknown, and counts it.
     #[must_use]
     pub fn unknown(message: &str) -> Self {
--- a/crates/mustardhinge-entry/src/statement/statement_scan.rs
+++ b/crates/mustardhinge-entry/src/statement/statement_scan.rs
@@ -6,6 +6,13 @@
     "INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "SHARE", "NEXTVAL", "SETVAL",
 ];
 
+/// Words before a parenthesis that call nothing that could write.
+const HARMLESS_CALLS: &[&str] = &[
+    "ALL", "AND", "ANY", "AS", "AVG", "COALESCE", "COUNT", "EXISTS", "FROM", "HAVING", "IN",
+    "JOIN", "LENGTH", "LOWER", "MAX", "MIN", "NOT", "NOW", "ON", "OR", "OVER", "SELECT", "SUM",
+    "UNION", "UPPER", "USING", "VALUES", "WHERE",
+];
+
 /// What the text of a statement tells: its kind, its tag, how many statements
 /// it holds.
 ///
@@ -20,6 +27,8 @@
     pub tag: StatementTag,
     /// How many statements the text holds.
     pub count: usize,
+    /// Whether the text calls a function that may have effects of its own.
+    pub calls_function: bool,
 }
 
 impl StatementScan {
@@ -37,6 +46,7 @@
     tag: StatementTag,
     words: Vec<String>,
     kinds: Vec<StatementKind>,
+    calls_function: bool,
 }
 
 impl Scanner {
@@ -71,6 +81,8 @@
         if word == "E" && rest[length..].starts_with('\'') {
             return length + escaped_length(&rest[length..]);
         }
+        let is_call = rest[length..].trim_start().starts_with('(');
+        self.calls_function |= is_call && !HARMLESS_CALLS.contains(&word.as_str());
         self.words.push(word);
         length
     }
@@ -89,6 +101,7 @@
             kind: combined_kind(&self.kinds),
             tag: self.tag,
             count: self.kinds.len(),
+            calls_function: self.calls_function,
         }
     }
 }
--- a/crates/mustardhinge-entry/src/wire/error_reply.rs
+++ b/crates/mustardhinge-entry/src/wire/error_reply.rs
@@ -46,6 +46,13 @@
         reply
     }
 
+    /// Tells whether the error says that the request did not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        let detail = self.detail.as_deref().unwrap_or_default();
+        detail.starts_with("outcome=not_run")
+    }
+
     /// Makes the error of a request that may have run.
     #[must_use]
     pub fn unknown(message: &str) -> Self {
--- a/crates/mustardhinge-entry/tests/suite/faults.rs
+++ b/crates/mustardhinge-entry/tests/suite/faults.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use mustardhinge_fleet::SmallFleet;
+use mustardhinge_standins::target::TargetHandle;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_postgres::Client;
@@ -183,3 +184,31 @@
         confirm(&client, &format!("d{number}")).await.unwrap();
     }
 }
+
+#[tokio::test]
+async fn a_call_of_a_function_is_not_sent_twice_nor_said_not_to_have_run() {
+    let mut document = haulage();
+    document.limits.statement_deadline_ms = 2_000;
+    let fleet = start(SmallFleet::builder().service(document)).await;
+    let mut config = caller(fleet.instances[0].address);
+    config.options("-c mustardhinge.session=s1 -c mustardhinge.token=0/0");
+    let client = connect(&config).await.unwrap();
+    let call = "SELECT filler(1, 8)";
+    for _ in 0..4 {
+        client.simple_query(call).await.unwrap();
+    }
+    let ran = |fleet: &SmallFleet| -> usize {
+        let targets = fleet.group("haulage-1").targets.iter();
+        let statements = targets.flat_map(TargetHandle::statements);
+        statements
+            .filter(|record| record.text.contains("filler"))
+            .count()
+    };
+    let before = ran(&fleet);
+    for target in &fleet.group("haulage-1").targets {
+        target.change_faults(|faults| faults.late_ms = 4_000);
+    }
+    let error = client.simple_query(call).await.unwrap_err();
+    assert_eq!(detail(&error), "outcome=unknown");
+    assert!(ran(&fleet) <= before + 1, "sent to more than one target");
+}
--- a/crates/mustardhinge-entry/tests/suite/statements.rs
+++ b/crates/mustardhinge-entry/tests/suite/statements.rs
@@ -63,6 +63,16 @@
     assert_eq!(scan.tag.request_id, None);
 }
 
+#[test]
+fn calls_of_functions_are_seen() {
+    let calls = |text: &str| StatementScan::new(text).calls_function;
+    assert!(calls("SELECT place_order(17)"));
+    assert!(calls("SELECT v FROM t WHERE k = next_key ()"));
+    assert!(!calls(
+        "SELECT count(*) FROM t WHERE k IN ('f(1)') AND (v = 'x')"
+    ));
+}
+
 proptest! {
     #[test]
     fn any_text_can_be_scanned(text in "[ -~é\\n]{0,80}") {
