Make the wait for a nearly current replica a limit of the document

Cause: in Taiwan north 28 % of reads went to the primary. Reads of the newest rows wait at most 5 ms for a replica, and the better replica shows rows 20 ms late, so that a read within 20 ms of any write went to the primary.

Not run under faults.

--- a/crates/mustardhinge-bench/src/load/deployment_profile.rs
+++ b/crates/mustardhinge-bench/src/load/deployment_profile.rs
@@ -39,6 +39,8 @@
     pub statement_time: Duration,
     /// The age that the route for older rows allows.
     pub max_age: Duration,
+    /// How long a read waits for a replica that is nearly current.
+    pub replica_wait_ms: u32,
     /// The customers of each service.
     pub customers: Vec<CustomerProfile>,
     /// What they do.
@@ -49,9 +51,9 @@
     /// Returns the profile of a deployment at its present size.
     #[must_use]
     pub fn of(name: DeploymentName) -> Self {
-        let (slots, zone_micros, caller_millis, prefix) = match name {
-            DeploymentName::Muscat => (5, 1_000, 3, "haulage"),
-            DeploymentName::TaiwanNorth => (2, 500, 1, "swatches"),
+        let (slots, zone_micros, caller_millis, replica_wait_ms, prefix) = match name {
+            DeploymentName::Muscat => (5, 1_000, 3, 5, "haulage"),
+            DeploymentName::TaiwanNorth => (2, 500, 1, 30, "swatches"),
         };
         Self {
             name,
@@ -60,6 +62,7 @@
             services: (1..=3).map(|n| make_id(&format!("{prefix}-{n}"))).collect(),
             targets_per_group: 3,
             slots,
+            replica_wait_ms,
             connections: 30,
             connect_delay: Duration::from_millis(10),
             zone_delay: Duration::from_micros(zone_micros),
--- a/crates/mustardhinge-bench/src/run/service_text.rs
+++ b/crates/mustardhinge-bench/src/run/service_text.rs
@@ -72,6 +72,7 @@
         let profile = self.profile;
         writeln!(text, "connections_per_target = {}", profile.connections)?;
         writeln!(text, "slots_per_target = {}", profile.slots)?;
+        writeln!(text, "replica_wait_ms = {}", profile.replica_wait_ms)?;
         writeln!(text, "max_instances = {}", profile.instances + 1)?;
         writeln!(text, "[group]\nname = \"{}\"", self.service)?;
         for (index, address) in self.addresses.iter().enumerate() {
--- a/crates/mustardhinge-config/src/document/difference/document_difference.rs
+++ b/crates/mustardhinge-config/src/document/difference/document_difference.rs
@@ -134,6 +134,7 @@
             old.request_record_s,
             new.request_record_s,
         ),
+        ("replica_wait_ms", old.replica_wait_ms, new.replica_wait_ms),
     ];
     for (name, old, new) in fields {
         note_change(&format!("limits.{name}"), &old, &new, found);
--- a/crates/mustardhinge-config/src/document/limit_entry.rs
+++ b/crates/mustardhinge-config/src/document/limit_entry.rs
@@ -20,6 +20,9 @@
     pub key_proof_ms: u32,
     /// How long the record of a request id is kept, in seconds.
     pub request_record_s: u32,
+    /// How long a read waits for a replica that is nearly current before it goes
+    /// to the primary, in milliseconds.
+    pub replica_wait_ms: u32,
 }
 
 impl Default for LimitEntry {
@@ -32,6 +35,7 @@
             statement_deadline_ms: 5_000,
             key_proof_ms: 2_500,
             request_record_s: 3_600,
+            replica_wait_ms: 5,
         }
     }
 }
@@ -60,6 +64,7 @@
             ),
             key_proof_ms: number("key_proof_ms", 200..=3_000, base.key_proof_ms),
             request_record_s: number("request_record_s", 10..=604_800, base.request_record_s),
+            replica_wait_ms: number("replica_wait_ms", 0..=1_000, base.replica_wait_ms),
         };
         limits.check(reader);
         Some(limits)
--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -47,6 +47,7 @@
             let name = customer.name.clone();
             customer.keys.iter().map(move |key| (name.clone(), *key))
         });
+        let replica_wait = Duration::from_millis(document.limits.replica_wait_ms.into());
         let zones = document
             .group
             .targets
@@ -61,7 +62,10 @@
             routes: routes
                 .map(|route| (route.name.clone(), route.clone()))
                 .collect(),
-            router: ReadRouter::new(place.zone.clone(), RouterSettings::new()),
+            router: ReadRouter::new(
+                place.zone.clone(),
+                RouterSettings::new().replica_wait(replica_wait),
+            ),
             document,
             group,
         })
