Answer a report and an ask at the same cost however many instances there are

Cause: the holder worked out anew for each report of a customer which instances were not heard (a scan of all) and how fast all spend (a sum with an exponential each), and for each ask how many instances there are, the asker's place and who watches the store for it (three scans).

Now the speeds of a customer are one falling sum, the list of silent instances is looked at every 50 ms, and a roster works out counts, places and relays for all at once, 50 ms old at most or as soon as somebody new comes. Besides: an instance that is gone for good left its part of each rate unused for as long as the holder lived; after 16 s only the small even part that it may still spend alone is left to it.

--- a/crates/mustardhinge-core/src/membership/feed_relay.rs
+++ b/crates/mustardhinge-core/src/membership/feed_relay.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::ids::{InstanceId, ZoneId};
@@ -31,21 +32,26 @@
 pub struct FeedRelay;
 
 impl FeedRelay {
-    /// Returns who watches for the instance `asker` of `zone`; none if it has to watch itself.
+    /// Returns who watches for each availability zone. A zone that is missing has nobody whose
+    /// word would help: its instances watch themselves.
     #[must_use]
     pub fn choose<'a>(
-        asker: &InstanceId,
-        zone: &ZoneId,
         candidates: impl Iterator<Item = RelayCandidate<'a>>,
         now: MonotonicTime,
-    ) -> Option<&'a InstanceId> {
+    ) -> HashMap<&'a ZoneId, &'a InstanceId> {
         let usable = candidates.filter(|candidate| {
             let is_heard = now.saturating_since(candidate.heard_at) < SILENT_AFTER;
-            candidate.zone == zone && candidate.is_fed && is_heard
+            candidate.is_fed && is_heard
         });
-        let first = usable.min_by_key(|candidate| (!candidate.is_holder, candidate.instance));
-        first
-            .map(|candidate| candidate.instance)
-            .filter(|instance| *instance != asker)
+        let mut chosen = HashMap::new();
+        for candidate in usable {
+            let place = (!candidate.is_holder, candidate.instance);
+            let best = chosen.entry(candidate.zone).or_insert(place);
+            *best = place.min(*best);
+        }
+        let relays = chosen.into_iter();
+        relays
+            .map(|(zone, (_, instance))| (zone, instance))
+            .collect()
     }
 }
--- a/crates/mustardhinge-core/src/spending/mod.rs
+++ b/crates/mustardhinge-core/src/spending/mod.rs
@@ -10,7 +10,9 @@
 mod spend_meter;
 mod spend_refusal;
 mod spend_report;
+mod spend_speed;
 mod spend_table;
+mod unheard_list;
 
 pub use customer_rate::CustomerRate;
 pub use spend_book::SpendBook;
--- a/crates/mustardhinge-core/src/spending/spend_book.rs
+++ b/crates/mustardhinge-core/src/spending/spend_book.rs
@@ -1,13 +1,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::spend_speed::SpendSpeed;
+use super::unheard_list::UnheardList;
 use super::{CustomerRate, SpendGrant, SpendReport};
 use crate::ids::{CustomerId, InstanceId};
 use crate::units::MonotonicTime;
 
-/// An instance that was not heard for this long is taken to spend its part alone; a little
-/// less than the time after which it does.
-const ALONE_AFTER: Duration = Duration::from_millis(600);
 /// Seconds of the rate that a bucket holds if no instance knows more: all have started
 /// anew, which takes about as long.
 const FIRST_FILL_SECONDS: f64 = 1.0;
@@ -16,18 +15,18 @@
 /// While the bucket runs low, all allowances together are this many times what is in it.
 const ALLOWANCE_OF_FILL: f64 = 2.0;
 
-/// The speed of spending is measured over about this time.
-const SPEED_WINDOW: Duration = Duration::from_secs(4);
 /// Part of the rate that is left evenly to instances which are cut off; the rest goes by
 /// what they spent.
 const EVEN_PART: f64 = 0.25;
+/// An instance that was not heard for this long spends no more than its even part of that:
+/// a second longer than it may go on by what it was told.
+const PART_ENDS_AFTER: Duration = Duration::from_secs(16);
 
 #[derive(Clone, Copy, Debug)]
 struct InstanceSpending {
     incarnation: u64,
     spent: u64,
-    per_second: f64,
-    measured_at: MonotonicTime,
+    speed: SpendSpeed,
     part: f64,
 }
 
@@ -37,6 +36,8 @@
     filled_at: MonotonicTime,
     opened_at: MonotonicTime,
     spending: HashMap<InstanceId, InstanceSpending>,
+    /// Of all instances together.
+    speed: SpendSpeed,
 }
 
 /// The holder's books on the customers' rates.
@@ -48,14 +49,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct SpendBook {
     accounts: HashMap<CustomerId, CustomerAccount>,
-    heard: HashMap<InstanceId, MonotonicTime>,
+    unheard: UnheardList,
     instances: usize,
 }
 
 impl SpendBook {
     /// Notes that an instance was heard, one of `instances` that there may be.
     pub fn heard(&mut self, instance: &InstanceId, instances: usize, now: MonotonicTime) {
-        self.heard.insert(instance.clone(), now);
+        self.unheard.heard(instance, now);
         self.instances = instances.max(1);
     }
 
@@ -71,7 +72,7 @@
         now: MonotonicTime,
     ) -> SpendGrant {
         let instances = self.instances;
-        let unheard = self.unheard(now);
+        let unheard = self.unheard.look(now);
         let account = self
             .accounts
             .entry(report.customer.clone())
@@ -80,8 +81,9 @@
                 filled_at: now,
                 opened_at: now,
                 spending: HashMap::new(),
+                speed: SpendSpeed::default(),
             });
-        let rate = limits.rate * account.reachable_part(&unheard, instances);
+        let rate = limits.rate * account.reachable_part(unheard, instances, now);
         account.refill(rate, limits.burst, now);
         account.learn(instance, report.told_fill, now);
         let spent = account.count(instance, incarnation, report.spent, now);
@@ -97,13 +99,6 @@
         }
     }
 
-    /// Returns the instances that go on alone by now.
-    fn unheard(&self, now: MonotonicTime) -> Vec<InstanceId> {
-        let heard = self.heard.iter();
-        let unheard = heard.filter(|(_, at)| now.saturating_since(**at) > ALONE_AFTER);
-        unheard.map(|(instance, _)| instance.clone()).collect()
-    }
-
     fn allowance(fill: f64, limits: CustomerRate, instances: usize) -> u64 {
         if fill < 0.0 {
             return 0;
@@ -144,11 +139,17 @@
     }
 
     /// Instances that are cut off go on alone with their part of the rate, which is left to
-    /// them; so is an even part of those that were never heard.
-    fn reachable_part(&self, unheard: &[InstanceId], instances: usize) -> f64 {
+    /// them; so is an even part of those that were never heard, or long ago.
+    fn reachable_part(
+        &self,
+        unheard: &[(InstanceId, MonotonicTime)],
+        instances: usize,
+        now: MonotonicTime,
+    ) -> f64 {
         let even = 1.0 / instances.max(1) as f64;
-        let parts = unheard.iter().map(|instance| {
-            let known = self.spending.get(instance);
+        let parts = unheard.iter().map(|(instance, heard_at)| {
+            let lasts = now.saturating_since(*heard_at) < PART_ENDS_AFTER;
+            let known = self.spending.get(instance).filter(|_| lasts);
             known.map_or(EVEN_PART * even, |known| known.part)
         });
         (1.0 - parts.sum::<f64>()).clamp(0.0, 1.0)
@@ -162,22 +163,22 @@
         spent: u64,
         now: MonotonicTime,
     ) -> u64 {
-        let known = self
-            .spending
-            .get(instance)
-            .filter(|known| known.incarnation == incarnation);
-        let mut spending = known.copied().unwrap_or(InstanceSpending {
+        let known = self.spending.get(instance).copied();
+        let is_same = |known: &InstanceSpending| known.incarnation == incarnation;
+        if let Some(before) = known.filter(|known| !is_same(known)) {
+            self.speed.remove(&before.speed, now);
+        }
+        let mut spending = known.filter(is_same).unwrap_or(InstanceSpending {
             incarnation,
             spent,
-            per_second: 0.0,
-            measured_at: now,
+            speed: SpendSpeed::default(),
             part: 0.0,
         });
         // Counts of a process are far below the exact range of the type.
         let delta = spent.saturating_sub(spending.spent) as f64;
         self.fill -= delta;
-        spending.per_second = spending.speed(now) + delta / SPEED_WINDOW.as_secs_f64();
-        spending.measured_at = now;
+        spending.speed.spend(delta, now);
+        self.speed.spend(delta, now);
         spending.spent = spending.spent.max(spent);
         self.spending.insert(instance.clone(), spending);
         spending.spent
@@ -186,12 +187,12 @@
     /// Sets the part of the rate that an instance may spend while it is cut off.
     fn set_part(&mut self, instance: &InstanceId, instances: usize, now: MonotonicTime) -> f64 {
         let even = 1.0 / instances.max(1) as f64;
-        let total: f64 = self.spending.values().map(|known| known.speed(now)).sum();
+        let total = self.speed.at(now);
         let Some(own) = self.spending.get_mut(instance) else {
             return EVEN_PART * even;
         };
         let by_speed = if total > 0.0 {
-            own.speed(now) / total
+            (own.speed.at(now) / total).min(1.0)
         } else {
             even
         };
@@ -199,10 +200,3 @@
         own.part
     }
 }
-
-impl InstanceSpending {
-    fn speed(&self, now: MonotonicTime) -> f64 {
-        let age = now.saturating_since(self.measured_at).as_secs_f64();
-        self.per_second * (-age / SPEED_WINDOW.as_secs_f64()).exp()
-    }
-}
--- a/crates/mustardhinge-core/tests/suite/membership.rs
+++ b/crates/mustardhinge-core/tests/suite/membership.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
 use mustardhinge_core::membership::{
-    FeedRelay, InstanceState, MemberEntry, MembershipView, RelayCandidate, choose_ranked,
+    FeedRelay, InstanceRoster, InstanceState, MemberEntry, MembershipView, RelayCandidate,
+    RosterEntry, choose_ranked,
 };
 use mustardhinge_core::prelude::*;
 use proptest::prelude::*;
@@ -118,19 +119,18 @@
     }
     let holder: InstanceId = "i-b-07".parse().unwrap();
     let watchers = |known: &[(InstanceId, ZoneId, MonotonicTime, bool)]| -> Vec<String> {
-        let candidates = || {
-            known
-                .iter()
-                .map(|(instance, zone, heard_at, is_fed)| RelayCandidate {
-                    instance,
-                    zone,
-                    heard_at: *heard_at,
-                    is_fed: *is_fed,
-                    is_holder: *instance == holder,
-                })
-        };
+        let candidates = known
+            .iter()
+            .map(|(instance, zone, heard_at, is_fed)| RelayCandidate {
+                instance,
+                zone,
+                heard_at: *heard_at,
+                is_fed: *is_fed,
+                is_holder: *instance == holder,
+            });
+        let relays = FeedRelay::choose(candidates, now);
         let own = known.iter().filter(|(instance, zone, _, _)| {
-            FeedRelay::choose(instance, zone, candidates(), now).is_none()
+            relays.get(zone).is_none_or(|relay| *relay == instance)
         });
         own.map(|(instance, _, _, _)| instance.to_string())
             .collect()
@@ -145,3 +145,65 @@
     }
     assert_eq!(watchers(&known).len(), 3 + 20);
 }
+
+fn entry(zone: &str, heard_at: MonotonicTime) -> RosterEntry {
+    RosterEntry {
+        address: "127.0.0.1:4000".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        is_fed: true,
+        incarnation: 1,
+        heard_at,
+    }
+}
+
+/// Returns the least time for a thousand asks among `count` instances.
+fn time_of_asks(count: u64) -> std::time::Duration {
+    let mut roster = InstanceRoster::default();
+    let ids = instances(usize::try_from(count).unwrap());
+    let zone: ZoneId = "a".parse().unwrap();
+    for id in &ids {
+        roster.heard(id, entry("a", at(0)));
+    }
+    let batches = (1..=20).map(|batch| {
+        let begin = std::time::Instant::now();
+        for index in 0..1_000 {
+            let id = &ids[index % ids.len()];
+            roster.heard(id, entry("a", at(batch)));
+            roster.look(&ids[0], at(batch));
+            assert!(roster.place_of(id) < roster.count());
+            assert_eq!(roster.relay_for(id, &zone).is_none(), *id == ids[0]);
+        }
+        begin.elapsed()
+    });
+    batches.min().unwrap()
+}
+
+/// Each instance asks the one holder: an answer must not cost more the more of them there are.
+#[test]
+fn an_ask_costs_the_same_among_many_instances() {
+    let few = time_of_asks(30);
+    let many = time_of_asks(3_000);
+    assert!(many < 10 * few, "30 instances {few:?}, 3,000 {many:?}");
+}
+
+/// A new instance is counted at once, one that is gone after the time of a restart.
+#[test]
+fn the_roster_follows_who_comes_and_goes() {
+    let mut roster = InstanceRoster::default();
+    let ids = instances(3);
+    for id in &ids[..2] {
+        roster.heard(id, entry("a", at(0)));
+    }
+    roster.look(&ids[0], at(0));
+    assert_eq!(roster.count(), 2);
+    roster.heard(&ids[2], entry("b", at(1)));
+    roster.look(&ids[0], at(1));
+    assert_eq!(roster.count(), 3);
+    assert_eq!(roster.place_of(&ids[2]), 2);
+    let zone: ZoneId = "a".parse().unwrap();
+    assert!(roster.relay_for(&ids[1], &zone).is_some());
+    roster.heard(&ids[1], entry("a", at(14_900)));
+    roster.look(&ids[0], at(15_100));
+    assert_eq!(roster.count(), 1);
+    assert_eq!(roster.relay_for(&ids[1], &zone), None);
+}
--- a/crates/mustardhinge-core/tests/suite/spending.rs
+++ b/crates/mustardhinge-core/tests/suite/spending.rs
@@ -390,3 +390,82 @@
     assert_eq!((&asked[0].customer, asked[0].spent), (&customers[7], 2));
     assert!(table.used_up(at(400)).is_empty(), "nobody waits any more");
 }
+
+/// Returns the least time for a thousand reports, each by another of `count` instances.
+fn time_of_reports(count: u64) -> Duration {
+    let mut book = SpendBook::default();
+    let ids: Vec<InstanceId> = (0..count)
+        .map(|index| format!("i{index}").parse().unwrap())
+        .collect();
+    let report = |spent| SpendReport {
+        customer: customer(),
+        spent,
+        told_fill: None,
+    };
+    for (index, id) in (0..).zip(&ids) {
+        book.heard(id, ids.len(), at(index % 500));
+        book.grant((id, 1), &report(0), LARGE, at(index % 500));
+    }
+    let batches = (0..20).map(|batch| {
+        let begin = std::time::Instant::now();
+        for index in 0..1_000 {
+            let id = &ids[index % ids.len()];
+            let now = at(500 + batch * 10);
+            book.heard(id, ids.len(), now);
+            book.grant((id, 1), &report(batch), LARGE, now);
+        }
+        begin.elapsed()
+    });
+    batches.min().unwrap()
+}
+
+/// One holder answers all instances: a report must not cost more the more of them there are.
+#[test]
+fn a_report_costs_the_same_among_many_instances() {
+    let few = time_of_reports(30);
+    let many = time_of_reports(3_000);
+    assert!(many < 10 * few, "30 instances {few:?}, 3,000 {many:?}");
+}
+
+/// An instance that was cut off spends its part alone for a while; what it may spend later on is
+/// far less, and the rest goes back to the others.
+#[test]
+fn the_part_of_an_instance_that_is_gone_goes_back_to_the_others() {
+    let mut book = SpendBook::default();
+    let ids: Vec<InstanceId> = ["gone", "stays"].map(|id| id.parse().unwrap()).to_vec();
+    let report = |spent| SpendReport {
+        customer: customer(),
+        spent,
+        told_fill: None,
+    };
+    let mut spent = 0;
+    for step in 0..20 {
+        spent += 50;
+        for id in &ids {
+            book.heard(id, 2, at(step * 500));
+        }
+        book.grant((&ids[0], 1), &report(spent), LARGE, at(step * 500));
+        book.grant((&ids[1], 1), &report(0), LARGE, at(step * 500));
+    }
+    let earned = |book: &mut SpendBook, from: u64| {
+        book.heard(&ids[1], 2, at(from));
+        let before = book.grant((&ids[1], 1), &report(0), LARGE, at(from)).fill;
+        book.heard(&ids[1], 2, at(from + 1_000));
+        let after = book.grant((&ids[1], 1), &report(0), LARGE, at(from + 1_000));
+        after.fill - before
+    };
+    let second = LARGE.rate as i64;
+    let early = earned(&mut book, 10_500);
+    assert!(early < second / 3, "{early} of {second}");
+    // A debt, so that the bucket is not full.
+    spent = 2 * LARGE.burst as u64;
+    book.grant((&ids[1], 1), &report(spent), LARGE, at(30_000));
+    let late = {
+        book.heard(&ids[1], 2, at(30_100));
+        let before = book.grant((&ids[1], 1), &report(spent), LARGE, at(30_100));
+        book.heard(&ids[1], 2, at(31_100));
+        let after = book.grant((&ids[1], 1), &report(spent), LARGE, at(31_100));
+        after.fill - before.fill
+    };
+    assert!(late >= second * 8 / 10, "{late} of {second}");
+}
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::membership::{FeedRelay, RelayCandidate};
-use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId, ZoneId};
+use mustardhinge_core::membership::{InstanceRoster, RosterEntry};
+use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision};
 use mustardhinge_core::spending::SpendBook;
 use mustardhinge_process::event;
@@ -16,10 +16,6 @@
 use super::{GroupRecord, PeerMessage};
 use crate::node::NodeState;
 
-/// An instance counts among those that share connections and rates for this long after it
-/// was heard; longer than a restart takes.
-const COUNTED_FOR: Duration = Duration::from_secs(15);
-
 /// A new holder has heard all instances that it can reach after this time.
 const HEARD_AFTER: Duration = Duration::from_secs(3);
 
@@ -33,21 +29,6 @@
 /// How often it looks for that.
 const FIRST_LOOK: Duration = Duration::from_millis(20);
 
-/// What the holder knows of another instance.
-#[derive(Clone, Debug)]
-pub struct KnownInstance {
-    /// Where it takes messages, and passes on what it knows.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Whether it can pass on what the store says.
-    pub is_fed: bool,
-    /// The life of its process.
-    pub incarnation: u64,
-    /// When it was last heard.
-    pub heard_at: MonotonicTime,
-}
-
 /// The state of an instance's control.
 #[derive(Debug)]
 pub struct ControlState<P> {
@@ -66,7 +47,7 @@
     /// The holder's books on the customers' rates.
     pub book: RefCell<SpendBook>,
     /// The instances that were heard.
-    pub instances: RefCell<HashMap<InstanceId, KnownInstance>>,
+    pub instances: RefCell<InstanceRoster>,
     /// Groups that a task is at work on.
     pub in_work: RefCell<HashSet<ServiceId>>,
     /// Where the holder may be found, from another instance.
@@ -131,51 +112,22 @@
     }
 
     /// Notes that an instance was heard.
-    pub fn heard(&self, id: &InstanceId, instance: KnownInstance) {
-        self.instances.borrow_mut().insert(id.clone(), instance);
+    pub fn heard(&self, id: &InstanceId, entry: RosterEntry, now: MonotonicTime) {
+        let mut instances = self.instances.borrow_mut();
+        instances.heard(id, entry);
+        instances.look(&self.node.settings.instance, now);
     }
 
     /// Returns how many instances there are, this one included.
     #[must_use]
     pub fn count_instances(&self, now: MonotonicTime) -> usize {
-        let mut instances = self.instances.borrow_mut();
-        instances.retain(|_, instance| now.saturating_since(instance.heard_at) < COUNTED_FOR);
-        let heard = instances.len().max(1);
+        let heard = self.instances.borrow().count().max(1);
         if now.saturating_since(self.holder_since.get()) < HEARD_AFTER {
             return heard.max(self.node.instances());
         }
         heard
     }
 
-    /// Returns an instance's place among those that were heard, in the order of their names.
-    #[must_use]
-    pub fn place_of(&self, id: &InstanceId) -> usize {
-        let instances = self.instances.borrow();
-        instances.keys().filter(|other| *other < id).count()
-    }
-
-    /// Returns where the instance `asker` fetches what the store says; none if it has to watch
-    /// the store itself.
-    #[must_use]
-    pub fn relay_for(
-        &self,
-        asker: &InstanceId,
-        zone: &ZoneId,
-        now: MonotonicTime,
-    ) -> Option<SocketAddr> {
-        let instances = self.instances.borrow();
-        let own = &self.node.settings.instance;
-        let candidates = instances.iter().map(|(instance, known)| RelayCandidate {
-            instance,
-            zone: &known.zone,
-            heard_at: known.heard_at,
-            is_fed: known.is_fed,
-            is_holder: instance == own,
-        });
-        let relay = FeedRelay::choose(asker, zone, candidates, now)?;
-        instances.get(relay).map(|known| known.address)
-    }
-
     /// Takes who watches the store for this instance.
     pub fn set_relay(&self, relay: Option<SocketAddr>) {
         if self.relay.replace(relay).is_some() != relay.is_some() {
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -84,9 +84,9 @@
         record.fence
     ));
     for _ in 0..2 {
-        let known: Vec<_> = control.instances.borrow().values().cloned().collect();
-        for instance in known {
-            send_hint(control, &record, instance.address);
+        let known = control.instances.borrow().addresses();
+        for address in known {
+            send_hint(control, &record, address);
         }
         sleep(FAST_TICK).await;
     }
--- a/crates/mustardhinge-resident/src/control/holder_answers.rs
+++ b/crates/mustardhinge-resident/src/control/holder_answers.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
+use mustardhinge_core::membership::RosterEntry;
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primacy::EpochDigest;
 use mustardhinge_core::spending::{SpendGrant, SpendReport};
 
 use super::holder_words::note_versions;
 use super::{
-    AskMessage, ControlState, GrantMessage, GrantedGroup, GrantedGroups, KnownInstance,
-    SpendingAsk, SpendingGrant,
+    AskMessage, ControlState, GrantMessage, GrantedGroup, GrantedGroups, SpendingAsk, SpendingGrant,
 };
 use crate::seam::PlatformClient;
 
@@ -30,6 +30,7 @@
     let asker = (&ask.from, ask.incarnation);
     let spending = grant_spending(control, asker, &ask.spending, instances);
     let duty = node.duty.borrow();
+    let roster = control.instances.borrow();
     let (record, revision, renewed_at) = duty.held_record()?;
     Some(GrantMessage {
         record: record.clone(),
@@ -40,8 +41,8 @@
         groups,
         spending,
         instances,
-        place: control.place_of(&ask.from),
-        relay: control.relay_for(&ask.from, &ask.zone, now),
+        place: roster.place_of(&ask.from),
+        relay: roster.relay_for(&ask.from, &ask.zone),
         plan_version: node.plan().version(),
         targets: node.targets_digest(),
     })
@@ -91,13 +92,14 @@
 ) {
     control.heard(
         &ask.from,
-        KnownInstance {
+        RosterEntry {
             address: ask.address,
             zone: ask.zone.clone(),
             is_fed: ask.is_fed,
             incarnation: ask.incarnation,
             heard_at: now,
         },
+        now,
     );
     control.node.tell_leaving(&ask.leaving);
     note_versions(control, ask.plan_version, ask.address, now);
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -14,7 +14,7 @@
 mod plan_relay;
 mod target_feed;
 
-pub use control_state::{ControlState, KnownInstance};
+pub use control_state::ControlState;
 pub use duty_task::{release_duty, run_duty};
 pub use group_record::GroupRecord;
 pub use peer_exchange::serve_peers;
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -121,8 +121,8 @@
     for id in desk.awaited(now) {
         if id == control.node.settings.instance {
             close_own(control, &stop, now);
-        } else if let Some(instance) = instances.get(&id) {
-            control.send(&PeerMessage::Stop(stop.clone()), instance.address);
+        } else if let Some(address) = instances.address_of(&id) {
+            control.send(&PeerMessage::Stop(stop.clone()), address);
         }
     }
 }
