Log a sample of the requests that went as usual

One request in 64, chosen by its id alone (the same ones on each instance), gets 6019 with customer, service, target, wait, answer time, epoch, position and version. Lines of refusals and unknown outcomes name the target that the request was sent to last. Lines a second stay bounded per event as before.

Not measured yet: the processor time of the lines (64 times fewer than requests).

--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -62,4 +62,5 @@
     ENTRY_IGNORED = 6016, Warn, "entry in the store ignored";
     PROMOTE_ORDERED = 6017, Info, "promotion ordered";
     TRANSACTION_ENDED = 6018, Info, "transaction ended by the proxy";
+    REQUEST_ANSWERED = 6019, Info, "request answered";
 }
--- a/crates/mustardhinge-process/src/event/mod.rs
+++ b/crates/mustardhinge-process/src/event/mod.rs
@@ -5,9 +5,11 @@
 mod line_meter;
 mod log_event;
 mod log_output;
+mod log_sample;
 
 pub use bounded_log::start_bounded_log;
 pub use catalogue::*;
 pub use line_meter::{LINES_PER_SECOND, LineMeter, LineVerdict};
 pub use log_event::LogEvent;
 pub use log_output::start_log;
+pub use log_sample::LogSample;
--- a/crates/mustardhinge-process/tests/suite/events.rs
+++ b/crates/mustardhinge-process/tests/suite/events.rs
@@ -1,4 +1,6 @@
-use mustardhinge_process::event::{ALL_EVENTS, LINES_PER_SECOND, LineMeter, LineVerdict};
+use mustardhinge_process::event::{
+    ALL_EVENTS, LINES_PER_SECOND, LineMeter, LineVerdict, LogSample,
+};
 
 const CATALOGUE: &str = include_str!("../../../../docs/EVENTS.md");
 
@@ -49,3 +51,19 @@
     };
     assert_eq!(written + told + omitted, 100_000);
 }
+
+/// One in 64, by the id alone, whatever the ids look like.
+#[test]
+fn the_sample_takes_one_request_in_sixty_four() {
+    let ids: [fn(u64) -> String; 3] = [
+        |index| format!("q{index}"),
+        |index| format!("{index:016x}"),
+        |index| format!("{:016x}", index.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+    ];
+    for id in ids {
+        let taken = (0..64_000)
+            .filter(|index| LogSample::takes(id(*index).as_bytes()))
+            .count();
+        assert!((800..1_200).contains(&taken), "{taken} of 1,000");
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-resident/src/session/answer_log.rs
@@ -0,0 +1,33 @@
+use mustardhinge_process::event::{self, LogSample};
+
+use super::SessionRequest;
+use crate::node::NodeState;
+use crate::target::TargetReply;
+
+/// Logs a request that a target answered, if it is one of the sample.
+pub(super) fn log_answer(node: &NodeState, request: &SessionRequest, reply: &TargetReply) {
+    if !LogSample::takes(&request.id) {
+        return;
+    }
+    let now = node.clock.now();
+    let sent = request.sent.borrow();
+    let Some(sent) = sent.as_ref() else {
+        return;
+    };
+    let service = &request.route.service;
+    let position = reply.position.map(|position| position.to_string());
+    event::REQUEST_ANSWERED.log(format_args!(
+        "request={} customer={} service={service} writes={} target={} waited_ms={} answer_ms={} \
+         epoch={} position={} fault={:?} version={}",
+        String::from_utf8_lossy(&request.id),
+        request.customer,
+        request.writes,
+        sent.target,
+        sent.at.saturating_since(request.came_at).as_millis(),
+        now.saturating_since(sent.at).as_millis(),
+        sent.epoch.unwrap_or(node.group(service).epoch()),
+        position.as_deref().unwrap_or("none"),
+        reply.fault,
+        node.plan().version(),
+    ));
+}
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -1,4 +1,4 @@
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use super::answer_log::log_answer;
 use super::caller_channel::{CallerChannel, SessionRest, SessionStep};
 use super::rate_admission::admit;
 use super::read_path::{OwnCommit, run_read};
@@ -289,13 +290,14 @@
             customer,
             session: self.number,
             came_at: self.node.clock.now(),
-            sent_in: Cell::new(None),
+            sent: RefCell::new(None),
         }
     }
 
     fn answer(&mut self, request: &SessionRequest, answer: StatementAnswer) {
         match answer {
             StatementAnswer::Reply(reply) => {
+                log_answer(&self.node, request, &reply);
                 let state = self.state();
                 self.channel.pass_on(&reply.body, state, reply.position);
             }
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' sessions: their statements admitted, placed, run and answered.
 
+mod answer_log;
 mod caller_channel;
 mod caller_session;
 mod floor_ask;
@@ -8,6 +9,7 @@
 mod rate_admission;
 mod read_path;
 mod refusal_log;
+mod request_sent;
 mod session_access;
 mod session_request;
 mod session_values;
@@ -18,6 +20,7 @@
 
 pub use caller_session::CallerSession;
 pub use open_transaction::OpenTransaction;
+pub use request_sent::RequestSent;
 pub use session_access::SessionAccess;
 pub use session_request::SessionRequest;
 pub use session_values::SessionValues;
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -250,6 +250,7 @@
         W::write_statement(&mut link.output, &request.id, floor, &request.text);
     }
     let sent_at = node.clock.now();
+    request.note_sent(target.id(), epoch, sent_at);
     let mut time = request.answer_time(now);
     // A read that gets no answer is repeated elsewhere, while there is time for it.
     time.limit = time.limit.min(time.silence * 2);
--- a/crates/mustardhinge-resident/src/session/refusal_log.rs
+++ b/crates/mustardhinge-resident/src/session/refusal_log.rs
@@ -19,14 +19,17 @@
     let position_age = group
         .newest_position()
         .map(|(at, _)| now.saturating_since(at).as_millis());
+    let sent = request.sent.borrow();
+    let sent_in = sent.as_ref().and_then(|sent| sent.epoch);
     event.log(format_args!(
         "request={} reason={reason} customer={} service={service} writes={} waited_ms={} \
-         epoch={} leased={} position_age_ms={position_age:?} version={}",
+         target={} epoch={} leased={} position_age_ms={position_age:?} version={}",
         String::from_utf8_lossy(&request.id),
         request.customer,
         request.writes,
         now.saturating_since(request.came_at).as_millis(),
-        request.sent_in.get().unwrap_or(group.epoch()),
+        sent.as_ref().map_or("none", |sent| sent.target.as_str()),
+        sent_in.unwrap_or(group.epoch()),
         node.usable_primary(&group, now).is_some(),
         node.plan().version(),
     ));
--- a/crates/mustardhinge-resident/src/session/session_request.rs
+++ b/crates/mustardhinge-resident/src/session/session_request.rs
@@ -1,11 +1,12 @@
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
+use mustardhinge_core::prelude::{CustomerId, MonotonicTime, TargetId};
 use mustardhinge_core::primacy::GroupEpoch;
 
+use super::RequestSent;
 use crate::plan::PlanRoute;
 use crate::target::{AnswerTime, LinkNeed};
 
@@ -35,11 +36,16 @@
     pub session: u64,
     /// When it came.
     pub came_at: MonotonicTime,
-    /// The epoch of the primary that it was sent to.
-    pub sent_in: Cell<Option<GroupEpoch>>,
+    /// Where it was sent last.
+    pub sent: RefCell<Option<RequestSent>>,
 }
 
 impl SessionRequest {
+    /// Notes where it is sent.
+    pub fn note_sent(&self, target: TargetId, epoch: Option<GroupEpoch>, at: MonotonicTime) {
+        *self.sent.borrow_mut() = Some(RequestSent { target, epoch, at });
+    }
+
     /// Returns the time left for it.
     #[must_use]
     pub fn time_left(&self, now: MonotonicTime) -> Duration {
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -273,7 +273,7 @@
     (kind, epoch): (&'static str, Option<GroupEpoch>),
 ) -> Result<TargetReply, LinkError> {
     let group = node.group(&request.route.service);
-    request.sent_in.set(epoch);
+    request.note_sent(lease.target().id(), epoch, node.clock.now());
     loop {
         if let Some(link) = lease.link_mut() {
             W::write_statement(&mut link.output, &request.id, None, &request.text);
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -89,7 +89,7 @@
     if let Some(link) = lease.link_mut() {
         W::write_statement(&mut link.output, &request.id, None, &request.text);
     }
-    request.sent_in.set(epoch);
+    request.note_sent(target.id(), epoch, sent_at);
     let ended = node.until_epoch_ends(&group, epoch);
     let result = lease
         .exchange_until::<W>(1, request.answer_time(sent_at), &node.clock, ended)
