Wait for all earlier holders of the duty, not for the last one alone

Cause: a holder that takes the duty over waits until the one before it can lend no more, and only a lease if that one gave the duty up, restarted or says that it stopped.

Now the record says whether the rights of all holders before it have ended (`settled`, false in records of earlier versions). As long as they may not have, the next holder waits for the whole bound. A lost record whose holder was heard of is such a case, and the fence goes on from the greatest heard.

Tests: a planned stop, a restart, the word of the holder between, and a lost record, each red before.

--- a/crates/mustardhinge-core/src/primacy/duty_claim.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_claim.rs
@@ -23,6 +23,14 @@
     revision: RecordRevision,
     renewed_at: MonotonicTime,
     promote_from: MonotonicTime,
+    /// Whether only the holder just before this one may have rights left.
+    has_one_predecessor: bool,
+}
+
+impl HeldDuty {
+    fn is_settled(&self, now: MonotonicTime) -> bool {
+        now >= self.promote_from
+    }
 }
 
 /// One instance's part in the question who holds the duty to replace primaries.
@@ -61,6 +69,7 @@
             fence: 0,
             renewals: 0,
             released: false,
+            settled: false,
         };
         Self {
             own,
@@ -118,6 +127,7 @@
         }
         let mut record = held.record.clone();
         record.renewals += 1;
+        record.settled = held.is_settled(now);
         DutyStep::Write {
             record,
             expected: Some(held.revision),
@@ -132,8 +142,10 @@
             return None;
         }
         let Some(seen) = &self.seen else {
-            return self.seen_absent.then(|| DutyStep::Write {
-                record: self.claim_record(1),
+            let mut record = self.claim_record(self.highest_fence + 1);
+            record.settled = self.highest_fence == 0;
+            return self.seen_absent.then_some(DutyStep::Write {
+                record,
                 expected: None,
             });
         };
@@ -237,10 +249,20 @@
     }
 
     fn won(&mut self, revision: RecordRevision, record: DutyRecord, sent_at: MonotonicTime) {
-        let promote_from = match (&self.held, &self.seen) {
-            (Some(held), _) if held.record.fence == record.fence => held.promote_from,
-            (_, None) => sent_at,
-            (_, Some(seen)) => self.predecessor_end(seen, sent_at) + self.settings.lease,
+        let (promote_from, has_one_predecessor) = match (&self.held, &self.seen) {
+            (Some(held), _) if held.record.fence == record.fence => {
+                (held.promote_from, held.has_one_predecessor)
+            }
+            (_, None) if record.settled => (sent_at, true),
+            // The store lost the record of a holder that was heard of.
+            (_, None) => (
+                sent_at + self.settings.grant_bound + self.settings.lease,
+                false,
+            ),
+            (_, Some(seen)) => {
+                let end = self.predecessor_end(seen, sent_at);
+                (end + self.settings.lease, seen.record.settled)
+            }
         };
         self.highest_fence = self.highest_fence.max(record.fence);
         self.held = Some(HeldDuty {
@@ -248,13 +270,14 @@
             revision,
             renewed_at: sent_at,
             promote_from,
+            has_one_predecessor,
         });
     }
 
     fn predecessor_end(&self, seen: &RecordSighting, claimed_at: MonotonicTime) -> MonotonicTime {
         let ended =
             seen.record.released || seen.record.holder == self.own.holder || self.predecessor_gone;
-        if ended {
+        if ended && seen.record.settled {
             return claimed_at;
         }
         claimed_at.max(seen.first_seen + self.settings.grant_bound)
@@ -265,7 +288,7 @@
     pub fn predecessor_stopped(&mut self, now: MonotonicTime) {
         self.predecessor_gone = true;
         let lease = self.settings.lease;
-        if let Some(held) = &mut self.held {
+        if let Some(held) = self.held.as_mut().filter(|held| held.has_one_predecessor) {
             held.promote_from = held.promote_from.min(now + lease);
         }
     }
@@ -308,10 +331,11 @@
 
     /// Returns the record to write to give the duty up, with the revision it depends on.
     #[must_use]
-    pub fn release(&self) -> Option<(DutyRecord, RecordRevision)> {
+    pub fn release(&self, now: MonotonicTime) -> Option<(DutyRecord, RecordRevision)> {
         let held = self.held.as_ref()?;
         let mut record = held.record.clone();
         record.released = true;
+        record.settled = held.is_settled(now);
         Some((record, held.revision))
     }
 
--- a/crates/mustardhinge-core/src/primacy/duty_record.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_record.rs
@@ -19,4 +19,8 @@
     pub renewals: u64,
     /// Whether the holder has given the duty up.
     pub released: bool,
+    /// Whether the rights of all holders before this one have ended. As long as they may not
+    /// have, the next one has to wait for them too, however this one ends.
+    #[serde(default)]
+    pub settled: bool,
 }
--- a/crates/mustardhinge-core/tests/suite/primacy/duty_claim.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/duty_claim.rs
@@ -160,7 +160,7 @@
     let mut store = FakeStore::default();
     let (mut one, mut two) = (claim("one", 1), claim("two", 2));
     run(&mut one, &mut store, 1_000, 1_200);
-    let (record, revision) = one.release().unwrap();
+    let (record, revision) = one.release(at(1_200)).unwrap();
     one.retire();
     store.write(&record, Some(revision)).unwrap();
     run(&mut two, &mut store, 1_300, 1_900);
@@ -220,10 +220,85 @@
     let mut store = FakeStore::default();
     let mut one = claim("one", 1);
     run(&mut one, &mut store, 1_000, 1_200);
-    let (record, revision) = one.release().unwrap();
+    let (record, revision) = one.release(at(1_200)).unwrap();
     one.retire();
     let revision = store.write(&record, Some(revision)).unwrap();
     one.wrote(revision, record, at(1_200));
     run(&mut one, &mut store, 1_200, 6_000);
     assert!(!one.may_grant(at(6_000)));
 }
+
+/// Returns when the last lease may end that `holder` gave out at `now` or before.
+fn lends_until(holder: &DutyClaim, now: MonotonicTime) -> MonotonicTime {
+    let steps = (0..12_000).step_by(50).map(Duration::from_millis);
+    let last = steps
+        .map(|step| now + step)
+        .take_while(|at| holder.may_grant(*at));
+    let lease = Duration::from_millis(2_000);
+    last.last().map_or(now, |at| at + lease)
+}
+
+/// The first holder is cut off and lends on; the second takes the duty over and gives it up as
+/// planned before the first has ended. The third must wait for the first all the same.
+#[test]
+fn a_planned_stop_does_not_shorten_the_wait_for_the_holder_before_it() {
+    let mut store = FakeStore::default();
+    let (mut one, mut two, mut three) = (claim("one", 1), claim("two", 2), claim("three", 3));
+    run(&mut one, &mut store, 1_000, 3_000);
+    let one_ends = lends_until(&one, at(3_000));
+    run(&mut two, &mut store, 3_000, 6_000);
+    let (record, revision) = two.release(at(6_000)).unwrap();
+    two.retire();
+    store.write(&record, Some(revision)).unwrap();
+    for millis in (6_000..20_000).step_by(100) {
+        follow(&mut three, &mut store, at(millis));
+        let is_over = at(millis) >= one_ends;
+        assert!(is_over || !three.may_promote(at(millis)), "at {millis} ms");
+    }
+    assert!(three.may_promote(at(20_000)));
+}
+
+/// The same with a second holder that is started anew, and with one that says it has stopped.
+#[test]
+fn a_restart_does_not_shorten_the_wait_for_the_holder_before_it() {
+    for has_word in [false, true] {
+        let mut store = FakeStore::default();
+        let (mut one, mut two) = (claim("one", 1), claim("two", 2));
+        run(&mut one, &mut store, 1_000, 3_000);
+        let one_ends = lends_until(&one, at(3_000));
+        run(&mut two, &mut store, 3_000, 6_000);
+        let mut next = if has_word {
+            claim("three", 3)
+        } else {
+            claim("two", 3)
+        };
+        for millis in (6_000..20_000).step_by(100) {
+            follow(&mut next, &mut store, at(millis));
+            if has_word && next.may_grant(at(millis)) {
+                next.predecessor_stopped(at(millis));
+            }
+            let is_over = at(millis) >= one_ends;
+            assert!(is_over || !next.may_promote(at(millis)), "at {millis} ms");
+        }
+        assert!(next.may_promote(at(20_000)));
+    }
+}
+
+/// The store lost the record while its holder lends on: whoever knew of it waits.
+#[test]
+fn a_lost_record_does_not_end_the_rights_of_its_holder() {
+    let mut store = FakeStore::default();
+    let (mut one, mut two) = (claim("one", 1), claim("two", 2));
+    run(&mut one, &mut store, 1_000, 3_000);
+    run(&mut two, &mut store, 2_800, 3_000);
+    let one_ends = lends_until(&one, at(3_000));
+    store.stored = None;
+    for millis in (3_000..20_000).step_by(100) {
+        follow(&mut two, &mut store, at(millis));
+        let is_over = at(millis) >= one_ends;
+        assert!(is_over || !two.may_promote(at(millis)), "at {millis} ms");
+    }
+    assert!(two.may_promote(at(20_000)));
+    let fence = |claim: &DutyClaim| claim.held_record().map(|(record, _, _)| record.fence);
+    assert!(fence(&two) > fence(&one), "fences grow with the holder");
+}
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -69,7 +69,8 @@
 
 /// Gives the duty up, for a planned stop.
 pub async fn release_duty<P: PlatformClient>(control: &ControlState<P>) {
-    let release = control.node.duty.borrow().release();
+    let now = control.node.clock.now();
+    let release = control.node.duty.borrow().release(now);
     let Some((record, revision)) = release else {
         return;
     };
