Let voters end the rights of a holder that is cut off

Cause: a holder of the duty that can't renew its record goes on lending for 9 s, since the store may be out for all.

Ruled out: a shorter bound for all (an outage of the store would end the use of primaries); a majority of the instances as such (nobody knows the same set); a zone as one vote (one instance of it that was missed keeps the holder alive).

Now the record names up to five instances, over the zones in turn, as voters. Two seconds after its last renewal the holder lends on only as long as most of them go along, counted from when it sent the grant that they repeat, for 2.5 s. Its successor may replace primaries 2.55 s after most of them have heard its fence: the two majorities share a voter, in the same life of its process. Nothing depends on how long a datagram takes. With fewer than three instances, or voters that are gone, all stays as it was. Grants carry their term; the form of the datagrams is 6.

--- a/crates/mustardhinge-core/src/membership/instance_roster.rs
+++ b/crates/mustardhinge-core/src/membership/instance_roster.rs
@@ -4,6 +4,7 @@
 
 use super::{FeedRelay, RelayCandidate};
 use crate::ids::{InstanceId, ZoneId};
+use crate::primacy::{DutyVoter, VoterCandidate, VoterChoice};
 use crate::units::MonotonicTime;
 
 /// An instance counts among those that share connections and rates for this long after it
@@ -97,6 +98,21 @@
         (relay != asker).then_some(*address)
     }
 
+    /// Returns the voters of the holder, the present ones as far as possible.
+    #[must_use]
+    pub fn voters(&self, present: &[DutyVoter], now: MonotonicTime) -> Vec<DutyVoter> {
+        let candidates = self.entries.iter().map(|(id, entry)| VoterCandidate {
+            voter: DutyVoter {
+                instance: id.clone(),
+                incarnation: entry.incarnation,
+                address: entry.address,
+            },
+            zone: &entry.zone,
+            heard_at: entry.heard_at,
+        });
+        VoterChoice::choose(candidates, present, now)
+    }
+
     /// Returns where an instance takes messages.
     #[must_use]
     pub fn address_of(&self, id: &InstanceId) -> Option<SocketAddr> {
--- a/crates/mustardhinge-core/src/primacy/duty_claim.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_claim.rs
@@ -1,8 +1,9 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{DutyRecord, DutyStep, PrimacySettings, RecordRevision, RecordSighting};
+use super::voter_lists::VoterLists;
+use super::{DutyRecord, DutyStep, DutyVoter, PrimacySettings, RecordRevision, RecordSighting};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
@@ -14,6 +15,8 @@
 const UNSURE_READ_EVERY: Duration = Duration::from_millis(100);
 /// Writes whose sending times are remembered, to date one that is found done later.
 const REMEMBERED_WRITES: usize = 8;
+/// Leases end this much sooner by the holder's clock than its successor waits by its own.
+const CLOCK_MARGIN: Duration = Duration::from_millis(50);
 /// How far apart the claims of two instances lie, so that one of them wins unopposed.
 const CLAIM_SPREAD: Duration = Duration::from_millis(120);
 
@@ -25,6 +28,9 @@
     promote_from: MonotonicTime,
     /// Whether only the holder just before this one may have rights left.
     has_one_predecessor: bool,
+    /// The voters of the holder before this one, and which of them have left it.
+    replaced_voters: Vec<DutyVoter>,
+    moved: BTreeSet<InstanceId>,
 }
 
 impl HeldDuty {
@@ -54,6 +60,8 @@
     is_unsure: bool,
     is_retired: bool,
     predecessor_gone: bool,
+    next_voters: Vec<DutyVoter>,
+    lists: VoterLists,
 }
 
 impl DutyClaim {
@@ -70,6 +78,7 @@
             renewals: 0,
             released: false,
             settled: false,
+            voters: Vec::new(),
         };
         Self {
             own,
@@ -86,6 +95,8 @@
             is_unsure: false,
             is_retired: false,
             predecessor_gone: false,
+            next_voters: Vec::new(),
+            lists: VoterLists::default(),
         }
     }
 
@@ -128,6 +139,7 @@
         let mut record = held.record.clone();
         record.renewals += 1;
         record.settled = held.is_settled(now);
+        record.voters.clone_from(&self.next_voters);
         DutyStep::Write {
             record,
             expected: Some(held.revision),
@@ -177,6 +189,10 @@
     /// Notes that `record` was sent to be written.
     pub fn note_write(&mut self, record: &DutyRecord, now: MonotonicTime) {
         self.written_at = Some(now);
+        let is_renewal = |held: &HeldDuty| held.record.fence == record.fence;
+        if self.held.as_ref().is_some_and(is_renewal) {
+            self.lists.note_sent(record);
+        }
         if self.sent_writes.len() == REMEMBERED_WRITES {
             self.sent_writes.pop_front();
         }
@@ -249,29 +265,37 @@
     }
 
     fn won(&mut self, revision: RecordRevision, record: DutyRecord, sent_at: MonotonicTime) {
-        let (promote_from, has_one_predecessor) = match (&self.held, &self.seen) {
-            (Some(held), _) if held.record.fence == record.fence => {
-                (held.promote_from, held.has_one_predecessor)
-            }
-            (_, None) if record.settled => (sent_at, true),
+        self.highest_fence = self.highest_fence.max(record.fence);
+        let held = self.held.take();
+        if let Some(mut held) = held.filter(|held| held.record.fence == record.fence) {
+            self.lists.confirm(&record);
+            held.record = record;
+            held.revision = revision;
+            held.renewed_at = sent_at;
+            self.held = Some(held);
+            return;
+        }
+        self.lists.begin(record.fence);
+        self.lists.confirm(&record);
+        let bound = self.settings.grant_bound + self.settings.lease;
+        let promote_from = match &self.seen {
+            None if record.settled => sent_at,
             // The store lost the record of a holder that was heard of.
-            (_, None) => (
-                sent_at + self.settings.grant_bound + self.settings.lease,
-                false,
-            ),
-            (_, Some(seen)) => {
-                let end = self.predecessor_end(seen, sent_at);
-                (end + self.settings.lease, seen.record.settled)
-            }
+            None => sent_at + bound,
+            Some(seen) => self.predecessor_end(seen, sent_at) + self.settings.lease,
         };
-        self.highest_fence = self.highest_fence.max(record.fence);
+        let replaced = self.seen.as_ref().map(|seen| &seen.record);
         self.held = Some(HeldDuty {
             record,
             revision,
             renewed_at: sent_at,
             promote_from,
-            has_one_predecessor,
+            has_one_predecessor: replaced.is_none_or(|before| before.settled),
+            replaced_voters: replaced.map_or_else(Vec::new, |before| before.voters.clone()),
+            moved: BTreeSet::new(),
         });
+        let own = (self.own.holder.clone(), self.own.incarnation);
+        self.voter_moved((&own.0, own.1), sent_at);
     }
 
     fn predecessor_end(&self, seen: &RecordSighting, claimed_at: MonotonicTime) -> MonotonicTime {
@@ -293,6 +317,57 @@
         }
     }
 
+    /// Takes that an instance has heard of this holder's fence, and so goes along with no holder
+    /// before it. Once most voters of that one do, its rights end soon.
+    pub fn voter_moved(&mut self, (instance, incarnation): (&InstanceId, u64), now: MonotonicTime) {
+        let Some(held) = self.held.as_mut().filter(|held| held.has_one_predecessor) else {
+            return;
+        };
+        let is_voter =
+            |voter: &DutyVoter| voter.instance == *instance && voter.incarnation == incarnation;
+        if !held.replaced_voters.iter().any(is_voter) || !held.moved.insert(instance.clone()) {
+            return;
+        }
+        if held.moved.len() * 2 > held.replaced_voters.len() {
+            let end = now + self.settings.backed_use + CLOCK_MARGIN;
+            held.promote_from = held.promote_from.min(end);
+        }
+    }
+
+    /// Takes that an instance repeats what this holder of `fence` answered at `at`.
+    pub fn voter_echoed(
+        &mut self,
+        (instance, incarnation): (&InstanceId, u64),
+        fence: u64,
+        at: MonotonicTime,
+    ) {
+        let is_own = |held: &HeldDuty| held.record.fence == fence;
+        if self.held.as_ref().is_some_and(is_own) {
+            self.lists.echoed(instance, incarnation, at);
+        }
+    }
+
+    /// Sets the voters that the next renewal names.
+    pub fn set_voters(&mut self, voters: Vec<DutyVoter>) {
+        self.next_voters = voters;
+    }
+
+    /// Returns the voters that this holder waits for, since they may go along with the one
+    /// before it.
+    #[must_use]
+    pub fn awaited_voters(&self, now: MonotonicTime) -> Vec<DutyVoter> {
+        let held = self.held.as_ref().filter(|held| now < held.promote_from);
+        let Some(held) = held.filter(|held| held.has_one_predecessor) else {
+            return Vec::new();
+        };
+        if held.moved.len() * 2 > held.replaced_voters.len() {
+            return Vec::new();
+        }
+        let voters = held.replaced_voters.iter();
+        let awaited = voters.filter(|voter| !held.moved.contains(&voter.instance));
+        awaited.cloned().collect()
+    }
+
     /// Takes from a holder's message when its record was last renewed.
     pub fn heard_holder(&mut self, sighting: RecordSighting, now: MonotonicTime) {
         if sighting.record.fence < self.highest_fence {
@@ -349,9 +424,29 @@
     /// Returns whether this instance may lend the use of primaries.
     #[must_use]
     pub fn may_grant(&self, now: MonotonicTime) -> bool {
-        self.held
-            .as_ref()
-            .is_some_and(|held| now.saturating_since(held.renewed_at) < self.settings.grant_bound)
+        self.lease_for(now).is_some()
+    }
+
+    /// Returns for how long this instance may lend the use of primaries now; none if it may not.
+    ///
+    /// Load pattern: an outage of the store, which must not end the use of primaries, looks to
+    /// the holder like a cut of its own zone, in which others have to replace them soon. The
+    /// voters tell which it is: cut off, it no longer hears most of them, and its successor does.
+    #[must_use]
+    pub fn lease_for(&self, now: MonotonicTime) -> Option<Duration> {
+        let held = self.held.as_ref()?;
+        let settings = &self.settings;
+        if now.saturating_since(held.renewed_at) >= settings.grant_bound {
+            return None;
+        }
+        if self.lists.are_empty() {
+            return Some(settings.lease);
+        }
+        let renewed = held.renewed_at + settings.claim_after;
+        let own = (&self.own.holder, self.own.incarnation);
+        let backed = self.lists.backed_at(own, now).max(Some(renewed))?;
+        let left = (backed + settings.backed_use).saturating_since(now);
+        (!left.is_zero()).then(|| left.min(settings.lease))
     }
 
     /// Returns whether this instance may replace a primary.
--- a/crates/mustardhinge-core/src/primacy/duty_record.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DutyVoter;
 use crate::ids::InstanceId;
 
 /// Who holds the duty to replace primaries, as it stands in the platform's store.
@@ -23,4 +24,8 @@
     /// have, the next one has to wait for them too, however this one ends.
     #[serde(default)]
     pub settled: bool,
+    /// Most of these have to go along with the holder for it to lend on long after its last
+    /// renewal; none if it may do so alone. Their number is odd.
+    #[serde(default)]
+    pub voters: Vec<DutyVoter>,
 }
--- a/crates/mustardhinge-core/src/primacy/primacy_settings.rs
+++ b/crates/mustardhinge-core/src/primacy/primacy_settings.rs
@@ -20,6 +20,8 @@
     pub claim_after: Duration,
     /// How long after its last renewal a holder goes on lending what it has lent.
     pub grant_bound: Duration,
+    /// How long a lease may run after most voters went along with the holder, if it can't renew.
+    pub backed_use: Duration,
     /// How long before `claim_after` the holder stops replacing primaries.
     pub promote_margin: Duration,
 }
@@ -27,7 +29,8 @@
 impl Default for PrimacySettings {
     /// A lease bridges three lost messages; a claim bridges one lost renewal, so that the
     /// duty moves about when the leases of a dead holder end; the bound on lending
-    /// exceeds the usual outage of the store.
+    /// exceeds the usual outage of the store. The word of a voter is up to two asks old, which
+    /// leaves leases of one and a half seconds or more.
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(2_000),
@@ -35,6 +38,7 @@
             renew_every: Duration::from_millis(700),
             claim_after: Duration::from_millis(2_000),
             grant_bound: Duration::from_millis(9_000),
+            backed_use: Duration::from_millis(2_500),
             promote_margin: Duration::from_millis(300),
         }
     }
--- a/crates/mustardhinge-core/tests/suite/primacy/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/mod.rs
@@ -6,6 +6,7 @@
 mod outage_forecast;
 mod successor_choice;
 mod suspicion_board;
+mod voters;
 
 use std::fmt::Debug;
 use std::str::FromStr;
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::{GroupRecord, PeerMessage};
+use super::{GrantEcho, GroupRecord, PeerMessage};
 use crate::node::NodeState;
 
 /// A new holder has heard all instances that it can reach after this time.
@@ -52,6 +52,10 @@
     pub in_work: RefCell<HashSet<ServiceId>>,
     /// Where the holder may be found, from another instance.
     pub hint: Cell<Option<SocketAddr>>,
+    /// Whether that one has just taken the duty over, and waits to be asked.
+    pub is_hint_new: Cell<bool>,
+    /// The last grant that this instance took.
+    pub echo: Cell<Option<GrantEcho>>,
     /// Where a newer configuration or list of targets was announced.
     pub newer_at: Cell<Option<(SocketAddr, MonotonicTime)>>,
     /// Who watches the store for this instance, if another one does.
@@ -87,6 +91,8 @@
             instances: RefCell::default(),
             in_work: RefCell::default(),
             hint: Cell::new(None),
+            is_hint_new: Cell::new(false),
+            echo: Cell::new(None),
             newer_at: Cell::new(None),
             relay: Cell::new(None),
             relay_changed: Notify::new(),
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -12,7 +12,7 @@
 use super::ControlState;
 use super::change_driver::drive_change;
 use super::group_setup::set_up_group;
-use super::peer_exchange::{send_ask, send_hint, send_spending_ask, send_stops};
+use super::peer_exchange::{send_ask, send_hint, send_spending_ask, send_stops, send_voter_hints};
 use super::plan_relay::fetch_state;
 use crate::seam::{PlatformClient, ServerRole, SessionWire, WriteAnswer};
 
@@ -53,6 +53,7 @@
         let is_closing = close_epochs(&control, now);
         ask(&control, &mut memory, now);
         if memory.is_holder {
+            send_voter_hints(&control, now);
             tend_groups::<W, P>(&control, &mut memory, now);
         }
         watch_leases(&control, now);
@@ -133,10 +134,20 @@
     if memory.in_store.get() {
         return;
     }
-    let step = control.node.duty.borrow().next_step(now);
+    let mut step = control.node.duty.borrow().next_step(now);
     if step == DutyStep::Wait {
         return;
     }
+    if memory.is_holder && matches!(step, DutyStep::Write { .. }) {
+        let mut duty = control.node.duty.borrow_mut();
+        let present = duty.held_record().map(|(record, _, _)| &record.voters[..]);
+        let voters = control
+            .instances
+            .borrow()
+            .voters(present.unwrap_or_default(), now);
+        duty.set_voters(voters);
+        step = duty.next_step(now);
+    }
     memory.in_store.set(true);
     let (control, in_store) = (Rc::clone(control), Rc::clone(&memory.in_store));
     spawn_local(async move {
--- a/crates/mustardhinge-resident/src/control/holder_answers.rs
+++ b/crates/mustardhinge-resident/src/control/holder_answers.rs
@@ -1,6 +1,7 @@
 //! What the holder of the duty answers to the other instances.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use mustardhinge_core::membership::RosterEntry;
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
@@ -20,13 +21,11 @@
 ) -> Option<GrantMessage> {
     let node = &control.node;
     let now = node.clock.now();
-    node.duty.borrow_mut().heard_fence(ask.fence);
-    if !node.duty.borrow().may_grant(now) {
-        return None;
-    }
+    note_voter(control, ask, now);
+    let lease = node.duty.borrow().lease_for(now)?;
     note_asker(control, ask, now);
     let instances = control.count_instances(now);
-    let groups = grant_groups(control, ask, now);
+    let groups = grant_groups(control, ask, lease, now);
     let asker = (&ask.from, ask.incarnation);
     let spending = grant_spending(control, asker, &ask.spending, instances);
     let duty = node.duty.borrow();
@@ -37,6 +36,9 @@
         revision,
         renewed_ms: millis(now, renewed_at),
         asked_at: ask.asked_at,
+        granted_at: now.as_micros(),
+        // Whole milliseconds, rounded down, of a few seconds.
+        lease_ms: lease.as_millis() as u64,
         leaving: node.leaving_targets(),
         groups,
         spending,
@@ -85,6 +87,21 @@
     grants.collect()
 }
 
+/// Takes whom the asker goes along with: this holder, or no holder before it.
+fn note_voter<P>(control: &ControlState<P>, ask: &AskMessage, now: MonotonicTime) {
+    let mut duty = control.node.duty.borrow_mut();
+    duty.heard_fence(ask.fence);
+    let asker = (&ask.from, ask.incarnation);
+    if let Some(echo) = ask.echo {
+        let at = MonotonicTime::from_micros(echo.granted_at);
+        duty.voter_echoed(asker, echo.fence, at);
+    }
+    let own = duty.held_record().map(|(record, _, _)| record.fence);
+    if own.is_some_and(|own| ask.fence >= own) {
+        duty.voter_moved(asker, now);
+    }
+}
+
 fn note_asker<P: PlatformClient>(
     control: &Rc<ControlState<P>>,
     ask: &AskMessage,
@@ -123,6 +140,7 @@
 fn grant_groups<P>(
     control: &ControlState<P>,
     ask: &AskMessage,
+    lease: Duration,
     now: MonotonicTime,
 ) -> GrantedGroups {
     let mut desks = control.desks.borrow_mut();
@@ -138,7 +156,6 @@
             desk.saw_position(position);
         }
     }
-    let lease = control.node.primacy.lease;
     let epochs = EpochDigest::of(
         desks
             .iter()
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -8,7 +8,9 @@
 use mustardhinge_core::primacy::{EpochDigest, GroupEpoch, RecordSighting};
 use mustardhinge_process::event;
 
-use super::{ControlState, GrantMessage, GrantedGroup, GrantedGroups, SpendingGrant, StopMessage};
+use super::{
+    ControlState, GrantEcho, GrantMessage, GrantedGroup, GrantedGroups, SpendingGrant, StopMessage,
+};
 use crate::group::GroupState;
 use crate::seam::PlatformClient;
 
@@ -19,7 +21,13 @@
     if grant.record.fence < node.duty.borrow().highest_fence() {
         return;
     }
+    control.echo.set(Some(GrantEcho {
+        fence: grant.record.fence,
+        granted_at: grant.granted_at,
+    }));
     let asked_at = MonotonicTime::from_micros(grant.asked_at);
+    let lent = Duration::from_millis(grant.lease_ms);
+    let lease = (asked_at, node.primacy.lease.min(lent));
     node.duty.borrow_mut().heard_holder(
         RecordSighting {
             revision: grant.revision,
@@ -35,11 +43,11 @@
     match &grant.groups {
         GrantedGroups::All(groups) => {
             for granted in groups {
-                take_group(control, granted, asked_at, now);
+                take_group(control, granted, lease, now);
             }
         }
         GrantedGroups::Same { epochs, positions } => {
-            take_same(control, *epochs, positions, asked_at);
+            take_same(control, *epochs, positions, lease);
         }
     }
     node.spending
@@ -63,13 +71,12 @@
 fn take_group<P>(
     control: &ControlState<P>,
     granted: &GrantedGroup,
-    asked_at: MonotonicTime,
+    (asked_at, lease): (MonotonicTime, Duration),
     now: MonotonicTime,
 ) {
     let node = &control.node;
     let grant = &granted.grant;
     let group = node.group(&grant.service);
-    let lease = node.primacy.lease;
     let is_new = node.leases.borrow_mut().accept(grant, asked_at, lease, now);
     if is_new {
         group.begin_epoch(grant.epoch);
@@ -90,13 +97,12 @@
     control: &ControlState<P>,
     epochs: EpochDigest,
     positions: &[(ServiceId, LogPosition, u64)],
-    asked_at: MonotonicTime,
+    (asked_at, lease): (MonotonicTime, Duration),
 ) {
     let node = &control.node;
     if node.leases.borrow().digest() != epochs {
         return;
     }
-    let lease = node.primacy.lease;
     node.leases.borrow_mut().renew_all(asked_at, lease);
     let now = node.clock.now();
     for group in node.groups() {
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -19,8 +19,8 @@
 pub use group_record::GroupRecord;
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
-    AskMessage, GrantMessage, GrantedGroup, GrantedGroups, GroupReport, HolderHint, PeerMessage,
-    SpendingAsk, SpendingGrant, StopMessage,
+    AskMessage, GrantEcho, GrantMessage, GrantedGroup, GrantedGroups, GroupReport, HolderHint,
+    PeerMessage, SpendingAsk, SpendingGrant, StopMessage,
 };
 pub use plan_feed::follow_plan;
 pub use plan_relay::{RelayedState, serve_relay};
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -81,6 +81,9 @@
             .map(|record| record.address)
     };
     let mut asked: Vec<SocketAddr> = holder.into_iter().collect();
+    if control.is_hint_new.take() {
+        asked.extend(control.hint.get());
+    }
     if now.saturating_since(control.granted_at.get()) > LOOK_AFTER {
         asked.extend(control.hint.get());
         asked.extend(&control.node.settings.seeds);
@@ -103,6 +106,17 @@
     control.send(&PeerMessage::Holder(hint), to);
 }
 
+/// Tells the voters of the holder before this one who holds the duty now.
+pub(super) fn send_voter_hints<P>(control: &ControlState<P>, now: MonotonicTime) {
+    let duty = control.node.duty.borrow();
+    let Some((record, _, _)) = duty.held_record() else {
+        return;
+    };
+    for voter in duty.awaited_voters(now) {
+        send_hint(control, record, voter.address);
+    }
+}
+
 /// Tells the instances that use a primary which is to be replaced to stop.
 pub(super) fn send_stops<P>(control: &ControlState<P>, service: &ServiceId, now: MonotonicTime) {
     let desks = control.desks.borrow();
@@ -180,6 +194,7 @@
         is_fed: control.has_store.get() && node.plan().version().get() > 0,
         asked_at: now.as_micros(),
         fence: node.duty.borrow().highest_fence(),
+        echo: control.echo.get(),
         plan_version: node.plan().version(),
         leaving: node.leaving_targets(),
         epochs: leases.digest(),
@@ -197,6 +212,7 @@
     let now = control.node.clock.now();
     let mut duty = control.node.duty.borrow_mut();
     let is_current = hint.record.fence >= duty.highest_fence();
+    let is_newer = hint.record.fence > duty.highest_fence();
     duty.heard_fence(hint.record.fence);
     if is_current && hint.record.released {
         duty.look_up();
@@ -204,7 +220,8 @@
     drop(duty);
     if is_current && hint.record.holder != control.node.settings.instance {
         control.hint.set(Some(hint.record.address));
-        if control.granted_at.get() == MonotonicTime::default() {
+        if is_newer || control.granted_at.get() == MonotonicTime::default() {
+            control.is_hint_new.set(true);
             control.node.tell_holder.notify_one();
         }
     }
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -12,7 +12,7 @@
 use crate::plan::TargetsDigest;
 
 /// The form of the datagrams; instances ignore those of another form.
-const MESSAGE_FORM: u8 = 5;
+const MESSAGE_FORM: u8 = 6;
 
 /// One datagram between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +71,8 @@
     pub asked_at: u64,
     /// The greatest fence that it has seen.
     pub fence: u64,
+    /// The last grant that it took.
+    pub echo: Option<GrantEcho>,
     /// The version of its configuration.
     pub plan_version: DocumentVersion,
     /// Targets that are leaving.
@@ -85,6 +87,15 @@
     pub spending: Vec<SpendReport>,
 }
 
+/// Tells which grant an instance took, by what the holder put into it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantEcho {
+    /// The fence of the holder.
+    pub fence: u64,
+    /// The holder's time in microseconds.
+    pub granted_at: u64,
+}
+
 /// What an instance knows of one group's primary.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupReport {
@@ -111,6 +122,10 @@
     pub renewed_ms: u64,
     /// The time of the question, as the asker gave it.
     pub asked_at: u64,
+    /// The holder's time in microseconds; the asker repeats it in its next question.
+    pub granted_at: u64,
+    /// For how long the primaries are lent, from the time of the question, in milliseconds.
+    pub lease_ms: u64,
     /// Targets that are leaving.
     pub leaving: Vec<TargetId>,
     /// The groups' primaries.
