--- a/crates/mustardhinge-core/src/primacy/duty_record.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DutyVoter;
 use crate::ids::InstanceId;
 
 /// Who holds the duty to replace primaries, as it stands in the platform's store.
@@ -19,4 +20,12 @@
     pub renewals: u64,
     /// Whether the holder has given the duty up.
     pub released: bool,
+    /// Whether the rights of all holders before this one have ended. As long as they may not
+    /// have, the next one has to wait for them too, however this one ends.
+    #[serde(default)]
+    pub settled: bool,
+    /// Most of these have to go along with the holder for it to lend on long after its last
+    /// renewal; none if it may do so alone. Their number is odd.
+    #[serde(default)]
+    pub voters: Vec<DutyVoter>,
 }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -14,13 +14,13 @@
 mod plan_relay;
 mod target_feed;
 
-pub use control_state::{ControlState, KnownInstance};
+pub use control_state::ControlState;
 pub use duty_task::{release_duty, run_duty};
 pub use group_record::GroupRecord;
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
-    AskMessage, GrantMessage, GrantedGroup, GrantedGroups, GroupReport, HolderHint, PeerMessage,
-    SpendingAsk, SpendingGrant, StopMessage,
+    AskMessage, GrantEcho, GrantMessage, GrantedGroup, GrantedGroups, GroupReport, HolderHint,
+    PeerMessage, SpendingAsk, SpendingGrant, StopMessage,
 };
 pub use plan_feed::follow_plan;
 pub use plan_relay::{RelayedState, serve_relay};
