Let settled instances rest between two questions to the holder

Cause: each instance looked after leases and duty ten times a second, and asked 6.7 times a second whether somebody still watches the store for it, though nothing happened: some 19 wakes a second, each with a pass over all groups.

Now a settled instance sleeps until its next question (twice a second); what is open (a primary that can't be used, a missing answer, news to fetch, the duty) is looked after as often as before, and news, a new group and the word of the holder wake it. The wait for the end of a relay lasts as long as its word does.

--- a/crates/mustardhinge-core/src/primacy/mod.rs
+++ b/crates/mustardhinge-core/src/primacy/mod.rs
@@ -8,6 +8,7 @@
 //! own servers need none of this: see [`failover`](crate::failover).
 
 mod change_cause;
+mod control_pace;
 mod duty_claim;
 mod duty_record;
 mod duty_step;
@@ -28,6 +29,7 @@
 mod voter_lists;
 
 pub use change_cause::ChangeCause;
+pub use control_pace::ControlPace;
 pub use duty_claim::DutyClaim;
 pub use duty_record::DutyRecord;
 pub use duty_step::DutyStep;
--- a/crates/mustardhinge-core/tests/suite/primacy/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/mod.rs
@@ -1,5 +1,6 @@
 //! Leases on primaries, and the duty to replace them.
 
+mod control_pace;
 mod duty_claim;
 mod group_desk;
 mod lease_book;
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -22,8 +22,8 @@
 /// Without the holder's word for this long an instance watches the store itself; two asks went
 /// unanswered.
 const RELAY_LASTS: Duration = Duration::from_millis(1_100);
-/// How often it is looked whether that time is over.
-const RELAY_LOOK: Duration = Duration::from_millis(300);
+/// A wait for the end of that time lasts a little longer, so that one look is enough.
+const RELAY_LOOK: Duration = Duration::from_millis(10);
 /// How long a started instance waits for the holder's first word: many round trips.
 const FIRST_GRANT: Duration = Duration::from_millis(100);
 /// How often it looks for that.
@@ -134,13 +134,24 @@
         heard
     }
 
-    /// Takes who watches the store for this instance.
-    pub fn set_relay(&self, relay: Option<SocketAddr>) {
-        if self.relay.replace(relay).is_some() != relay.is_some() {
+    /// Notes the holder's word, and who watches the store for this instance.
+    pub fn note_granted(&self, relay: Option<SocketAddr>, now: MonotonicTime) {
+        let was_relayed = self.is_relayed(now);
+        let is_first = self.granted_at.replace(now) == MonotonicTime::default();
+        self.relay.set(relay);
+        if is_first || was_relayed != self.is_relayed(now) {
             self.relay_changed.notify_waiters();
         }
     }
 
+    /// Notes where something newer may be fetched.
+    pub fn note_newer(&self, address: SocketAddr, now: MonotonicTime) {
+        if self.newer_at.get().is_none() {
+            self.newer_at.set(Some((address, now)));
+            self.wake.notify_one();
+        }
+    }
+
     /// Returns whether another instance watches the store for this one.
     #[must_use]
     pub fn is_relayed(&self, now: MonotonicTime) -> bool {
@@ -150,9 +161,19 @@
 
     /// Waits until another instance watches the store for this one, or no longer does.
     pub async fn until_relayed(&self, relayed: bool) {
-        while self.is_relayed(self.node.clock.now()) != relayed {
-            // The time being out only means that it is looked at again.
-            let _ = timeout(RELAY_LOOK, self.relay_changed.notified()).await;
+        loop {
+            let now = self.node.clock.now();
+            if self.is_relayed(now) == relayed {
+                return;
+            }
+            let changed = self.relay_changed.notified();
+            if relayed {
+                changed.await;
+            } else {
+                let ends = self.granted_at.get() + RELAY_LASTS + RELAY_LOOK;
+                // The time being out only means that it is looked at again.
+                let _ = timeout(ends.saturating_since(now), changed).await;
+            }
         }
     }
 
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::{ChangeCause, DeskPhase, DutyRecord, DutyStep, RecordRevision};
+use mustardhinge_core::primacy::{
+    ChangeCause, ControlPace, DeskPhase, DutyRecord, DutyStep, RecordRevision,
+};
 use mustardhinge_process::event;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -18,10 +20,10 @@
 
 /// The name of the record that says who holds the duty.
 const DUTY_RECORD: &str = "duty";
-/// How often the control looks after things that have no event of their own.
-const TICK: Duration = Duration::from_millis(100);
-/// The same while the use of a primary ends.
-const FAST_TICK: Duration = Duration::from_millis(20);
+/// Pause between two messages that say that the duty is given up.
+const TELL_PAUSE: Duration = Duration::from_millis(20);
+/// An answer that takes longer than this is taken for missing: many round trips.
+const ANSWER_WAIT: Duration = Duration::from_millis(100);
 /// Work at a primary that is to be replaced as planned may end for this long.
 const CLOSE_GRACE: Duration = Duration::from_millis(250);
 /// Least pause between two asks that callers wait for.
@@ -48,6 +50,7 @@
     let mut memory = DutyMemory::default();
     loop {
         let now = control.node.clock.now();
+        metrics::counter!("resident_control_looks_total").increment(1);
         follow_duty(&control, &mut memory, now);
         step_duty(&control, &memory, now);
         let is_closing = close_epochs(&control, now);
@@ -58,9 +61,9 @@
         }
         watch_leases(&control, now);
         fetch_newer(&control, now);
-        let pause = if is_closing { FAST_TICK } else { TICK };
+        let pace = pace_of(&control, &memory, is_closing, now);
         tokio::select! {
-            () = sleep(pause) => {}
+            () = sleep(pace.pause()) => {}
             () = control.wake.notified() => {}
             () = control.node.ask_spending.notified() => memory.needs_spending = true,
             () = control.node.tell_holder.notified() => memory.has_news = true,
@@ -68,6 +71,36 @@
     }
 }
 
+fn pace_of<P>(
+    control: &ControlState<P>,
+    memory: &DutyMemory,
+    is_closing: bool,
+    now: MonotonicTime,
+) -> ControlPace {
+    let node = &control.node;
+    let asked_at = memory.asked_at.unwrap_or_default();
+    let ask_in = (asked_at + node.primacy.ask_every).saturating_since(now);
+    let heard = now.saturating_since(control.granted_at.get());
+    let is_unsettled = heard > node.primacy.ask_every + ANSWER_WAIT
+        || memory.has_news
+        || memory.needs_spending
+        || control.newer_at.get().is_some()
+        || has_unusable(control, now);
+    ControlPace {
+        is_closing,
+        is_holder: memory.is_holder,
+        is_unsettled,
+        ask_in,
+    }
+}
+
+fn has_unusable<P>(control: &ControlState<P>, now: MonotonicTime) -> bool {
+    let groups = control.node.groups();
+    groups
+        .iter()
+        .any(|group| control.node.usable_primary(group, now).is_none())
+}
+
 /// Gives the duty up, for a planned stop.
 pub async fn release_duty<P: PlatformClient>(control: &ControlState<P>) {
     let now = control.node.clock.now();
@@ -90,7 +123,7 @@
         for address in known {
             send_hint(control, &record, address);
         }
-        sleep(FAST_TICK).await;
+        sleep(TELL_PAUSE).await;
     }
 }
 
@@ -258,10 +291,7 @@
     memory: &mut DutyMemory,
     now: MonotonicTime,
 ) {
-    let groups = control.node.groups();
-    let is_urgent = groups
-        .iter()
-        .any(|group| control.node.usable_primary(group, now).is_none());
+    let is_urgent = has_unusable(control, now);
     let primacy = &control.node.primacy;
     let pause = if memory.has_news {
         ASKED_PAUSE
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -36,9 +36,6 @@
         },
         now,
     );
-    if control.granted_at.replace(now) == MonotonicTime::default() {
-        control.relay_changed.notify_waiters();
-    }
     node.tell_leaving(&grant.leaving);
     match &grant.groups {
         GrantedGroups::All(groups) => {
@@ -58,13 +55,12 @@
     if node.leases.borrow().has_any(now) {
         node.note_leased(now);
     }
-    control.set_relay(grant.relay);
+    control.note_granted(grant.relay, now);
     let source = grant.relay.unwrap_or(grant.record.address);
     note_versions(control, grant.plan_version, source, now);
     let is_fed = control.has_store.get() && grant.relay.is_none();
     if !is_fed && grant.targets != node.targets_digest() {
-        let known = control.newer_at.get();
-        control.newer_at.set(known.or(Some((source, now))));
+        control.note_newer(source, now);
     }
 }
 
@@ -180,7 +176,7 @@
     now: MonotonicTime,
 ) {
     let is_newer = plan_version > control.node.plan().version();
-    if is_newer && control.newer_at.get().is_none() {
-        control.newer_at.set(Some((address, now)));
+    if is_newer {
+        control.note_newer(address, now);
     }
 }
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -119,8 +119,12 @@
     /// Returns the group of a service.
     pub fn group(&self, service: &ServiceId) -> Rc<GroupState> {
         let mut groups = self.groups.borrow_mut();
-        let made = || Rc::new(GroupState::new(service.clone()));
-        Rc::clone(groups.entry(service.clone()).or_insert_with(made))
+        let group = groups.entry(service.clone()).or_insert_with(|| {
+            // The holder lends its primary.
+            self.tell_holder.notify_one();
+            Rc::new(GroupState::new(service.clone()))
+        });
+        Rc::clone(group)
     }
 
     /// Returns all groups.
