Compare policies of waiting and placement on a small model

It prints what was answered in time, late, refused at once and later, the part of the physical bound, and the worst customer, and draws them over time.

--- a/crates/mustardhinge-bench/src/cli/bench_command.rs
+++ b/crates/mustardhinge-bench/src/cli/bench_command.rs
@@ -18,6 +18,7 @@
   mustardhinge-bench record TRACE --out FILE
   mustardhinge-bench compare A.jsonl B.jsonl
   mustardhinge-bench plot HISTORY --out FOLDER
+  mustardhinge-bench policies [--seed N] [--out FOLDER]
   mustardhinge-bench slope groups|documents|connections|agents
   mustardhinge-bench --help | --version
 
@@ -62,6 +63,13 @@
     },
     /// Measure a slope; one JSON line for each size.
     Slope(SlopeName),
+    /// Run policies of waiting and placement side by side over the loads of the model.
+    Policies {
+        /// Draws the statements.
+        seed: u64,
+        /// The folder for the pictures, if some are wanted.
+        out: Option<PathBuf>,
+    },
     /// Plot a history.
     Plot {
         /// The history.
@@ -100,6 +108,10 @@
                 left: arguments.free_from_str()?,
                 right: arguments.free_from_str()?,
             },
+            "policies" => Self::Policies {
+                seed: arguments.opt_value_from_str("--seed")?.unwrap_or(1),
+                out: arguments.opt_value_from_str("--out")?,
+            },
             "slope" => Self::Slope(arguments.free_from_str()?),
             "plot" => Self::Plot {
                 out: arguments.value_from_str("--out")?,
--- a/crates/mustardhinge-bench/src/lib.rs
+++ b/crates/mustardhinge-bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod history;
 pub mod load;
+pub mod model;
 pub mod plot;
 pub mod report;
 pub mod run;
--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -8,7 +8,8 @@
 use anyhow::Context;
 use mustardhinge_bench::cli::{BenchCommand, HELP, RunOptions};
 use mustardhinge_bench::history::RunHistory;
-use mustardhinge_bench::plot::plot_history;
+use mustardhinge_bench::model::{FIGURES_HEAD, LoadPattern, run_all};
+use mustardhinge_bench::plot::{plot_history, plot_policies};
 use mustardhinge_bench::report::{FigureComparison, read_reports};
 use mustardhinge_bench::run::BenchRun;
 use mustardhinge_bench::trace::{compare_steps, read_steps, replay_trace, write_steps};
@@ -63,11 +64,28 @@
                 println!("{}", serde_json::to_string(&point)?);
             }
         }
+        BenchCommand::Policies { seed, out } => compare_policies(seed, out.as_deref())?,
         BenchCommand::Run(options) => return run_bench(options),
     }
     Ok(ExitCode::SUCCESS)
 }
 
+fn compare_policies(seed: u64, out: Option<&Path>) -> anyhow::Result<()> {
+    println!("{FIGURES_HEAD}");
+    for pattern in LoadPattern::ALL {
+        let figures = run_all(pattern, seed);
+        for figures in &figures {
+            println!("{figures}");
+        }
+        if let Some(folder) = out {
+            for path in plot_policies(&figures, folder)? {
+                println!("{}", path.display());
+            }
+        }
+    }
+    Ok(())
+}
+
 fn run_bench(options: RunOptions) -> anyhow::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(LOAD_THREADS)
