--- a/crates/mustardhinge-resident/src/target/target_line.rs
+++ b/crates/mustardhinge-resident/src/target/target_line.rs
@@ -9,9 +9,10 @@
 
 use super::{LinkNeed, TargetLink};
 
-/// Statements of one customer that follow one another, since they use the same connection;
-/// more would let others wait for longer than opening one takes.
-const TURN_STATEMENTS: u32 = 3;
+/// Statements of one customer that follow one another. With more, a flood of one customer
+/// pushes the others aside (`mustardhinge-bench policies`, load `flood`), and saves few
+/// connections.
+const TURN_STATEMENTS: u32 = 1;
 /// Cost of a statement in the line.
 const STATEMENT_COST: u32 = 1;
 /// What a statement is taken to need before any was measured: a usual service time.
