Report to the holder only what it does not know

Now a count that the holder has answered is told again only when it changed, or when nothing is left of the allowance; a lost answer is repeated; another holder is told all that was used lately, from its first grant on.

Test: what the holder does not know is reported, and nothing else.

--- a/crates/mustardhinge-core/src/spending/spend_table.rs
+++ b/crates/mustardhinge-core/src/spending/spend_table.rs
@@ -16,6 +16,36 @@
 struct TableRow {
     meter: SpendMeter,
     used_at: MonotonicTime,
+    /// When it was reported last, and what was spent then.
+    reported: Option<(MonotonicTime, u64)>,
+    /// What was spent by the last report that the holder answered.
+    answered: Option<u64>,
+}
+
+impl TableRow {
+    fn new(limits: CustomerRate, now: MonotonicTime) -> Self {
+        Self {
+            meter: SpendMeter::new(limits, now),
+            used_at: now,
+            reported: None,
+            answered: None,
+        }
+    }
+
+    fn report(&mut self, customer: &CustomerId, now: MonotonicTime) -> SpendReport {
+        let spent = self.meter.spent();
+        self.reported = Some((now, spent));
+        SpendReport {
+            customer: customer.clone(),
+            spent,
+            told_fill: self.meter.told_fill(),
+        }
+    }
+
+    /// Returns whether the holder has something to learn of it, or to say.
+    fn has_news(&self) -> bool {
+        self.answered != Some(self.meter.spent()) || self.meter.is_used_up()
+    }
 }
 
 /// All customers' meters on one instance.
@@ -35,10 +65,8 @@
     ) {
         let mut kept = HashMap::new();
         for (customer, limits) in customers {
-            let mut row = self.rows.remove(customer).unwrap_or_else(|| TableRow {
-                meter: SpendMeter::new(limits, now),
-                used_at: now,
-            });
+            let known = self.rows.remove(customer);
+            let mut row = known.unwrap_or_else(|| TableRow::new(limits, now));
             row.meter.set_limits(limits);
             kept.insert(customer.clone(), row);
         }
@@ -69,34 +97,32 @@
         row.meter.admit(self.heard_at, instances, now)
     }
 
-    /// Returns what is reported to the holder: the customers that were used lately.
-    #[must_use]
-    pub fn reports(&self, now: MonotonicTime) -> Vec<SpendReport> {
-        let recent = self
+    /// Returns what is reported to the holder in a question asked `now`: the customers that were
+    /// used lately, as far as it has not answered their counts, or has to allow more.
+    pub fn reports(&mut self, now: MonotonicTime) -> Vec<SpendReport> {
+        let rows = self
             .rows
-            .iter()
-            .filter(|(_, row)| now.saturating_since(row.used_at) < REPORTED_FOR);
-        let reports = recent.map(|(customer, row)| SpendReport {
-            customer: customer.clone(),
-            spent: row.meter.spent(),
-            told_fill: row.meter.told_fill(),
-        });
-        reports.collect()
+            .iter_mut()
+            .filter(|(_, row)| now.saturating_since(row.used_at) < REPORTED_FOR && row.has_news());
+        rows.map(|(customer, row)| row.report(customer, now))
+            .collect()
     }
 
     /// Returns what is reported of the customers whose allowance is used up, to ask for more
     /// at once.
-    #[must_use]
-    pub fn used_up(&self, now: MonotonicTime) -> Vec<SpendReport> {
-        let used_up = self.rows.iter().filter(|(_, row)| {
+    pub fn used_up(&mut self, now: MonotonicTime) -> Vec<SpendReport> {
+        let rows = self.rows.iter_mut().filter(|(_, row)| {
             row.meter.is_used_up() && now.saturating_since(row.used_at) < WAITED_FOR
         });
-        let reports = used_up.map(|(customer, row)| SpendReport {
-            customer: customer.clone(),
-            spent: row.meter.spent(),
-            told_fill: row.meter.told_fill(),
-        });
-        reports.collect()
+        rows.map(|(customer, row)| row.report(customer, now))
+            .collect()
+    }
+
+    /// Takes that the holder is another one, which has to be told all that was used lately.
+    pub fn begin_anew(&mut self) {
+        for row in self.rows.values_mut() {
+            row.answered = None;
+        }
     }
 
     /// Takes what the holder allows, in answer to a question asked at `asked_at`.
@@ -109,6 +135,8 @@
         for grant in grants {
             if let Some(row) = self.rows.get_mut(&grant.customer) {
                 row.meter.take(grant, now);
+                let reported = row.reported.filter(|(at, _)| *at == asked_at);
+                row.answered = reported.map(|(_, spent)| spent).or(row.answered);
             }
         }
     }
--- a/crates/mustardhinge-core/tests/suite/spending.rs
+++ b/crates/mustardhinge-core/tests/suite/spending.rs
@@ -469,3 +469,35 @@
     };
     assert!(late >= second * 8 / 10, "{late} of {second}");
 }
+
+/// Counts that the holder has answered stay out of the next question, however lately they
+/// changed; what it has not answered, and all of them for another holder, are told again.
+#[test]
+fn only_what_the_holder_does_not_know_is_reported() {
+    let mut table = SpendTable::default();
+    let mut book = SpendBook::default();
+    let id: InstanceId = "i0".parse().unwrap();
+    book.heard(&id, 1, at(0));
+    table.set_customers([(&customer(), LARGE)], at(0));
+    let mut ask = |table: &mut SpendTable, now: u64, is_answered: bool| {
+        let reports = table.reports(at(now));
+        if is_answered {
+            let grants: Vec<_> = reports
+                .iter()
+                .map(|report| book.grant((&id, 1), report, LARGE, at(now)))
+                .collect();
+            table.take(&grants, at(now), at(now + 1));
+        }
+        reports.len()
+    };
+    assert_eq!(ask(&mut table, 0, true), 1);
+    assert_eq!(ask(&mut table, 500, true), 0);
+    table.admit(&customer(), 1, at(600)).unwrap();
+    assert_eq!(ask(&mut table, 1_000, false), 1);
+    assert_eq!(ask(&mut table, 1_500, true), 1);
+    assert_eq!(ask(&mut table, 2_000, true), 0);
+    table.begin_anew();
+    assert_eq!(ask(&mut table, 2_100, true), 1);
+    while table.admit(&customer(), 1, at(2_200)).is_ok() {}
+    assert_eq!(ask(&mut table, 2_500, false), 1);
+}
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -21,10 +21,14 @@
     if grant.record.fence < node.duty.borrow().highest_fence() {
         return;
     }
-    control.echo.set(Some(GrantEcho {
+    let echo = GrantEcho {
         fence: grant.record.fence,
         granted_at: grant.granted_at,
-    }));
+    };
+    let before = control.echo.replace(Some(echo));
+    if before.is_none_or(|before| before.fence != echo.fence) {
+        node.spending.borrow_mut().begin_anew();
+    }
     let asked_at = MonotonicTime::from_micros(grant.asked_at);
     let lent = Duration::from_millis(grant.lease_ms);
     let lease = (asked_at, node.primacy.lease.min(lent));
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -153,7 +153,7 @@
         address: node.settings.peers,
         asked_at: now.as_micros(),
         fence: node.duty.borrow().highest_fence(),
-        spending: node.spending.borrow().used_up(now),
+        spending: node.spending.borrow_mut().used_up(now),
     };
     if ask.spending.is_empty() {
         return;
@@ -200,7 +200,7 @@
         epochs: leases.digest(),
         wants: wants.map(|group| group.service().clone()).collect(),
         groups: groups.collect(),
-        spending: node.spending.borrow().reports(now),
+        spending: node.spending.borrow_mut().reports(now),
     }
 }
 
