Take the held duty and the control's rest out into files of their own

What a holder knows of the one before it, and how soon the control looks again, stand by themselves now.

--- a/crates/mustardhinge-core/src/primacy/duty_claim.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_claim.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::held_duty::HeldDuty;
 use super::voter_lists::VoterLists;
 use super::{DutyRecord, DutyStep, DutyVoter, PrimacySettings, RecordRevision, RecordSighting};
 use crate::ids::InstanceId;
@@ -20,25 +21,6 @@
 /// How far apart the claims of two instances lie, so that one of them wins unopposed.
 const CLAIM_SPREAD: Duration = Duration::from_millis(120);
 
-#[derive(Clone, Debug)]
-struct HeldDuty {
-    record: DutyRecord,
-    revision: RecordRevision,
-    renewed_at: MonotonicTime,
-    promote_from: MonotonicTime,
-    /// Whether only the holder just before this one may have rights left.
-    has_one_predecessor: bool,
-    /// The voters of the holder before this one, and which of them have left it.
-    replaced_voters: Vec<DutyVoter>,
-    moved: BTreeSet<InstanceId>,
-}
-
-impl HeldDuty {
-    fn is_settled(&self, now: MonotonicTime) -> bool {
-        now >= self.promote_from
-    }
-}
-
 /// One instance's part in the question who holds the duty to replace primaries.
 ///
 /// The record in the store decides: it is changed only under the condition that nobody
@@ -312,25 +294,17 @@
     pub fn predecessor_stopped(&mut self, now: MonotonicTime) {
         self.predecessor_gone = true;
         let lease = self.settings.lease;
-        if let Some(held) = self.held.as_mut().filter(|held| held.has_one_predecessor) {
-            held.promote_from = held.promote_from.min(now + lease);
+        if let Some(held) = &mut self.held {
+            held.predecessor_ends(now + lease);
         }
     }
 
     /// Takes that an instance has heard of this holder's fence, and so goes along with no holder
     /// before it. Once most voters of that one do, its rights end soon.
     pub fn voter_moved(&mut self, (instance, incarnation): (&InstanceId, u64), now: MonotonicTime) {
-        let Some(held) = self.held.as_mut().filter(|held| held.has_one_predecessor) else {
-            return;
-        };
-        let is_voter =
-            |voter: &DutyVoter| voter.instance == *instance && voter.incarnation == incarnation;
-        if !held.replaced_voters.iter().any(is_voter) || !held.moved.insert(instance.clone()) {
-            return;
-        }
-        if held.moved.len() * 2 > held.replaced_voters.len() {
-            let end = now + self.settings.backed_use + CLOCK_MARGIN;
-            held.promote_from = held.promote_from.min(end);
+        let end = now + self.settings.backed_use + CLOCK_MARGIN;
+        if let Some(held) = &mut self.held {
+            held.voter_moved(instance, incarnation, end);
         }
     }
 
@@ -356,16 +330,8 @@
     /// before it.
     #[must_use]
     pub fn awaited_voters(&self, now: MonotonicTime) -> Vec<DutyVoter> {
-        let held = self.held.as_ref().filter(|held| now < held.promote_from);
-        let Some(held) = held.filter(|held| held.has_one_predecessor) else {
-            return Vec::new();
-        };
-        if held.moved.len() * 2 > held.replaced_voters.len() {
-            return Vec::new();
-        }
-        let voters = held.replaced_voters.iter();
-        let awaited = voters.filter(|voter| !held.moved.contains(&voter.instance));
-        awaited.cloned().collect()
+        let held = self.held.as_ref();
+        held.map_or_else(Vec::new, |held| held.awaited_voters(now))
     }
 
     /// Takes from a holder's message when its record was last renewed.
--- a/crates/mustardhinge-core/src/primacy/mod.rs
+++ b/crates/mustardhinge-core/src/primacy/mod.rs
@@ -17,6 +17,7 @@
 mod epoch_grant;
 mod group_desk;
 mod group_epoch;
+mod held_duty;
 mod lease_book;
 mod outage_forecast;
 mod primacy_settings;
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::{
-    ChangeCause, ControlPace, DeskPhase, DutyRecord, DutyStep, RecordRevision,
-};
+use mustardhinge_core::primacy::{ChangeCause, DeskPhase, DutyRecord, DutyStep, RecordRevision};
 use mustardhinge_process::event;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::ControlState;
 use super::change_driver::drive_change;
+use super::control_rest::{has_unusable, pace_of};
 use super::group_setup::set_up_group;
 use super::peer_exchange::{send_ask, send_hint, send_spending_ask, send_stops, send_voter_hints};
 use super::plan_relay::fetch_state;
@@ -22,8 +21,6 @@
 const DUTY_RECORD: &str = "duty";
 /// Pause between two messages that say that the duty is given up.
 const TELL_PAUSE: Duration = Duration::from_millis(20);
-/// An answer that takes longer than this is taken for missing: many round trips.
-const ANSWER_WAIT: Duration = Duration::from_millis(100);
 /// Work at a primary that is to be replaced as planned may end for this long.
 const CLOSE_GRACE: Duration = Duration::from_millis(250);
 /// Least pause between two asks that callers wait for.
@@ -61,7 +58,9 @@
         }
         watch_leases(&control, now);
         fetch_newer(&control, now);
-        let pace = pace_of(&control, &memory, is_closing, now);
+        let is_waiting = memory.has_news || memory.needs_spending;
+        let what = (is_closing, memory.is_holder, is_waiting);
+        let pace = pace_of(&control, memory.asked_at.unwrap_or_default(), what, now);
         tokio::select! {
             () = sleep(pace.pause()) => {}
             () = control.wake.notified() => {}
@@ -71,36 +70,6 @@
     }
 }
 
-fn pace_of<P>(
-    control: &ControlState<P>,
-    memory: &DutyMemory,
-    is_closing: bool,
-    now: MonotonicTime,
-) -> ControlPace {
-    let node = &control.node;
-    let asked_at = memory.asked_at.unwrap_or_default();
-    let ask_in = (asked_at + node.primacy.ask_every).saturating_since(now);
-    let heard = now.saturating_since(control.granted_at.get());
-    let is_unsettled = heard > node.primacy.ask_every + ANSWER_WAIT
-        || memory.has_news
-        || memory.needs_spending
-        || control.newer_at.get().is_some()
-        || has_unusable(control, now);
-    ControlPace {
-        is_closing,
-        is_holder: memory.is_holder,
-        is_unsettled,
-        ask_in,
-    }
-}
-
-fn has_unusable<P>(control: &ControlState<P>, now: MonotonicTime) -> bool {
-    let groups = control.node.groups();
-    groups
-        .iter()
-        .any(|group| control.node.usable_primary(group, now).is_none())
-}
-
 /// Gives the duty up, for a planned stop.
 pub async fn release_duty<P: PlatformClient>(control: &ControlState<P>) {
     let now = control.node.clock.now();
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! shares, and the duty to replace primaries.
 
 mod change_driver;
+mod control_rest;
 mod control_state;
 mod duty_task;
 mod group_record;
