--- /dev/null
+++ b/crates/mustardhinge-core/src/gateway/connection_plan.rs
@@ -0,0 +1,33 @@
+/// One connection in this many is kept for control and for processes that start again while the
+/// target still counts those of the dead ones.
+const RESERVED_PART: usize = 4;
+/// An instance with a connection for every fourth customer finds most of them open: a few large
+/// customers send most statements.
+const CUSTOMERS_EACH: usize = 4;
+
+/// Whether instances keep connections to a target themselves, or forward to gateways.
+///
+/// Load pattern: a connection belongs to one customer, and opening one costs as much of a
+/// target's slot as a statement. Where each instance has less than one connection, nearly every
+/// request opens one, and the target turns the rest away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPlan {
+    /// Each instance has enough connections of its own.
+    Own,
+    /// Few instances keep the connections, and the others forward to them.
+    Gateways,
+}
+
+impl ConnectionPlan {
+    /// Decides for targets that take `all` connections, from `instances` on behalf of
+    /// `customers`.
+    #[must_use]
+    pub const fn decide(all: usize, instances: usize, customers: usize) -> Self {
+        let shared = all - all / RESERVED_PART;
+        if instances <= 1 || shared * CUSTOMERS_EACH >= customers * instances {
+            Self::Own
+        } else {
+            Self::Gateways
+        }
+    }
+}
--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod drain;
 pub mod failover;
+pub mod gateway;
 pub mod ids;
 pub mod key;
 pub mod membership;
--- a/crates/mustardhinge-core/src/membership/instance_roster.rs
+++ b/crates/mustardhinge-core/src/membership/instance_roster.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{FeedRelay, RelayCandidate};
+use crate::gateway::GatewayCandidate;
 use crate::ids::{InstanceId, ZoneId};
 use crate::primacy::{DutyVoter, VoterCandidate, VoterChoice};
 use crate::units::MonotonicTime;
@@ -14,6 +15,10 @@
 /// times more seldom.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// An instance that was not heard for this long is no gateway: three of its requests are missing.
+/// Those that forward notice sooner; a shorter time would move gateways whenever two are lost.
+const GATEWAY_SILENT_AFTER: Duration = Duration::from_millis(1_700);
+
 /// What the holder of the duty knows of an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RosterEntry {
@@ -23,6 +28,8 @@
     pub zone: ZoneId,
     /// Whether it can pass on what the store says.
     pub is_fed: bool,
+    /// Its share of a gateway's work in relation to the others; 0 takes none.
+    pub weight: u16,
     /// The life of its process.
     pub incarnation: u64,
     /// When it was last heard.
@@ -113,6 +120,22 @@
         VoterChoice::choose(candidates, present, now)
     }
 
+    /// Returns the instances that could be gateways.
+    pub fn gateway_candidates(
+        &self,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = GatewayCandidate<'_>> {
+        let heard = self.entries.iter().filter(move |(_, entry)| {
+            now.saturating_since(entry.heard_at) < GATEWAY_SILENT_AFTER && entry.weight > 0
+        });
+        heard.map(|(instance, entry)| GatewayCandidate {
+            instance,
+            zone: &entry.zone,
+            address: entry.address,
+            weight: entry.weight,
+        })
+    }
+
     /// Returns where an instance takes messages.
     #[must_use]
     pub fn address_of(&self, id: &InstanceId) -> Option<SocketAddr> {
--- a/crates/mustardhinge-core/src/membership/mod.rs
+++ b/crates/mustardhinge-core/src/membership/mod.rs
@@ -10,5 +10,6 @@
 pub use feed_relay::{FeedRelay, RelayCandidate};
 pub use instance_roster::{InstanceRoster, RosterEntry};
 pub use instance_state::InstanceState;
+pub(crate) use member_hash::member_hash;
 pub use membership_view::{MemberEntry, MembershipView};
 pub use rendezvous::choose_ranked;
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/gateway/mod.rs
@@ -0,0 +1,6 @@
+//! Gateways: how many, which ones, how the table is spread, and when one is passed over.
+
+mod choice;
+mod condition;
+mod plan;
+mod table;
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod document;
 mod drain;
 mod failover;
+mod gateway;
 mod group;
 mod key;
 mod membership;
--- a/crates/mustardhinge-core/tests/suite/membership.rs
+++ b/crates/mustardhinge-core/tests/suite/membership.rs
@@ -151,6 +151,7 @@
         address: "127.0.0.1:4000".parse().unwrap(),
         zone: zone.parse().unwrap(),
         is_fed: true,
+        weight: 100,
         incarnation: 1,
         heard_at,
     }
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -63,4 +63,9 @@
     PROMOTE_ORDERED = 6017, Info, "promotion ordered";
     TRANSACTION_ENDED = 6018, Info, "transaction ended by the proxy";
     REQUEST_ANSWERED = 6019, Info, "request answered";
+    GATEWAYS_CHANGED = 6020, Info, "gateways changed";
+    GATEWAY_LOST = 6021, Info, "connection to gateway ended";
+    GATEWAY_LEAVING = 6022, Info, "gateway is stopping";
+    FORWARDER_LEFT = 6023, Info, "instance that forwards left";
+    FORWARD_REFUSED = 6024, Info, "forwarded statement not run";
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{InstanceRoster, RosterEntry};
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision};
@@ -48,6 +49,10 @@
     pub book: RefCell<SpendBook>,
     /// The instances that were heard.
     pub instances: RefCell<InstanceRoster>,
+    /// The leader's table of gateways.
+    pub gateways: RefCell<GatewayTable>,
+    /// What the table was last made of, and when.
+    pub gateways_made: Cell<Option<(u64, MonotonicTime)>>,
     /// Groups that a task is at work on.
     pub in_work: RefCell<HashSet<ServiceId>>,
     /// Where the holder may be found, from another instance.
@@ -89,6 +94,8 @@
             records: RefCell::default(),
             book: RefCell::default(),
             instances: RefCell::default(),
+            gateways: RefCell::default(),
+            gateways_made: Cell::new(None),
             in_work: RefCell::default(),
             hint: Cell::new(None),
             is_hint_new: Cell::new(false),
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -12,6 +12,7 @@
 use super::ControlState;
 use super::change_driver::drive_change;
 use super::control_rest::{has_unusable, pace_of};
+use super::gateway_tender::{begin_gateways, tend_gateways};
 use super::group_setup::set_up_group;
 use super::peer_exchange::{send_ask, send_hint, send_spending_ask, send_stops, send_voter_hints};
 use super::plan_relay::fetch_state;
@@ -54,6 +55,7 @@
         ask(&control, &mut memory, now);
         if memory.is_holder {
             send_voter_hints(&control, now);
+            tend_gateways(&control, now);
             tend_groups::<W, P>(&control, &mut memory, now);
         }
         watch_leases(&control, now);
@@ -117,6 +119,7 @@
         control.records.borrow_mut().clear();
         control.book.take();
         control.holder_since.set(now);
+        begin_gateways(control, fence);
     }
     if !is_holder && memory.is_holder {
         event::DUTY_LOST.log(format_args!("cause=replaced_or_not_renewed"));
--- a/crates/mustardhinge-resident/src/control/holder_answers.rs
+++ b/crates/mustardhinge-resident/src/control/holder_answers.rs
@@ -47,6 +47,7 @@
         relay: roster.relay_for(&ask.from, &ask.zone),
         plan_version: node.plan().version(),
         targets: node.targets_digest(),
+        gateways: control.gateways.borrow().news_for(ask.gateways),
     })
 }
 
@@ -113,6 +114,7 @@
             address: ask.address,
             zone: ask.zone.clone(),
             is_fed: ask.is_fed,
+            weight: ask.weight,
             incarnation: ask.incarnation,
             heard_at: now,
         },
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -56,6 +56,9 @@
         .take(&grant.spending, asked_at, now);
     node.spending_changed.notify_waiters();
     node.set_instances(grant.instances, grant.place);
+    if let Some(news) = &grant.gateways {
+        node.adopt_gateways(news);
+    }
     if node.leases.borrow().has_any(now) {
         node.note_leased(now);
     }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod control_rest;
 mod control_state;
 mod duty_task;
+mod gateway_tender;
 mod group_record;
 mod group_setup;
 mod holder_answers;
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -10,6 +10,7 @@
 use super::{
     AskMessage, ControlState, GroupReport, HolderHint, PeerMessage, SpendingAsk, StopMessage,
 };
+use crate::node::{DrainPhase, NodeState};
 use crate::seam::PlatformClient;
 
 /// Greatest datagram.
@@ -192,6 +193,8 @@
         address: node.settings.peers,
         zone: node.settings.zone.clone(),
         is_fed: control.has_store.get() && node.plan().version().get() > 0,
+        weight: own_weight(node),
+        gateways: node.gateway_version(),
         asked_at: now.as_micros(),
         fence: node.duty.borrow().highest_fence(),
         echo: control.echo.get(),
@@ -204,6 +207,15 @@
     }
 }
 
+/// An instance that is stopping takes no more work as a gateway.
+fn own_weight(node: &NodeState) -> u16 {
+    if *node.follow_drain().borrow() == DrainPhase::Serving {
+        node.settings.processor
+    } else {
+        0
+    }
+}
+
 fn take_hint<P: PlatformClient>(
     control: &Rc<ControlState<P>>,
     hint: &HolderHint,
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use mustardhinge_core::gateway::{GatewayNews, GatewayVersion};
 use mustardhinge_core::prelude::{
     DocumentVersion, InstanceId, LogPosition, ServiceId, TargetId, ZoneId,
 };
@@ -12,7 +13,7 @@
 use crate::plan::TargetsDigest;
 
 /// The form of the datagrams; instances ignore those of another form.
-const MESSAGE_FORM: u8 = 6;
+const MESSAGE_FORM: u8 = 7;
 
 /// One datagram between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +68,10 @@
     pub zone: ZoneId,
     /// Whether it can pass on what the store says.
     pub is_fed: bool,
+    /// Its share of a gateway's work in relation to the others; 0 takes none.
+    pub weight: u16,
+    /// The table of gateways that it knows.
+    pub gateways: GatewayVersion,
     /// The asker's time in microseconds; the answer repeats it.
     pub asked_at: u64,
     /// The greatest fence that it has seen.
@@ -142,6 +147,8 @@
     pub plan_version: DocumentVersion,
     /// Tells which targets it knows.
     pub targets: TargetsDigest,
+    /// What has changed in the table of gateways.
+    pub gateways: Option<GatewayNews>,
 }
 
 /// The groups' primaries, as lent to one instance.
--- a/crates/mustardhinge-resident/src/control/plan_relay.rs
+++ b/crates/mustardhinge-resident/src/control/plan_relay.rs
@@ -15,8 +15,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::ControlState;
+use crate::gateway::{FORWARD_PREFACE, serve_forwards};
 use crate::plan::{TargetEntry, TargetsDigest};
-use crate::seam::PlatformClient;
+use crate::seam::{PlatformClient, SessionWire};
 
 /// Longest time for passing on what an instance knows: seconds on the slowest links.
 const RELAY_LIMIT: Duration = Duration::from_secs(2);
@@ -54,8 +55,12 @@
     pub revision: RecordRevision,
 }
 
-/// Passes on what this instance knows to each instance that asks.
-pub async fn serve_relay<P: PlatformClient>(control: Rc<ControlState<P>>, listener: TcpListener) {
+/// Passes on what this instance knows to each instance that asks, and takes the statements
+/// that others forward.
+pub async fn serve_relay<W: SessionWire, P: PlatformClient>(
+    control: Rc<ControlState<P>>,
+    listener: TcpListener,
+) {
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -68,7 +73,10 @@
         let control = Rc::clone(&control);
         spawn_local(async move {
             match timeout(RELAY_LIMIT, answer_query(&control, stream)).await {
-                Ok(Ok(())) => {}
+                Ok(Ok(None)) => {}
+                Ok(Ok(Some(stream))) => {
+                    serve_forwards::<W>(Rc::clone(&control.node), stream).await;
+                }
                 Ok(Err(error)) => log::debug!("state not passed on to {from}: {error:#}"),
                 Err(_) => log::debug!("state not passed on to {from} in time"),
             }
@@ -76,11 +84,17 @@
     }
 }
 
+/// Answers a question for what is newer. A connection that forwards statements is handed back
+/// after its preface.
 async fn answer_query<P: PlatformClient>(
     control: &ControlState<P>,
     mut stream: TcpStream,
-) -> anyhow::Result<()> {
-    let mut question = Vec::new();
+) -> anyhow::Result<Option<TcpStream>> {
+    let mut question = vec![0; FORWARD_PREFACE.len()];
+    stream.read_exact(&mut question).await?;
+    if question == FORWARD_PREFACE {
+        return Ok(Some(stream));
+    }
     (&mut stream)
         .take(QUERY_BYTES)
         .read_to_end(&mut question)
@@ -103,7 +117,7 @@
         answer
     };
     stream.write_all(&answer).await?;
-    Ok(())
+    Ok(None)
 }
 
 /// Packs an answer; configurations shrink to a tenth.
--- /dev/null
+++ b/crates/mustardhinge-resident/src/gateway/gateway_load.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How busy a target is, as its gateway sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayLoad {
+    /// Statements that it works on, or that wait for it at the gateway.
+    pub statements: u32,
+    /// Its usual service time in microseconds.
+    pub usual: u32,
+}
+
+impl GatewayLoad {
+    /// Makes the load of a target.
+    #[must_use]
+    pub fn new(statements: usize, usual: Duration) -> Self {
+        Self {
+            statements: u32::try_from(statements).unwrap_or(u32::MAX),
+            usual: u32::try_from(usual.as_micros()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the usual service time.
+    #[must_use]
+    pub const fn usual_time(&self) -> Duration {
+        Duration::from_micros(self.usual as u64)
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-resident/src/gateway/gateway_peers.rs
@@ -0,0 +1,77 @@
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use mustardhinge_core::gateway::{GatewayPair, GatewayRank};
+use mustardhinge_core::prelude::MonotonicTime;
+
+use super::GatewayPeer;
+
+/// The gateways that this instance forwards to.
+#[derive(Debug)]
+pub struct GatewayPeers {
+    own: SocketAddr,
+    incarnation: u64,
+    peers: RefCell<HashMap<SocketAddr, Rc<GatewayPeer>>>,
+}
+
+impl GatewayPeers {
+    /// Makes the gateways of the instance at `own`.
+    #[must_use]
+    pub fn new(own: SocketAddr, incarnation: u64) -> Self {
+        Self {
+            own,
+            incarnation,
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Returns this life of the instance's process.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns what this instance is to a target with these gateways.
+    #[must_use]
+    pub fn own_rank(&self, pair: &GatewayPair) -> GatewayRank {
+        pair.rank_of(self.own)
+    }
+
+    /// Returns the gateway to forward to; none if this instance connects to the target itself.
+    #[must_use]
+    pub fn choose(&self, pair: &GatewayPair, now: MonotonicTime) -> Option<Rc<GatewayPeer>> {
+        for address in [Some(pair.first), pair.second].into_iter().flatten() {
+            if address == self.own {
+                return None;
+            }
+            let peer = self.peer(address);
+            if peer.is_usable(now) {
+                return Some(peer);
+            }
+        }
+        metrics::counter!("resident_gateway_fallbacks_total").increment(1);
+        None
+    }
+
+    fn peer(&self, address: SocketAddr) -> Rc<GatewayPeer> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers
+            .entry(address)
+            .or_insert_with(|| Rc::new(GatewayPeer::new(address, self.incarnation)));
+        Rc::clone(peer)
+    }
+
+    /// Drops the connections to instances that are gateways no more and owe no answer.
+    pub fn retain(&self, is_gateway: impl Fn(SocketAddr) -> bool) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|address, peer| {
+            let stays = is_gateway(*address) || peer.is_owing();
+            if !stays {
+                peer.close();
+            }
+            stays
+        });
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-resident/src/gateway/peer_connection.rs
@@ -0,0 +1,133 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{BufMut, BytesMut};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::{FORWARD_PREFACE, FrameCodec, GatewayFrame, GatewayPeer, OriginFrame};
+
+/// Longest time to connect to a gateway of the same region: many round trips.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// How often it is looked whether a gateway that owes answers is silent.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Room for a few usual frames.
+const BUFFER_BYTES: usize = 1_024;
+
+/// Why a connection to a gateway ended.
+#[derive(Debug, Error)]
+pub(super) enum ConnectionEnd {
+    /// It was not opened, so nothing was sent.
+    #[error("not connected: {0}")]
+    NotOpened(String),
+    /// It broke.
+    #[error("connection broken: {0}")]
+    Broken(String),
+    /// Nothing came for too long.
+    #[error("gateway silent")]
+    Silent,
+}
+
+/// Connects to a gateway and carries frames until the connection ends.
+pub(super) async fn run_connection(
+    peer: Rc<GatewayPeer>,
+    incarnation: u64,
+    frames: mpsc::UnboundedReceiver<OriginFrame>,
+) {
+    let end = match timeout(CONNECT_LIMIT, TcpStream::connect(peer.address())).await {
+        Ok(Ok(stream)) => carry(&peer, incarnation, stream, frames).await,
+        Ok(Err(error)) => ConnectionEnd::NotOpened(error.to_string()),
+        Err(_) => ConnectionEnd::NotOpened("no answer in time".to_owned()),
+    };
+    peer.ended(&end);
+}
+
+async fn carry(
+    peer: &Rc<GatewayPeer>,
+    incarnation: u64,
+    stream: TcpStream,
+    frames: mpsc::UnboundedReceiver<OriginFrame>,
+) -> ConnectionEnd {
+    if let Err(error) = stream.set_nodelay(true) {
+        return ConnectionEnd::NotOpened(error.to_string());
+    }
+    let (input, output) = stream.into_split();
+    tokio::select! {
+        end = write_frames(incarnation, output, frames) => end,
+        end = read_frames(peer, input) => end,
+        end = watch(peer) => end,
+    }
+}
+
+async fn write_frames(
+    incarnation: u64,
+    mut output: OwnedWriteHalf,
+    mut frames: mpsc::UnboundedReceiver<OriginFrame>,
+) -> ConnectionEnd {
+    let mut codec = FrameCodec::default();
+    let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
+    buffer.put_slice(&FORWARD_PREFACE);
+    buffer.put_u64_le(incarnation);
+    while let Some(frame) = frames.recv().await {
+        let mut next = Some(frame);
+        while let Some(frame) = next {
+            if let Err(error) = codec.write(&frame, &mut buffer) {
+                return ConnectionEnd::Broken(error.to_string());
+            }
+            next = frames.try_recv().ok();
+        }
+        if let Err(error) = output.write_all(&buffer).await {
+            return ConnectionEnd::Broken(error.to_string());
+        }
+        buffer.clear();
+    }
+    ConnectionEnd::Broken("no longer a gateway".to_owned())
+}
+
+async fn read_frames(peer: &Rc<GatewayPeer>, mut input: OwnedReadHalf) -> ConnectionEnd {
+    let mut codec = FrameCodec::default();
+    let mut buffer = BytesMut::with_capacity(BUFFER_BYTES);
+    loop {
+        match input.read_buf(&mut buffer).await {
+            Ok(0) => return ConnectionEnd::Broken("closed by the gateway".to_owned()),
+            Ok(_) => {}
+            Err(error) => return ConnectionEnd::Broken(error.to_string()),
+        }
+        loop {
+            match codec.read(&mut buffer) {
+                Ok(Some(frame)) => take_frame(peer, frame),
+                Ok(None) => break,
+                Err(error) => return ConnectionEnd::Broken(error.to_string()),
+            }
+        }
+        peer.heard();
+    }
+}
+
+fn take_frame(peer: &GatewayPeer, frame: GatewayFrame) {
+    match frame {
+        GatewayFrame::Answer {
+            number,
+            load,
+            answer,
+        } => peer.answered(number, answer, load),
+        GatewayFrame::Pong => {}
+        GatewayFrame::Leaving => peer.left(),
+    }
+}
+
+async fn watch(peer: &Rc<GatewayPeer>) -> ConnectionEnd {
+    let mut looks = interval(LOOK_EVERY);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        peer.until_owing().await;
+        looks.tick().await;
+        if peer.look() {
+            return ConnectionEnd::Silent;
+        }
+    }
+}
--- a/crates/mustardhinge-resident/src/lib.rs
+++ b/crates/mustardhinge-resident/src/lib.rs
@@ -6,6 +6,7 @@
 //! `mustardhinge-core`.
 
 pub mod control;
+pub mod gateway;
 pub mod group;
 pub mod node;
 pub mod plan;
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -50,7 +50,7 @@
         let socket = socket.with_context(|| format!("datagrams at {}", settings.peers))?;
         let rank = u32::try_from(incarnation % u64::from(CLAIM_RANKS)).unwrap_or(0);
         let duty = DutyClaim::new(settings.instance.clone(), incarnation, settings.peers, rank);
-        let node = Rc::new(NodeState::new(settings, duty));
+        let node = Rc::new(NodeState::new(settings, duty, incarnation));
         let control = Rc::new(ControlState::new(node, platform, socket, incarnation));
         Ok(Self {
             control,
@@ -79,7 +79,7 @@
         spawn_local(run_duty::<W, P>(Rc::clone(control)));
         spawn_local(serve_peers(Rc::clone(control)));
         if let Some(relay) = self.relay.take() {
-            spawn_local(serve_relay(Rc::clone(control), relay));
+            spawn_local(serve_relay::<W, P>(Rc::clone(control), relay));
         }
         if let Some(listener) = self.listener.take() {
             spawn_local(accept_callers::<W>(Rc::clone(&control.node), listener));
@@ -92,6 +92,7 @@
         let node = &self.control.node;
         event::DRAIN_STARTED.log(format_args!("callers={}", node.callers.get()));
         node.drain(DrainPhase::Announced);
+        node.tell_holder.notify_one();
         release_duty(&self.control).await;
         sleep(ANNOUNCE_TIME).await;
         node.drain(DrainPhase::Closing);
@@ -100,12 +101,18 @@
         self.await_callers(half.saturating_sub(ANNOUNCE_TIME)).await;
         node.drain(DrainPhase::Ending);
         self.await_callers(grace / 4).await;
-        event::PROCESS_STOPPING.log(format_args!("callers={}", node.callers.get()));
+        event::PROCESS_STOPPING.log(format_args!(
+            "callers={} forwarded={}",
+            node.callers.get(),
+            node.forwarded.get()
+        ));
+        // The last answers are on their way out.
+        sleep(LOOK_EVERY).await;
     }
 
     async fn await_callers(&self, limit: Duration) {
         let began = self.control.node.clock.now();
-        while self.control.node.callers.get() > 0 {
+        while self.control.node.callers.get() > 0 || self.control.node.forwarded.get() > 0 {
             if self.control.node.clock.now().saturating_since(began) >= limit {
                 return;
             }
--- a/crates/mustardhinge-resident/src/node/node_settings.rs
+++ b/crates/mustardhinge-resident/src/node/node_settings.rs
@@ -5,6 +5,10 @@
 
 use super::NodeLimits;
 
+/// The processor of an instance that is told nothing of it, in hundredths of a core: all weigh
+/// the same.
+const DEFAULT_PROCESSOR: u16 = 100;
+
 /// What one instance is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -18,6 +22,8 @@
     pub peers: SocketAddr,
     /// Where other instances may take messages; some may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Its processor in hundredths of a core, which weighs its share of a gateway's work.
+    pub processor: u16,
     /// What may change while it runs.
     pub limits: NodeLimits,
 }
@@ -39,6 +45,7 @@
                 callers,
                 peers,
                 seeds: Vec::new(),
+                processor: DEFAULT_PROCESSOR,
                 limits: NodeLimits::default(),
             },
         }
@@ -50,6 +57,12 @@
         self
     }
 
+    /// Sets its processor in hundredths of a core.
+    pub const fn processor(mut self, processor: u16) -> Self {
+        self.settings.processor = processor;
+        self
+    }
+
     /// Sets the most callers at once.
     pub const fn max_callers(mut self, max_callers: usize) -> Self {
         self.settings.limits.max_callers = max_callers;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use mustardhinge_core::connection::ConnectionShare;
+use mustardhinge_core::gateway::{
+    GatewayNews, GatewayPair, GatewayRank, GatewayVersion, GatewayView,
+};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primacy::{
     DutyClaim, GroupEpoch, LeaseBook, PrimacySettings, RecordRevision,
@@ -13,9 +16,11 @@
 use tokio::sync::{Notify, watch};
 
 use super::{DrainPhase, NodeLimits, NodeSettings};
+use crate::gateway::{ForwardedLink, GatewayPeers};
 use crate::group::GroupState;
 use crate::plan::{ServingPlan, TargetEntry, TargetsDigest};
-use crate::target::TargetHandle;
+use crate::seam::SessionWire;
+use crate::target::{LinkError, LinkLease, LinkNeed, TargetHandle};
 
 /// How many instances are assumed to share the targets until the holder of the duty tells.
 const ASSUMED_INSTANCES: usize = 8;
@@ -48,6 +53,11 @@
     pub primacy: PrimacySettings,
     /// Sessions of callers that are open.
     pub callers: Cell<usize>,
+    /// Statements and transactions of other instances that run here.
+    pub forwarded: Cell<usize>,
+    /// The gateways that this instance forwards to.
+    pub peers: GatewayPeers,
+    gateways: RefCell<GatewayView>,
     plan: RefCell<Rc<ServingPlan>>,
     groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
     targets_revision: Cell<RecordRevision>,
@@ -62,8 +72,11 @@
 impl NodeState {
     /// Makes the state of an instance that knows nothing yet.
     #[must_use]
-    pub fn new(settings: NodeSettings, duty: DutyClaim) -> Self {
+    pub fn new(settings: NodeSettings, duty: DutyClaim, incarnation: u64) -> Self {
         Self {
+            peers: GatewayPeers::new(settings.peers, incarnation),
+            gateways: RefCell::default(),
+            forwarded: Cell::new(0),
             limits: Cell::new(settings.limits),
             settings,
             clock: BootClock,
@@ -279,6 +292,8 @@
 
     fn divide_connections(&self) {
         let plan = self.plan();
+        let gateways = self.gateways.borrow();
+        let now = self.clock.now();
         for group in self.groups.borrow().values() {
             let all = plan.connection_limit(group.service());
             let share = ConnectionShare {
@@ -286,13 +301,90 @@
                 instances: self.instances.get(),
                 place: self.place.get(),
             };
-            let own = share.connections();
             for target in group.targets() {
-                target.set_limit(own);
+                let pair = gateways.pair_of(&target.id());
+                let own = match &pair {
+                    Some(pair) => {
+                        let rank = self.peers.own_rank(pair);
+                        rank.connections(all, self.instances.get())
+                    }
+                    None => share.connections(),
+                };
+                target.set_gateways(pair);
+                target.set_limit(own, now);
             }
         }
     }
 
+    /// Takes what has changed in the table of gateways.
+    pub fn adopt_gateways(&self, news: &GatewayNews) {
+        if !self.gateways.borrow_mut().apply(news) {
+            return;
+        }
+        let gateways = self.gateways.borrow();
+        event::GATEWAYS_CHANGED.log(format_args!(
+            "version={}.{} whole={} changed={} targets={}",
+            news.version.fence,
+            news.version.number,
+            news.is_whole,
+            news.changes.len(),
+            gateways.len()
+        ));
+        metrics::gauge!("resident_gateway_targets").set(gateways.len() as f64);
+        drop(gateways);
+        self.divide_connections();
+        let groups = self.groups.borrow();
+        let targets = groups.values().flat_map(|group| group.targets());
+        let pairs: Vec<_> = targets.filter_map(|target| target.gateways()).collect();
+        self.peers.retain(|address| {
+            let is_of = |pair: &GatewayPair| pair.rank_of(address) != GatewayRank::Other;
+            pairs.iter().any(is_of)
+        });
+    }
+
+    /// Returns which table of gateways is known.
+    #[must_use]
+    pub fn gateway_version(&self) -> GatewayVersion {
+        self.gateways.borrow().version()
+    }
+
+    /// Borrows a connection to a target when it is the session's turn, or a place through the
+    /// target's gateway, where it waits for its turn.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the turn can't come in time, or the target can't be reached.
+    pub async fn borrow_link<W: SessionWire>(
+        &self,
+        target: &Rc<TargetHandle>,
+        need: &LinkNeed,
+    ) -> Result<LinkLease, LinkError> {
+        let peer = target
+            .gateways()
+            .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
+        match peer {
+            Some(peer) => {
+                let link = ForwardedLink::new(peer);
+                Ok(LinkLease::forwarded(Rc::clone(target), link))
+            }
+            None => target.borrow_link::<W>(need, &self.clock).await,
+        }
+    }
+
+    /// Returns whether an epoch is known to be over, or to be ending.
+    #[must_use]
+    pub fn is_epoch_over(&self, service: &ServiceId, epoch: GroupEpoch) -> bool {
+        let leases = self.leases.borrow();
+        let newest = leases.newest(service);
+        newest.is_some_and(|state| state.epoch > epoch || state.epoch == epoch && state.is_stopped)
+    }
+
+    /// Returns the group of a service, if it is known.
+    #[must_use]
+    pub fn find_group(&self, service: &ServiceId) -> Option<Rc<GroupState>> {
+        self.groups.borrow().get(service).cloned()
+    }
+
     /// Returns the primary that may be used now.
     #[must_use]
     pub fn usable_primary(
--- a/crates/mustardhinge-resident/src/plan/targets_digest.rs
+++ b/crates/mustardhinge-resident/src/plan/targets_digest.rs
@@ -5,7 +5,7 @@
 use super::TargetEntry;
 
 /// Stands for a whole list of targets: equal digests mean equal lists.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetsDigest(u64);
 
 impl TargetsDigest {
--- a/crates/mustardhinge-resident/src/seam/target_fault.rs
+++ b/crates/mustardhinge-resident/src/seam/target_fault.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// Why a target did not carry out a statement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetFault {
     /// It has too much to do; the statement has not run.
     Busy,
--- a/crates/mustardhinge-resident/src/seam/transaction_state.rs
+++ b/crates/mustardhinge-resident/src/seam/transaction_state.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// Where a session's transaction stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// None is open.
     #[default]
--- a/crates/mustardhinge-resident/src/session/floor_ask.rs
+++ b/crates/mustardhinge-resident/src/session/floor_ask.rs
@@ -15,7 +15,7 @@
 
 /// Returns a position that covers all writes acknowledged before `since`; if none is
 /// known, the primary is asked once for all who wait.
-pub(super) async fn await_floor<W: SessionWire>(
+pub(crate) async fn await_floor<W: SessionWire>(
     node: &Rc<NodeState>,
     group: &Rc<GroupState>,
     since: MonotonicTime,
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -1,21 +1,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::placement::{PlacementCandidate, ReadPlacement};
+use mustardhinge_core::placement::{PlacementCandidate, ReadPlacement, TargetAffinity};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RefusalReason, TargetId};
 use mustardhinge_core::primacy::GroupEpoch;
 use mustardhinge_process::event;
 
 use super::floor_ask::await_floor;
 use super::primary_wait::await_primary;
-use super::target_probe::start_probe;
 use super::write_path::pause;
-use super::{SessionRequest, SessionValues, StatementAnswer};
+use super::{
+    EpochGuard, LinkStep, LinkWork, SessionRequest, SessionValues, StatementAnswer, WorkFault,
+    run_work, watch_failure,
+};
 use crate::group::GroupState;
 use crate::node::NodeState;
 use crate::plan::ReadRule;
 use crate::seam::{SessionRefusal, SessionWire, TargetFault};
-use crate::target::{AnswerTime, LinkError, LinkLease, TargetHandle, TargetReply};
+use crate::target::{LinkError, LinkLease, TargetHandle, TargetReply};
 
 /// The allowed age is used up to this much, for the way of the statement and timers that
 /// fire late.
@@ -26,12 +28,34 @@
 const FLOOR_RETRY: Duration = Duration::from_millis(250);
 /// When a caller should come back if all targets are full.
 pub(super) const BUSY_RETRY: Duration = Duration::from_millis(150);
-/// Most time that making a connection a session's may take.
-const SETUP_LIMIT: Duration = Duration::from_millis(200);
 
 /// The position of a session's last commit, with the epoch in which it was made.
 pub(super) type OwnCommit = Option<(GroupEpoch, LogPosition)>;
 
+/// Why a read was not answered at one target.
+#[derive(Debug)]
+struct ReadFailure {
+    answer: StatementAnswer,
+    /// Whether the target may well answer a moment later.
+    is_passing: bool,
+}
+
+impl ReadFailure {
+    const fn passing(answer: StatementAnswer) -> Self {
+        Self {
+            answer,
+            is_passing: true,
+        }
+    }
+
+    const fn final_here(answer: StatementAnswer) -> Self {
+        Self {
+            answer,
+            is_passing: false,
+        }
+    }
+}
+
 /// A connection ready to run a read, and what the target has to hold.
 #[derive(Debug)]
 pub(super) struct ReadPlace {
@@ -41,6 +65,8 @@
     pub floor: Option<LogPosition>,
     /// The epoch whose lease has to hold until the answer; none where the floor is enough.
     pub epoch: Option<GroupEpoch>,
+    /// How old the rows may be; none where only the position counts.
+    pub age: Option<Duration>,
 }
 
 /// Runs a single read, at other targets too if one fails.
@@ -69,14 +95,14 @@
         let target = place.lease.target().id();
         match try_read::<W>(node, &group, request, values, place).await {
             Ok(answer) => return answer,
-            Err(answer) => {
+            Err(ReadFailure { answer, is_passing }) => {
                 metrics::counter!("resident_retries_total", "reason" => answer.reason())
                     .increment(1);
                 event::REQUEST_RETRIED.log(format_args!(
                     "request={} target={target} attempt={attempt} answer={answer:?}",
                     String::from_utf8_lossy(&request.id)
                 ));
-                was_full |= answer.is_full();
+                was_full |= is_passing && answer.is_full();
                 last = answer;
             }
         }
@@ -120,6 +146,7 @@
         lease,
         floor: Some(floor),
         epoch: None,
+        age: Some(age),
     }))
 }
 
@@ -136,7 +163,7 @@
         let now = node.clock.now();
         target.note_placed(age, now);
         let need = request.link_need(now);
-        match target.borrow_link::<W>(&need, &node.clock).await {
+        match node.borrow_link::<W>(&target, &need).await {
             Ok(lease) => return Ok(Some(lease)),
             Err(LinkError::Full(after)) => {
                 full = Some(full.map_or(after, |known| known.min(after)));
@@ -166,7 +193,7 @@
     loop {
         let (epoch, target) = await_primary(node, group, request).await?;
         let need = request.link_need(node.clock.now());
-        match target.borrow_link::<W>(&need, &node.clock).await {
+        match node.borrow_link::<W>(&target, &need).await {
             Ok(lease) => {
                 let usable = node.usable_primary(group, node.clock.now());
                 if usable.is_some_and(|(usable, _)| usable == epoch) {
@@ -176,6 +203,7 @@
                         lease,
                         floor: seen.filter(|_| epoch == group.epoch()),
                         epoch: Some(epoch),
+                        age: None,
                     });
                 }
                 lease.give_back(node.clock.now());
@@ -205,77 +233,57 @@
     }
 }
 
-/// Begins to probe a target that has been found failing, and tells the holder at once if it is
-/// a primary, since its replacement waits for the word of most instances.
-pub(super) fn watch_failure<W: SessionWire>(node: &Rc<NodeState>, target: &Rc<TargetHandle>) {
-    if !target.health().is_failing() {
-        return;
-    }
-    if start_probe::<W>(node, target) && node.is_primary(target) {
-        node.tell_holder.notify_one();
-    }
-}
-
-/// Returns how long it may take to make a connection a session's.
-pub(super) fn setup_time(request: &SessionRequest, now: MonotonicTime) -> AnswerTime {
-    let limit = request.time_left(now).min(SETUP_LIMIT);
-    AnswerTime {
-        silence: limit,
-        limit,
-        patience: None,
-        kind: "setup",
-    }
-}
-
 async fn try_read<W: SessionWire>(
     node: &Rc<NodeState>,
     group: &Rc<GroupState>,
     request: &SessionRequest,
     values: &SessionValues,
     place: ReadPlace,
-) -> Result<StatementAnswer, StatementAnswer> {
-    let ReadPlace {
-        mut lease,
-        floor,
-        epoch,
-    } = place;
+) -> Result<StatementAnswer, ReadFailure> {
+    let mut lease = place.lease;
     let target = Rc::clone(lease.target());
-    let refused = |reason| StatementAnswer::not_run(reason, BUSY_RETRY);
-    let now = node.clock.now();
-    if !set_up::<W>(node, request, values, &mut lease).await {
-        watch_failure::<W>(node, &target);
-        return Err(refused(RefusalReason::NoTarget));
-    }
-    if let Some(link) = lease.link_mut() {
-        W::write_statement(&mut link.output, &request.id, floor, &request.text);
-    }
+    let refused = |reason| ReadFailure::passing(StatementAnswer::not_run(reason, BUSY_RETRY));
     let sent_at = node.clock.now();
-    request.note_sent(target.id(), epoch, sent_at);
-    let mut time = request.answer_time(now);
-    // A read that gets no answer is repeated elsewhere, while there is time for it.
-    time.limit = time.limit.min(time.silence * 2);
-    let ended = node.until_epoch_ends(group, epoch);
-    let result = lease.exchange_until::<W>(1, time, &node.clock, ended).await;
+    let work = LinkWork {
+        request,
+        values,
+        step: LinkStep::Single,
+        epoch: place.epoch,
+        guard: EpochGuard::Lease,
+        floor: place.floor,
+        age: place.age,
+    };
+    let result = run_work::<W>(node, &mut lease, work).await;
     let now = node.clock.now();
-    if matches!(result, Err(LinkError::EpochEnded)) {
-        return Err(refused(RefusalReason::NoPrimary));
-    }
-    let Some(reply) = result.ok().and_then(|mut replies| replies.pop()) else {
-        watch_failure::<W>(node, &target);
-        return Err(StatementAnswer::Refused(SessionRefusal::TimedOut));
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(fault) => {
+            watch_failure::<W>(node, &target);
+            return Err(match fault {
+                WorkFault::NotRun(LinkError::EpochEnded)
+                | WorkFault::Lost(LinkError::EpochEnded) => refused(RefusalReason::NoPrimary),
+                WorkFault::NotRun(LinkError::Full(after)) => ReadFailure::final_here(
+                    StatementAnswer::not_run(RefusalReason::QueueFull, after.max(BUSY_RETRY)),
+                ),
+                WorkFault::NotRun(_) => refused(RefusalReason::NoTarget),
+                WorkFault::Lost(_) => {
+                    ReadFailure::passing(StatementAnswer::Refused(SessionRefusal::TimedOut))
+                }
+            });
+        }
     };
     lease.give_back(now);
     note_position(node, group, &target, sent_at, &reply);
     match reply.fault {
         Some(TargetFault::Behind) => {
             target.note_behind(now);
-            Err(StatementAnswer::not_run(
+            Err(ReadFailure::passing(StatementAnswer::not_run(
                 RefusalReason::FloorNotReached,
                 FLOOR_RETRY,
-            ))
+            )))
         }
         Some(fault) if fault.proves_not_run() => Err(refused(RefusalReason::QueueFull)),
-        _ => match epoch {
+        _ => match place.epoch {
             Some(epoch) if !node.is_lease_good(group.service(), epoch, now) => {
                 Err(refused(RefusalReason::NoPrimary))
             }
@@ -284,27 +292,6 @@
     }
 }
 
-/// Makes a connection the session's, with its values and the prepared name it needs.
-pub(super) async fn set_up<W: SessionWire>(
-    node: &Rc<NodeState>,
-    request: &SessionRequest,
-    values: &SessionValues,
-    lease: &mut LinkLease,
-) -> bool {
-    let Some(link) = lease.link_mut() else {
-        return false;
-    };
-    let count = values.write_to::<W>(link, request.name.as_ref());
-    if count == 0 {
-        return true;
-    }
-    let time = setup_time(request, node.clock.now());
-    match lease.exchange::<W>(count, time, &node.clock).await {
-        Ok(replies) => replies.iter().all(|reply| reply.fault.is_none()),
-        Err(_) => false,
-    }
-}
-
 /// Takes the position of an answer: from the primary under a lease, what reads have to see;
 /// from others, how far they are behind.
 pub(super) fn note_position(
@@ -345,9 +332,12 @@
     let skipped: Vec<usize> = (0..targets.len())
         .filter(|index| tried.contains(&targets[*index].id()))
         .collect();
+    let ids: Vec<_> = targets.iter().map(|target| target.id()).collect();
+    let preferred = TargetAffinity::prefer(&request.customer, &ids);
     let candidates: Vec<PlacementCandidate> = targets
         .iter()
-        .map(|target| {
+        .enumerate()
+        .map(|(index, target)| {
             let entry = target.entry();
             let health = target.health();
             PlacementCandidate {
@@ -357,10 +347,14 @@
                 is_failing: health.is_failing(),
                 is_behind: health.is_behind(now),
                 is_lagging: !target.is_recent(age, now),
-                in_flight: target.load(),
+                in_flight: target.placed_load(now),
                 slots: entry.slots,
                 usual: target.usual(now),
-                has_connection: target.has_idle(&need),
+                // What a gateway has open isn't known here.
+                has_connection: match target.gateways() {
+                    Some(_) => preferred == Some(index),
+                    None => target.has_idle(&need),
+                },
             }
         })
         .collect();
--- a/crates/mustardhinge-resident/src/session/session_values.rs
+++ b/crates/mustardhinge-resident/src/session/session_values.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use crate::gateway::PreparedStatement;
 use crate::seam::{OwnStatement, SessionWire};
 use crate::target::TargetLink;
 
@@ -33,6 +34,49 @@
         }
     }
 
+    /// Makes the values of a session of another instance, which is known here as `session`.
+    #[must_use]
+    pub fn forwarded(
+        session: u64,
+        generation: u64,
+        values: Vec<(Bytes, Bytes)>,
+        prepared: Option<PreparedStatement>,
+    ) -> Self {
+        let prepared = prepared.into_iter().map(|statement| {
+            let PreparedStatement { name, writes, text } = statement;
+            (name, PreparedName { writes, text })
+        });
+        Self {
+            session,
+            values,
+            prepared: prepared.collect(),
+            generation,
+        }
+    }
+
+    /// Returns the values: their names and the statements that set them.
+    #[must_use]
+    pub fn values(&self) -> &[(Bytes, Bytes)] {
+        &self.values
+    }
+
+    /// Returns how often the values have changed.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the prepared statement of a name.
+    #[must_use]
+    pub fn prepared(&self, name: Option<&Bytes>) -> Option<PreparedStatement> {
+        let (name, known) = self.prepared.get_key_value(name?)?;
+        Some(PreparedStatement {
+            name: name.clone(),
+            writes: known.writes,
+            text: known.text.clone(),
+        })
+    }
+
     /// Takes a value, with the statement that set it.
     pub fn set(&mut self, name: Bytes, text: Bytes) {
         match self.values.iter_mut().find(|(known, _)| *known == name) {
--- a/crates/mustardhinge-resident/src/session/target_probe.rs
+++ b/crates/mustardhinge-resident/src/session/target_probe.rs
@@ -76,3 +76,14 @@
     });
     true
 }
+
+/// Begins to probe a target that has been found failing, and tells the holder at once if it is
+/// a primary, since its replacement waits for the word of most instances.
+pub(crate) fn watch_failure<W: SessionWire>(node: &Rc<NodeState>, target: &Rc<TargetHandle>) {
+    if !target.health().is_failing() {
+        return;
+    }
+    if start_probe::<W>(node, target) && node.is_primary(target) {
+        node.tell_holder.notify_one();
+    }
+}
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -5,18 +5,37 @@
 use mustardhinge_process::event;
 
 use super::read_path::{
-    OwnCommit, ReadPlace, note_position, place_at_primary, place_read, setup_time, watch_failure,
+    BUSY_RETRY, OwnCommit, ReadPlace, note_position, place_at_primary, place_read,
+};
+use super::write_path::pause;
+use super::{
+    EpochGuard, LinkStep, LinkWork, OpenTransaction, SessionRequest, SessionValues,
+    StatementAnswer, WorkFault, run_work, watch_failure,
 };
-use super::write_path::{pause, prove};
-use super::{OpenTransaction, SessionRequest, SessionValues, StatementAnswer};
 use crate::node::NodeState;
 use crate::plan::ReadRule;
-use crate::seam::{OwnStatement, SessionRefusal, SessionWire, TargetFault, TransactionState};
+use crate::seam::{SessionRefusal, SessionWire, TargetFault, TransactionState};
 use crate::target::{LinkError, LinkLease, TargetReply};
 
 /// Targets at which a transaction is tried to begin.
 const MOST_BEGINS: usize = 6;
 
+/// Why a transaction was not begun at one target.
+struct BeginFailure {
+    answer: StatementAnswer,
+    /// Whether trying again would not help.
+    is_final: bool,
+}
+
+impl BeginFailure {
+    const fn passing(answer: StatementAnswer) -> Self {
+        Self {
+            answer,
+            is_final: false,
+        }
+    }
+}
+
 /// Runs a statement of an open transaction; the first one begins it at a target.
 pub(super) async fn run_in_transaction<W: SessionWire>(
     node: &Rc<NodeState>,
@@ -71,9 +90,26 @@
         return (StatementAnswer::Refused(SessionRefusal::Aborted), None);
     };
     let target = Rc::clone(lease.target());
-    let Ok(reply) = exchange_busy::<W>(node, request, &mut lease, ("commit", epoch)).await else {
-        watch_failure::<W>(node, &target);
-        return (StatementAnswer::Refused(transaction.lost_at_commit()), None);
+    let work = LinkWork {
+        request,
+        values,
+        step: LinkStep::Commit,
+        epoch,
+        guard: EpochGuard::Lease,
+        floor: None,
+        age: None,
+    };
+    let reply = match run_while_busy::<W>(node, &mut lease, work).await {
+        Ok(reply) => reply,
+        Err(fault) => {
+            watch_failure::<W>(node, &target);
+            let refusal = match fault {
+                // Without its commit the target rolls the transaction back.
+                WorkFault::NotRun(_) => SessionRefusal::Aborted,
+                WorkFault::Lost(_) => transaction.lost_at_commit(),
+            };
+            return (StatementAnswer::Refused(refusal), None);
+        }
     };
     let now = node.clock.now();
     lease.give_back(now);
@@ -96,15 +132,16 @@
     let Some(mut lease) = transaction.lease.take() else {
         return;
     };
-    if let Some(link) = lease.link_mut() {
-        W::write_own(&mut link.output, &OwnStatement::Rollback);
-    }
-    let now = node.clock.now();
-    if lease
-        .exchange::<W>(1, setup_time(request, now), &node.clock)
-        .await
-        .is_ok()
-    {
+    let work = LinkWork {
+        request,
+        values: &SessionValues::new(request.session),
+        step: LinkStep::Rollback,
+        epoch: None,
+        guard: EpochGuard::Lease,
+        floor: None,
+        age: None,
+    };
+    if run_work::<W>(node, &mut lease, work).await.is_ok() {
         lease.give_back(node.clock.now());
     }
 }
@@ -134,7 +171,7 @@
 ) -> Result<(LinkLease, Option<GroupEpoch>), StatementAnswer> {
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
-    let mut last = StatementAnswer::not_run(RefusalReason::NoTarget, super::read_path::BUSY_RETRY);
+    let mut last = StatementAnswer::not_run(RefusalReason::NoTarget, BUSY_RETRY);
     let at_primary = !read_only || request.route.read_rule == ReadRule::Primary;
     for attempt in 0..MOST_BEGINS {
         let place = if at_primary {
@@ -146,9 +183,10 @@
             break;
         };
         let target = place.lease.target().id();
-        match try_begin::<W>(node, request, values, place, read_only).await {
+        match try_begin::<W>(node, request, values, place, (read_only, at_primary)).await {
             Ok(begun) => return Ok(begun),
-            Err(answer) => last = answer,
+            Err(failure) if failure.is_final => return Err(failure.answer),
+            Err(failure) => last = failure.answer,
         }
         metrics::counter!("resident_retries_total", "reason" => last.reason()).increment(1);
         event::REQUEST_RETRIED.log(format_args!(
@@ -172,47 +210,54 @@
     request: &SessionRequest,
     values: &SessionValues,
     place: ReadPlace,
-    read_only: bool,
-) -> Result<(LinkLease, Option<GroupEpoch>), StatementAnswer> {
+    (read_only, at_primary): (bool, bool),
+) -> Result<(LinkLease, Option<GroupEpoch>), BeginFailure> {
     let ReadPlace {
         mut lease,
         floor,
         epoch,
+        age,
     } = place;
     let group = node.group(&request.route.service);
     let target = Rc::clone(lease.target());
-    let refused = |reason| StatementAnswer::not_run(reason, super::read_path::BUSY_RETRY);
-    if !prove::<W>(node, request, &mut lease).await {
-        watch_failure::<W>(node, &target);
-        return Err(refused(RefusalReason::NoTarget));
-    }
-    let Some(link) = lease.link_mut() else {
-        return Err(refused(RefusalReason::NoTarget));
-    };
-    let count = values.write_to::<W>(link, request.name.as_ref());
-    W::write_own(&mut link.output, &OwnStatement::Begin { read_only, floor });
+    let refused = |reason| BeginFailure::passing(StatementAnswer::not_run(reason, BUSY_RETRY));
     let sent_at = node.clock.now();
-    let result = lease
-        .exchange::<W>(count + 1, setup_time(request, sent_at), &node.clock)
-        .await;
+    let work = LinkWork {
+        request,
+        values,
+        step: LinkStep::Begin { read_only },
+        epoch,
+        guard: EpochGuard::Lease,
+        floor,
+        age,
+    };
+    let result = run_work::<W>(node, &mut lease, work).await;
     let now = node.clock.now();
-    let Ok(replies) = result else {
-        watch_failure::<W>(node, &target);
-        return Err(refused(RefusalReason::NoTarget));
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(fault) => {
+            watch_failure::<W>(node, &target);
+            return Err(match fault {
+                WorkFault::NotRun(LinkError::Full(after)) => BeginFailure {
+                    answer: StatementAnswer::not_run(
+                        RefusalReason::QueueFull,
+                        after.max(BUSY_RETRY),
+                    ),
+                    is_final: at_primary,
+                },
+                _ => refused(RefusalReason::NoTarget),
+            });
+        }
     };
-    let fault = replies.iter().find_map(|reply| reply.fault);
-    let is_open = replies
-        .last()
-        .is_some_and(|reply| reply.state == TransactionState::Open);
-    match fault {
-        None if is_open => Ok((lease, epoch)),
+    match reply.fault {
+        None if reply.state == TransactionState::Open => Ok((lease, epoch)),
         Some(TargetFault::Behind) => {
             target.note_behind(now);
             lease.give_back(now);
             Err(refused(RefusalReason::FloorNotReached))
         }
         Some(TargetFault::NotPrimary) => {
-            note_position(node, &group, &target, sent_at, &replies[replies.len() - 1]);
+            note_position(node, &group, &target, sent_at, &reply);
             lease.give_back(now);
             Err(refused(RefusalReason::NoPrimary))
         }
@@ -239,17 +284,24 @@
     {
         return aborted;
     }
-    if !super::read_path::set_up::<W>(node, request, values, lease).await {
-        watch_failure::<W>(node, &target);
-        return aborted;
-    }
     let sent_at = node.clock.now();
-    let reply = match exchange_busy::<W>(node, request, lease, ("in_transaction", epoch)).await {
+    let work = LinkWork {
+        request,
+        values,
+        step: LinkStep::Within,
+        epoch,
+        guard: EpochGuard::Lease,
+        floor: None,
+        age: None,
+    };
+    let reply = match run_while_busy::<W>(node, lease, work).await {
         Ok(reply) => reply,
-        Err(error) => {
+        Err(fault) => {
             watch_failure::<W>(node, &target);
-            return match error {
-                LinkError::Silent => StatementAnswer::Refused(SessionRefusal::TimedOut),
+            return match fault {
+                WorkFault::Lost(LinkError::Silent) => {
+                    StatementAnswer::Refused(SessionRefusal::TimedOut)
+                }
                 _ => aborted,
             };
         }
@@ -264,30 +316,18 @@
     StatementAnswer::Reply(reply)
 }
 
-/// Sends a statement on the transaction's connection, again while the target is full and
-/// keeps the transaction open.
-async fn exchange_busy<W: SessionWire>(
+/// Runs a statement of the transaction, again while the target is full and keeps the
+/// transaction open.
+async fn run_while_busy<W: SessionWire>(
     node: &Rc<NodeState>,
-    request: &SessionRequest,
     lease: &mut LinkLease,
-    (kind, epoch): (&'static str, Option<GroupEpoch>),
-) -> Result<TargetReply, LinkError> {
-    let group = node.group(&request.route.service);
-    request.note_sent(lease.target().id(), epoch, node.clock.now());
+    work: LinkWork<'_>,
+) -> Result<TargetReply, WorkFault> {
     loop {
-        if let Some(link) = lease.link_mut() {
-            W::write_statement(&mut link.output, &request.id, None, &request.text);
-        }
-        let mut time = request.answer_time(node.clock.now());
-        time.kind = kind;
-        let ended = node.until_epoch_ends(&group, epoch);
-        let mut replies = lease
-            .exchange_until::<W>(1, time, &node.clock, ended)
-            .await?;
-        let reply = replies.pop().ok_or(LinkError::Closed)?;
+        let reply = run_work::<W>(node, lease, work).await?;
         let is_full =
             reply.fault == Some(TargetFault::Busy) && reply.state == TransactionState::Open;
-        if !is_full || request.wait_left(node.clock.now()).is_zero() {
+        if !is_full || work.request.wait_left(node.clock.now()).is_zero() {
             return Ok(reply);
         }
         pause().await;
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -6,16 +6,15 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use super::read_path::{
-    OwnCommit, ReadPlace, note_position, place_at_primary, set_up, setup_time, watch_failure,
+use super::read_path::{OwnCommit, ReadPlace, note_position, place_at_primary};
+use super::{
+    EpochGuard, LinkStep, LinkWork, SessionRequest, SessionValues, StatementAnswer, WorkFault,
+    run_work, watch_failure,
 };
-use super::{SessionRequest, SessionValues, StatementAnswer};
 use crate::node::NodeState;
-use crate::seam::{OwnStatement, SessionRefusal, SessionWire, TargetFault};
-use crate::target::LinkLease;
+use crate::seam::{SessionRefusal, SessionWire, TargetFault};
+use crate::target::LinkError;
 
-/// A connection that lay idle for longer is proved before a write depends on it.
-const PROVE_AFTER: Duration = Duration::from_millis(700);
 /// Pause before a full primary is asked again, in milliseconds: a usual service time.
 const FULL_PAUSE_MS: std::ops::Range<u64> = 5..25;
 /// When a caller should come back if the primary is full.
@@ -75,29 +74,34 @@
     let group = node.group(&request.route.service);
     let target = Rc::clone(lease.target());
     let again = |reason| WriteEnd::Again(StatementAnswer::not_run(reason, BUSY_RETRY));
-    let proved = prove::<W>(node, request, &mut lease).await
-        && set_up::<W>(node, request, values, &mut lease).await;
-    if !proved {
-        watch_failure::<W>(node, &target);
-        return again(RefusalReason::NoPrimary);
-    }
     let sent_at = node.clock.now();
-    if !epoch.is_some_and(|epoch| node.is_lease_good(group.service(), epoch, sent_at)) {
-        lease.give_back(sent_at);
-        return again(RefusalReason::NoPrimary);
-    }
-    if let Some(link) = lease.link_mut() {
-        W::write_statement(&mut link.output, &request.id, None, &request.text);
-    }
-    request.note_sent(target.id(), epoch, sent_at);
-    let ended = node.until_epoch_ends(&group, epoch);
-    let result = lease
-        .exchange_until::<W>(1, request.answer_time(sent_at), &node.clock, ended)
-        .await;
+    let work = LinkWork {
+        request,
+        values,
+        step: LinkStep::Single,
+        epoch,
+        guard: EpochGuard::Lease,
+        floor: None,
+        age: None,
+    };
+    let result = run_work::<W>(node, &mut lease, work).await;
     let now = node.clock.now();
-    let Some(reply) = result.ok().and_then(|mut replies| replies.pop()) else {
-        watch_failure::<W>(node, &target);
-        return WriteEnd::Answer(StatementAnswer::Refused(SessionRefusal::Unknown), None);
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(fault) => {
+            watch_failure::<W>(node, &target);
+            return match fault {
+                WorkFault::NotRun(LinkError::Full(after)) => {
+                    let after = after.max(BUSY_RETRY);
+                    let answer = StatementAnswer::not_run(RefusalReason::QueueFull, after);
+                    WriteEnd::Answer(answer, None)
+                }
+                WorkFault::NotRun(_) => again(RefusalReason::NoPrimary),
+                WorkFault::Lost(_) => {
+                    WriteEnd::Answer(StatementAnswer::Refused(SessionRefusal::Unknown), None)
+                }
+            };
+        }
     };
     lease.give_back(now);
     note_position(node, &group, &target, sent_at, &reply);
@@ -118,25 +122,3 @@
         },
     }
 }
-
-/// Shows by a cheap question that a connection which lay idle still works.
-pub(super) async fn prove<W: SessionWire>(
-    node: &Rc<NodeState>,
-    request: &SessionRequest,
-    lease: &mut LinkLease,
-) -> bool {
-    let now = node.clock.now();
-    let Some(link) = lease.link_mut() else {
-        return false;
-    };
-    if now.saturating_since(link.used_at) < PROVE_AFTER || link.session == 0 {
-        return true;
-    }
-    W::write_own(&mut link.output, &OwnStatement::Reset);
-    link.values_generation = 0;
-    link.session = 0;
-    link.prepared.clear();
-    let time = setup_time(request, now);
-    let proved = lease.exchange::<W>(1, time, &node.clock).await;
-    proved.is_ok_and(|replies| replies.iter().all(|reply| reply.fault.is_none()))
-}
--- a/crates/mustardhinge-resident/src/target/link_error.rs
+++ b/crates/mustardhinge-resident/src/target/link_error.rs
@@ -3,6 +3,7 @@
 
 use thiserror::Error;
 
+use crate::gateway::NotRunCause;
 use crate::seam::{TargetFault, WireFault};
 
 /// Why a connection to a target could not be used.
@@ -29,6 +30,12 @@
     /// The session's turn can't come in time.
     #[error("no turn in time, come back after {0:?}")]
     Full(Duration),
+    /// The gateway was lost or silent after the statement was sent to it.
+    #[error("gateway lost")]
+    GatewayLost,
+    /// The gateway says that the statement has not run.
+    #[error("not run by the gateway: {0:?}")]
+    GatewayRefused(NotRunCause),
     /// The target failed or left while the session waited for its turn.
     #[error("target failed or left")]
     Dissolved,
@@ -40,7 +47,12 @@
     pub const fn is_failure(&self) -> bool {
         !matches!(
             self,
-            Self::Full(_) | Self::Dissolved | Self::EpochEnded | Self::TurnedAway(_)
+            Self::Full(_)
+                | Self::Dissolved
+                | Self::EpochEnded
+                | Self::TurnedAway(_)
+                | Self::GatewayLost
+                | Self::GatewayRefused(_)
         )
     }
 
--- a/crates/mustardhinge-resident/src/target/link_lease.rs
+++ b/crates/mustardhinge-resident/src/target/link_lease.rs
@@ -5,34 +5,74 @@
 use mustardhinge_process::BootClock;
 
 use super::{AnswerTime, LinkError, TargetHandle, TargetLink, TargetReply};
+use crate::gateway::ForwardedLink;
 use crate::seam::{SessionWire, TargetFault, TransactionState};
 
+/// What a session runs its statements on.
+#[derive(Debug)]
+enum LeasedLink {
+    /// A connection of this instance.
+    Own(Box<TargetLink>),
+    /// A place through the target's gateway.
+    Forwarded(ForwardedLink),
+    /// Nothing, after an exchange that failed.
+    Closed,
+}
+
+impl LeasedLink {
+    fn take(&mut self) -> Self {
+        std::mem::replace(self, Self::Closed)
+    }
+}
+
 /// A connection lent to one session; dropped without being given back, it is closed.
 #[derive(Debug)]
 pub struct LinkLease {
     target: Rc<TargetHandle>,
-    link: Option<TargetLink>,
+    link: LeasedLink,
     has_turn: bool,
 }
 
 impl LinkLease {
-    pub(super) const fn new(target: Rc<TargetHandle>, link: TargetLink) -> Self {
+    pub(super) fn new(target: Rc<TargetHandle>, link: TargetLink) -> Self {
         Self {
             target,
-            link: Some(link),
+            link: LeasedLink::Own(Box::new(link)),
             has_turn: true,
         }
     }
 
+    /// Makes a lease of a place through the target's gateway.
+    #[must_use]
+    pub fn forwarded(target: Rc<TargetHandle>, link: ForwardedLink) -> Self {
+        target.begin_forward();
+        Self {
+            target,
+            link: LeasedLink::Forwarded(link),
+            has_turn: false,
+        }
+    }
+
     /// Returns the target.
     #[must_use]
     pub const fn target(&self) -> &Rc<TargetHandle> {
         &self.target
     }
 
-    /// Returns the connection; none after an exchange that failed.
-    pub const fn link_mut(&mut self) -> Option<&mut TargetLink> {
-        self.link.as_mut()
+    /// Returns the connection; none after an exchange that failed, and through a gateway.
+    pub fn link_mut(&mut self) -> Option<&mut TargetLink> {
+        match &mut self.link {
+            LeasedLink::Own(link) => Some(link),
+            LeasedLink::Forwarded(_) | LeasedLink::Closed => None,
+        }
+    }
+
+    /// Returns the place through the target's gateway, if it is one.
+    pub const fn forwarded_mut(&mut self) -> Option<&mut ForwardedLink> {
+        match &mut self.link {
+            LeasedLink::Forwarded(link) => Some(link),
+            LeasedLink::Own(_) | LeasedLink::Closed => None,
+        }
     }
 
     /// Sends what was written to the connection's output and reads `count` answers.
@@ -64,7 +104,7 @@
         clock: &BootClock,
         ended: impl Future<Output = ()>,
     ) -> Result<Vec<TargetReply>, LinkError> {
-        let Some(link) = self.link.as_mut() else {
+        let LeasedLink::Own(link) = &mut self.link else {
             return Err(LinkError::Closed);
         };
         let target = &self.target;
@@ -94,7 +134,7 @@
                 note_times(target, replies, time, took, now);
             }
             Err(error) => {
-                self.link = None;
+                self.link = LeasedLink::Closed;
                 target.forget_link(now);
                 if error.is_failure() {
                     target.note_failure(now - Duration::from_millis(1), error.is_refusal());
@@ -107,17 +147,17 @@
 
     /// Gives the connection back for others, if no transaction is open on it.
     pub fn give_back(mut self, now: MonotonicTime) {
-        let Some(mut link) = self.link.take() else {
-            return;
-        };
         if std::mem::take(&mut self.has_turn) {
             self.target.end_turn();
         }
-        if link.state == TransactionState::Idle {
-            link.used_at = now;
-            self.target.return_link(link, now);
-        } else {
-            self.target.forget_link(now);
+        match self.link.take() {
+            LeasedLink::Own(mut link) if link.state == TransactionState::Idle => {
+                link.used_at = now;
+                self.target.return_link(*link, now);
+            }
+            LeasedLink::Own(_) => self.target.forget_link(now),
+            LeasedLink::Forwarded(_) => self.target.end_forward(),
+            LeasedLink::Closed => {}
         }
     }
 }
@@ -127,8 +167,10 @@
         if std::mem::take(&mut self.has_turn) {
             self.target.end_turn();
         }
-        if self.link.take().is_some() {
-            self.target.forget_link(BootClock.now());
+        match self.link.take() {
+            LeasedLink::Own(_) => self.target.forget_link(BootClock.now()),
+            LeasedLink::Forwarded(_) => self.target.end_forward(),
+            LeasedLink::Closed => {}
         }
     }
 }
--- a/crates/mustardhinge-resident/src/target/link_pool.rs
+++ b/crates/mustardhinge-resident/src/target/link_pool.rs
@@ -36,8 +36,10 @@
     }
 
     /// Sets how many connections there may be.
-    pub(super) fn set_limit(&self, limit: usize) {
+    pub(super) fn set_limit(&self, limit: usize, now: MonotonicTime) {
         self.limit.set(limit.max(1));
+        // Others may open what is closed here.
+        while self.open.get() > self.limit.get() && self.close_least_used(now) {}
     }
 
     /// Returns whether a connection of the customer lies idle.
@@ -103,16 +105,24 @@
         }
         // More than one are closed after the limit was lowered.
         while self.open.get() >= self.limit.get() {
-            let Some(index) = self.least_used(now) else {
+            if !self.close_least_used(now) {
                 return false;
-            };
-            self.idle.borrow_mut().swap_remove(index);
-            self.note_closed();
+            }
         }
         self.open.set(self.open.get() + 1);
         true
     }
 
+    /// Closes the idle connection of the customer that comes least. Returns whether there was one.
+    fn close_least_used(&self, now: MonotonicTime) -> bool {
+        let Some(index) = self.least_used(now) else {
+            return false;
+        };
+        self.idle.borrow_mut().swap_remove(index);
+        self.note_closed();
+        true
+    }
+
     fn least_used(&self, now: MonotonicTime) -> Option<usize> {
         let (idle, uses) = (self.idle.borrow(), self.uses.borrow());
         let often = |index: &usize| {
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::placement::{ReplicaLag, ServiceMeter};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
 use mustardhinge_process::BootClock;
@@ -11,6 +12,7 @@
 use super::link_pool::LinkPool;
 use super::target_line::{LinkTurn, TargetLine};
 use super::{LinkError, LinkLease, LinkNeed, TargetHealth, TargetLink};
+use crate::gateway::GatewayLoad;
 use crate::node::note_wait;
 use crate::plan::TargetEntry;
 use crate::seam::{SessionWire, TargetFault};
@@ -20,6 +22,8 @@
 /// Pause before a connection is opened again at a target that has too many; it counts those of
 /// dead processes for about three seconds.
 const CROWDED_PAUSE: Duration = Duration::from_millis(100);
+/// What a gateway told of a target's load counts for this long: a few service times.
+const LOAD_COUNTS: Duration = Duration::from_millis(250);
 /// When to come back if the line was left without an answer.
 const LATE_RETRY: Duration = Duration::from_millis(150);
 
@@ -35,6 +39,9 @@
     is_told_leaving: Cell<bool>,
     is_gone: Cell<bool>,
     is_probed: Cell<bool>,
+    forwarded: Cell<usize>,
+    gateways: Cell<Option<GatewayPair>>,
+    gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
 }
 
 impl TargetHandle {
@@ -51,6 +58,9 @@
             is_told_leaving: Cell::new(false),
             is_gone: Cell::new(false),
             is_probed: Cell::new(false),
+            forwarded: Cell::new(0),
+            gateways: Cell::new(None),
+            gateway_load: Cell::new(None),
         }
     }
 
@@ -108,8 +118,8 @@
     }
 
     /// Sets how many connections this instance may have.
-    pub fn set_limit(&self, limit: usize) {
-        self.links.set_limit(limit);
+    pub fn set_limit(&self, limit: usize, now: MonotonicTime) {
+        self.links.set_limit(limit, now);
     }
 
     /// Returns what is known of its health.
@@ -121,13 +131,63 @@
     /// Returns its usual answer time.
     #[must_use]
     pub fn usual(&self, now: MonotonicTime) -> Duration {
-        self.meter.get().usual(now)
+        match self.gateway_load(now) {
+            Some(load) => load.usual_time(),
+            None => self.meter.get().usual(now),
+        }
     }
 
-    /// Returns how many statements of this instance it works on, or wait for it here.
+    /// Returns how many statements of this instance it works on, or wait for it here or at its
+    /// gateway.
     #[must_use]
     pub fn load(&self) -> usize {
-        self.line.load()
+        self.line.load() + self.forwarded.get()
+    }
+
+    /// Returns how many statements it works on or wait for it, as far as is known here.
+    #[must_use]
+    pub fn placed_load(&self, now: MonotonicTime) -> usize {
+        let told = self.gateway_load(now);
+        let told = told.map_or(0, |load| load.statements as usize);
+        self.load().max(told)
+    }
+
+    /// Returns what its gateway told of late.
+    fn gateway_load(&self, now: MonotonicTime) -> Option<GatewayLoad> {
+        let (load, at) = self.gateway_load.get()?;
+        (now.saturating_since(at) < LOAD_COUNTS).then_some(load)
+    }
+
+    /// Takes what its gateway told.
+    pub fn note_gateway_load(&self, load: GatewayLoad, now: MonotonicTime) {
+        self.gateway_load.set(Some((load, now)));
+    }
+
+    /// Returns how busy it is, for those that forward here.
+    #[must_use]
+    pub fn own_load(&self, now: MonotonicTime) -> GatewayLoad {
+        GatewayLoad::new(self.line.load(), self.meter.get().usual(now))
+    }
+
+    /// Returns its gateways; none if each instance connects to it itself.
+    #[must_use]
+    pub const fn gateways(&self) -> Option<GatewayPair> {
+        self.gateways.get()
+    }
+
+    /// Sets its gateways.
+    pub fn set_gateways(&self, gateways: Option<GatewayPair>) {
+        self.gateways.set(gateways);
+    }
+
+    /// Counts a place through its gateway as taken.
+    pub(super) fn begin_forward(&self) {
+        self.forwarded.set(self.forwarded.get() + 1);
+    }
+
+    /// Counts such a place as free.
+    pub(super) fn end_forward(&self) {
+        self.forwarded.set(self.forwarded.get().saturating_sub(1));
     }
 
     /// Returns whether a connection for the customer lies idle.
--- a/crates/mustardhinge-resident/src/target/target_health.rs
+++ b/crates/mustardhinge-resident/src/target/target_health.rs
@@ -54,6 +54,12 @@
         self.failing_since.is_some()
     }
 
+    /// Returns whether its address answered, but not with the target.
+    #[must_use]
+    pub const fn refuses(&self) -> bool {
+        self.refuses
+    }
+
     /// Returns whether it is likely to lack what reads ask for.
     #[must_use]
     pub fn is_behind(&self, now: MonotonicTime) -> bool {
