Let instances take turns at the store, and wait for gateways after a mass start

Change: StoreTurn (first reads spread over 300 ms unless asked, large fleets read in turn), one reader a zone among those started together, the leader's digest tells of targets and other watches follow loosely, a new leader names itself to seeds and gateways; its first table is sent to all at once and waited for; a connection that a crowded target won't take replaces another customer's.

--- a/crates/mustardhinge-core/tests/suite/primacy/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/mod.rs
@@ -5,6 +5,7 @@
 mod group_desk;
 mod lease_book;
 mod outage_forecast;
+mod store_turn;
 mod successor_choice;
 mod suspicion_board;
 mod voters;
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -7,7 +7,7 @@
 use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{InstanceRoster, RosterEntry};
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision};
+use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision, StoreTurn};
 use mustardhinge_core::spending::SpendBook;
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
@@ -25,8 +25,9 @@
 const RELAY_LASTS: Duration = Duration::from_millis(1_100);
 /// A wait for the end of that time lasts a little longer, so that one look is enough.
 const RELAY_LOOK: Duration = Duration::from_millis(10);
-/// How long a started instance waits for the holder's first word: many round trips.
-const FIRST_GRANT: Duration = Duration::from_millis(100);
+/// How long a started instance waits for the holder's first word: the time in which one of
+/// those that were started together takes the duty and is found.
+const FIRST_GRANT: Duration = Duration::from_millis(700);
 /// How often it looks for that.
 const FIRST_LOOK: Duration = Duration::from_millis(20);
 
@@ -57,6 +58,10 @@
     pub in_work: RefCell<HashSet<ServiceId>>,
     /// Where the holder may be found, from another instance.
     pub hint: Cell<Option<SocketAddr>>,
+    /// The record of the newest holder that was named by another instance.
+    pub named_holder: RefCell<Option<DutyRecord>>,
+    /// This instance's turn at the store.
+    pub turn: StoreTurn,
     /// Whether that one has just taken the duty over, and waits to be asked.
     pub is_hint_new: Cell<bool>,
     /// The last grant that this instance took.
@@ -98,6 +103,8 @@
             gateways_made: Cell::new(None),
             in_work: RefCell::default(),
             hint: Cell::new(None),
+            named_holder: RefCell::new(None),
+            turn: StoreTurn::default(),
             is_hint_new: Cell::new(false),
             echo: Cell::new(None),
             newer_at: Cell::new(None),
@@ -184,6 +191,25 @@
         }
     }
 
+    /// Waits until this instance has to watch the store: at once where the holder says so, after
+    /// its turn where nobody says anything.
+    pub async fn until_watching(&self) {
+        loop {
+            self.until_relayed(false).await;
+            let now = self.node.clock.now();
+            let is_told = now.saturating_since(self.granted_at.get()) < RELAY_LASTS;
+            let turn = self.turn.watch(self.node.instances());
+            if is_told || turn.is_zero() {
+                return;
+            }
+            let relayed = self.until_relayed(true);
+            // The time being out means that the turn has come.
+            if timeout(turn, relayed).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits a moment after the start for the holder's first word, which may spare calls to
     /// the store.
     pub async fn await_first_grant(&self) {
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -14,7 +14,9 @@
 use super::control_rest::{has_unusable, pace_of};
 use super::gateway_tender::{begin_gateways, tend_gateways};
 use super::group_setup::set_up_group;
-use super::peer_exchange::{send_ask, send_hint, send_spending_ask, send_stops, send_voter_hints};
+use super::peer_exchange::{
+    send_ask, send_first_hints, send_hint, send_spending_ask, send_stops, send_voter_hints,
+};
 use super::plan_relay::fetch_state;
 use crate::seam::{PlatformClient, ServerRole, SessionWire, WriteAnswer};
 
@@ -120,6 +122,7 @@
         control.book.take();
         control.holder_since.set(now);
         begin_gateways(control, fence);
+        send_first_hints(control);
     }
     if !is_holder && memory.is_holder {
         event::DUTY_LOST.log(format_args!("cause=replaced_or_not_renewed"));
--- a/crates/mustardhinge-resident/src/control/gateway_tender.rs
+++ b/crates/mustardhinge-resident/src/control/gateway_tender.rs
@@ -2,16 +2,18 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use mustardhinge_core::gateway::{ConnectionPlan, GatewayChoice, GatewayPair, GatewayTable};
+use mustardhinge_core::gateway::{
+    ConnectionPlan, GatewayChoice, GatewayPair, GatewayTable, GatewayVersion,
+};
 use mustardhinge_core::prelude::{MonotonicTime, TargetId};
 
-use super::ControlState;
+use super::{ControlState, PeerMessage};
 
 /// How often the leader looks whether gateways have to change: a start or stop is then known to
 /// all with the next grants.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// A new leader makes no table before this time: instances ask it within a few round trips.
-const FIRST_AFTER: Duration = Duration::from_millis(300);
+const FIRST_AFTER: Duration = Duration::from_millis(200);
 
 /// Begins the table of a new leader.
 pub(super) fn begin_gateways<P>(control: &ControlState<P>, fence: u64) {
@@ -34,6 +36,23 @@
     }
     let wanted = choose_all(control, now);
     control.gateways.borrow_mut().update(&wanted);
+    if made.is_none() {
+        send_first(control);
+    }
+}
+
+/// Sends a new leader's table to all at once; later changes come with their leases.
+fn send_first<P>(control: &ControlState<P>) {
+    let table = control.gateways.borrow();
+    let Some(news) = table.news_for(GatewayVersion::default()) else {
+        return;
+    };
+    let message = PeerMessage::Gateways(news);
+    let own = control.node.settings.peers;
+    let known = control.instances.borrow().addresses();
+    for address in known.into_iter().filter(|address| *address != own) {
+        control.send(&message, address);
+    }
 }
 
 /// Returns what stands for all that the table is made of.
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -65,8 +65,7 @@
     control.note_granted(grant.relay, now);
     let source = grant.relay.unwrap_or(grant.record.address);
     note_versions(control, grant.plan_version, source, now);
-    let is_fed = control.has_store.get() && grant.relay.is_none();
-    if !is_fed && grant.targets != node.targets_digest() {
+    if grant.targets != node.targets_digest() {
         control.note_newer(source, now);
     }
 }
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -4,6 +4,7 @@
 
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId};
 use mustardhinge_core::primacy::{DeskPhase, DutyRecord, PrimaryEvidence};
+use rand::seq::IndexedRandom;
 
 use super::holder_answers::{answer_ask, answer_spending};
 use super::holder_words::{close_own, note_versions, take_grant, take_spending, take_stop};
@@ -16,6 +17,9 @@
 /// Greatest datagram.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
+/// Gateways that are asked for the holder besides the seeds, which may be gone.
+const ASKED_GATEWAYS: usize = 2;
+
 /// A holder that has not lent for this long is looked for at other addresses too.
 const LOOK_AFTER: Duration = Duration::from_millis(1_100);
 
@@ -48,10 +52,7 @@
             if let Some(grant) = answer_ask(control, &ask) {
                 control.send(&PeerMessage::Grant(grant), address);
             } else {
-                let duty = control.node.duty.borrow();
-                if let Some(record) = duty.known_holder() {
-                    send_hint(control, record, address);
-                }
+                name_holder(control, address);
             }
         }
         PeerMessage::Grant(grant) => take_grant(control, &grant),
@@ -64,6 +65,19 @@
         PeerMessage::GrantSpending(grant) => take_spending(control, &grant),
         PeerMessage::Stop(stop) => take_stop(control, &stop),
         PeerMessage::Holder(hint) => take_hint(control, &hint, from),
+        PeerMessage::Gateways(news) => control.node.adopt_gateways(&news),
+    }
+}
+
+/// Names the newest holder that is known here; an instance that knows none looks it up.
+fn name_holder<P>(control: &ControlState<P>, to: SocketAddr) {
+    let mut duty = control.node.duty.borrow_mut();
+    duty.asked_for_holder();
+    let named = control.named_holder.borrow();
+    let known = duty.known_holder().into_iter().chain(named.as_ref());
+    match known.max_by_key(|record| record.fence) {
+        Some(record) => send_hint(control, record, to),
+        None => control.wake.notify_one(),
     }
 }
 
@@ -88,6 +102,8 @@
     if now.saturating_since(control.granted_at.get()) > LOOK_AFTER {
         asked.extend(control.hint.get());
         asked.extend(&control.node.settings.seeds);
+        let gateways = control.node.gateway_addresses();
+        asked.extend(gateways.sample(&mut rand::rng(), ASKED_GATEWAYS));
     }
     asked.sort_unstable();
     asked.dedup();
@@ -107,6 +123,20 @@
     control.send(&PeerMessage::Holder(hint), to);
 }
 
+/// Tells the instances that many others ask who holds the duty now.
+pub(super) fn send_first_hints<P>(control: &ControlState<P>) {
+    let duty = control.node.duty.borrow();
+    let Some((record, _, _)) = duty.held_record() else {
+        return;
+    };
+    let own = control.node.settings.peers;
+    let seeds = control.node.settings.seeds.iter().copied();
+    let known = seeds.chain(control.node.gateway_addresses());
+    for address in known.filter(|address| *address != own) {
+        send_hint(control, record, address);
+    }
+}
+
 /// Tells the voters of the holder before this one who holds the duty now.
 pub(super) fn send_voter_hints<P>(control: &ControlState<P>, now: MonotonicTime) {
     let duty = control.node.duty.borrow();
@@ -230,6 +260,9 @@
         duty.look_up();
     }
     drop(duty);
+    if is_current {
+        control.named_holder.replace(Some(hint.record.clone()));
+    }
     if is_current && hint.record.holder != control.node.settings.instance {
         control.hint.set(Some(hint.record.address));
         if is_newer || control.granted_at.get() == MonotonicTime::default() {
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -30,6 +30,8 @@
     Stop(StopMessage),
     /// An instance that isn't the holder says who is.
     Holder(HolderHint),
+    /// The holder says which instances are gateways.
+    Gateways(GatewayNews),
 }
 
 impl PeerMessage {
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use mustardhinge_core::primacy::DutyClaim;
-use mustardhinge_process::event;
+use mustardhinge_core::primacy::{DutyClaim, StoreTurn};
+use mustardhinge_process::{BootClock, event};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -16,7 +16,7 @@
 use crate::session::CallerSession;
 
 /// Instances differ in how soon they claim the duty by their place among this many.
-const CLAIM_RANKS: u32 = 8;
+const CLAIM_RANKS: u32 = 64;
 /// How long callers are still taken after a planned stop was announced: until the platform
 /// sends no more.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(1_500);
@@ -50,8 +50,12 @@
         let socket = socket.with_context(|| format!("datagrams at {}", settings.peers))?;
         let rank = u32::try_from(incarnation % u64::from(CLAIM_RANKS)).unwrap_or(0);
         let duty = DutyClaim::new(settings.instance.clone(), incarnation, settings.peers, rank);
+        let turn = StoreTurn::new(&settings.instance, incarnation);
+        let duty = duty.with_turn(turn, BootClock.now());
         let node = Rc::new(NodeState::new(settings, duty, incarnation));
-        let control = Rc::new(ControlState::new(node, platform, socket, incarnation));
+        let mut control = ControlState::new(node, platform, socket, incarnation);
+        control.turn = turn;
+        let control = Rc::new(control);
         Ok(Self {
             control,
             listener: Some(listener),
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -1,11 +1,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mustardhinge_core::connection::ConnectionShare;
 use mustardhinge_core::gateway::{
-    GatewayNews, GatewayPair, GatewayRank, GatewayVersion, GatewayView,
+    ConnectionPlan, GatewayNews, GatewayPair, GatewayRank, GatewayVersion, GatewayView,
 };
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primacy::{
@@ -14,6 +15,7 @@
 use mustardhinge_core::spending::SpendTable;
 use mustardhinge_process::{BootClock, event};
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::{ForwardedLink, GatewayPeers};
@@ -24,6 +26,9 @@
 
 /// How many instances are assumed to share the targets until the holder of the duty tells.
 const ASSUMED_INSTANCES: usize = 8;
+/// How long a statement waits for the first table of gateways: a new leader makes it within a
+/// few hundred milliseconds.
+const GATEWAYS_WAIT: Duration = Duration::from_millis(400);
 /// Leases must have been gone for this long before the instance asks for no more callers;
 /// longer than the duty takes to move.
 const UNREADY_AFTER: Duration = Duration::from_millis(3_000);
@@ -58,6 +63,7 @@
     /// The gateways that this instance forwards to.
     pub peers: GatewayPeers,
     gateways: RefCell<GatewayView>,
+    gateways_changed: Notify,
     plan: RefCell<Rc<ServingPlan>>,
     groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
     targets_revision: Cell<RecordRevision>,
@@ -76,6 +82,7 @@
         Self {
             peers: GatewayPeers::new(settings.peers, incarnation),
             gateways: RefCell::default(),
+            gateways_changed: Notify::new(),
             forwarded: Cell::new(0),
             limits: Cell::new(settings.limits),
             settings,
@@ -279,6 +286,7 @@
         let is_new = (instances, Some(place)) != (self.instances.get(), self.place.get());
         if is_new && instances > 0 {
             self.instances.set(instances);
+            self.duty.borrow_mut().note_instances(instances);
             self.place.set(Some(place));
             self.divide_connections();
         }
@@ -333,6 +341,7 @@
         metrics::gauge!("resident_gateway_targets").set(gateways.len() as f64);
         drop(gateways);
         self.divide_connections();
+        self.gateways_changed.notify_waiters();
         let groups = self.groups.borrow();
         let targets = groups.values().flat_map(|group| group.targets());
         let pairs: Vec<_> = targets.filter_map(|target| target.gateways()).collect();
@@ -342,6 +351,22 @@
         });
     }
 
+    /// Returns the instances that are gateways.
+    #[must_use]
+    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
+        let groups = self.groups.borrow();
+        let targets = groups.values().flat_map(|group| group.targets());
+        let pairs = targets.filter_map(|target| target.gateways());
+        let mut addresses: Vec<_> = pairs
+            .flat_map(|pair| [Some(pair.first), pair.second])
+            .flatten()
+            .filter(|address| *address != self.settings.peers)
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Returns which table of gateways is known.
     #[must_use]
     pub fn gateway_version(&self) -> GatewayVersion {
@@ -359,6 +384,7 @@
         target: &Rc<TargetHandle>,
         need: &LinkNeed,
     ) -> Result<LinkLease, LinkError> {
+        self.await_gateways(target, need).await;
         let peer = target
             .gateways()
             .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
@@ -371,6 +397,20 @@
         }
     }
 
+    /// Waits a moment for the table of gateways where connections are few: a fleet that starts
+    /// together would take them all before its gateways can.
+    async fn await_gateways(&self, target: &TargetHandle, need: &LinkNeed) {
+        let plan = self.plan();
+        let all = plan.connection_limit(&target.entry().service);
+        let customers = plan.customers().len();
+        let wants = ConnectionPlan::decide(all, self.instances.get(), customers);
+        if wants == ConnectionPlan::Gateways && self.gateway_version().number == 0 {
+            let wait = need.wait.min(GATEWAYS_WAIT);
+            // The time being out means that this instance connects itself.
+            let _ = timeout(wait, self.gateways_changed.notified()).await;
+        }
+    }
+
     /// Returns whether an epoch is known to be over, or to be ending.
     #[must_use]
     pub fn is_epoch_over(&self, service: &ServiceId, epoch: GroupEpoch) -> bool {
--- a/crates/mustardhinge-resident/src/target/link_pool.rs
+++ b/crates/mustardhinge-resident/src/target/link_pool.rs
@@ -20,6 +20,7 @@
     open: Cell<usize>,
     limit: Cell<usize>,
     crowded_until: Cell<MonotonicTime>,
+    crowded_limit: Cell<usize>,
     uses: RefCell<HashMap<CustomerId, UseFrequency>>,
 }
 
@@ -31,6 +32,7 @@
             open: Cell::new(0),
             limit: Cell::new(1),
             crowded_until: Cell::default(),
+            crowded_limit: Cell::new(0),
             uses: RefCell::default(),
         }
     }
@@ -48,17 +50,28 @@
         idle.iter().any(|link| link.customer == *customer)
     }
 
-    /// Opens no connection until `until`, since the target has too many. Returns whether it did
-    /// before.
+    /// Has no more connections than now until `until`, since the target has too many: one opened
+    /// for a customer takes the place of another's. Returns whether that is new.
     pub(super) fn note_crowded(&self, until: MonotonicTime, now: MonotonicTime) -> bool {
+        // One of those that count has just been turned away.
+        self.crowded_limit.set(self.open.get().saturating_sub(1));
         self.crowded_until.replace(until) <= now
     }
 
+    /// Returns how many connections there may be now.
+    fn limit_at(&self, now: MonotonicTime) -> usize {
+        if now < self.crowded_until.get() {
+            self.limit.get().min(self.crowded_limit.get())
+        } else {
+            self.limit.get()
+        }
+    }
+
     /// Returns whether anybody could get a connection now.
     pub(super) fn has_room(&self, now: MonotonicTime) -> bool {
         let idle = self.idle.borrow().len();
         let used = self.open.get() - idle;
-        idle > 0 || now >= self.crowded_until.get() && used < self.limit.get()
+        idle > 0 || used < self.limit_at(now)
     }
 
     /// Counts a use of the target by a customer.
@@ -100,11 +113,8 @@
     /// Makes room for one more connection, if need be by closing idle ones of the customers
     /// that come least, and counts it. Returns whether there is room.
     pub(super) fn reserve(&self, now: MonotonicTime) -> bool {
-        if now < self.crowded_until.get() {
-            return false;
-        }
         // More than one are closed after the limit was lowered.
-        while self.open.get() >= self.limit.get() {
+        while self.open.get() >= self.limit_at(now) {
             if !self.close_least_used(now) {
                 return false;
             }
