Tell only the changed groups and gateways; watch the targets at the leader alone

By reading: a grant carried all groups while any differed, which is all of a start; each list of targets was taken in quadratic time (a search through all groups for each entry, all connections divided anew for each new one); five zones watched a list that changes all the time; the whole table of gateways could outgrow a datagram.

Change: epochs are compared in parts of eight groups (EpochDigest, LeaseRound: what may not be used is always told, all that may is counted as lent), the table of gateways goes out in parts, targets are found by name, one watch of the list for the fleet.

Ruled out by test: leases that outlive what the leader believes (lease_round, proptest over lost, late and overtaken answers).

--- a/crates/mustardhinge-core/src/gateway/gateway_table.rs
+++ b/crates/mustardhinge-core/src/gateway/gateway_table.rs
@@ -3,11 +3,16 @@
 use super::{GatewayNews, GatewayPair, GatewayVersion};
 use crate::ids::TargetId;
 
+/// Changes that share a number, and are told together.
+const CHANGES_EACH: usize = 64;
+/// Most changes in one answer, which has to fit into a datagram beside the leases.
+const CHANGES_TOLD: usize = 320;
+
 /// The leader's table of the gateways of all targets.
 ///
 /// Load pattern: hundreds of instances are started and stopped one after the other, and each
 /// start or stop changes the gateways of a few targets. Each instance is sent what changed since the
-/// table that it knows.
+/// table that it knows, a part at a time.
 #[derive(Clone, Debug, Default)]
 pub struct GatewayTable {
     version: GatewayVersion,
@@ -32,31 +37,30 @@
 
     /// Takes the gateways of all targets as they should be.
     pub fn update(&mut self, wanted: &BTreeMap<TargetId, GatewayPair>) {
-        let next = self.version.number + 1;
-        let mut has_changed = self.version.number == 0;
-        for (target, entry) in &mut self.entries {
+        let known = self.entries.iter();
+        let changed = known.filter_map(|(target, entry)| {
             let pair = wanted.get(target).copied();
-            if entry.pair != pair {
-                *entry = TableEntry {
-                    pair,
-                    changed_in: next,
-                };
-                has_changed = true;
-            }
+            (entry.pair != pair).then(|| (target.clone(), pair))
+        });
+        let new = wanted.iter().filter_map(|(target, pair)| {
+            let is_known = self.entries.contains_key(target);
+            (!is_known).then(|| (target.clone(), Some(*pair)))
+        });
+        let changes: Vec<_> = changed.chain(new).collect();
+        if self.version.number == 0 {
+            self.version.number = 1;
         }
-        for (target, pair) in wanted {
-            if !self.entries.contains_key(target) {
+        for part in changes.chunks(CHANGES_EACH) {
+            self.version.number += 1;
+            let changed_in = self.version.number;
+            for (target, pair) in part {
                 let entry = TableEntry {
-                    pair: Some(*pair),
-                    changed_in: next,
+                    pair: *pair,
+                    changed_in,
                 };
                 self.entries.insert(target.clone(), entry);
-                has_changed = true;
             }
         }
-        if has_changed {
-            self.version.number = next;
-        }
     }
 
     /// Returns the table's version; none before the first update.
@@ -68,19 +72,27 @@
     /// Returns what an instance that knows `known` has to be told; none if it knows all.
     #[must_use]
     pub fn news_for(&self, known: GatewayVersion) -> Option<GatewayNews> {
-        let version = self.version().filter(|version| *version != known)?;
-        let is_whole = known.fence != version.fence || known.number > version.number;
-        let changes = self.entries.iter().filter(|(_, entry)| {
-            if is_whole {
-                entry.pair.is_some()
-            } else {
-                entry.changed_in > known.number
-            }
-        });
+        let newest = self.version().filter(|version| *version != known)?;
+        let is_whole = known.fence != newest.fence || known.number > newest.number;
+        let known = if is_whole { 0 } else { known.number };
+        let mut changed: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.changed_in > known)
+            .collect();
+        changed.sort_by_key(|(_, entry)| entry.changed_in);
+        let end = changed.get(CHANGES_TOLD).map(|(_, entry)| entry.changed_in);
+        // All changes of one number are told together.
+        let number = end.map_or(newest.number, |end| end - 1);
+        changed.retain(|(_, entry)| entry.changed_in <= number);
         Some(GatewayNews {
-            version,
+            version: GatewayVersion {
+                fence: newest.fence,
+                number,
+            },
             is_whole,
-            changes: changes
+            changes: changed
+                .into_iter()
                 .map(|(target, entry)| (target.clone(), entry.pair))
                 .collect(),
         })
--- a/crates/mustardhinge-core/src/primacy/epoch_digest.rs
+++ b/crates/mustardhinge-core/src/primacy/epoch_digest.rs
@@ -5,23 +5,64 @@
 use super::GroupEpoch;
 use crate::ids::{ServiceId, TargetId};
 
-/// Stands for the epochs and primaries of several groups: equal digests mean equal epochs.
+/// Groups that share a digest: what is told again when one of them has changed.
+const GROUPS_EACH: usize = 8;
+/// Most digests of one instance.
+const MOST_DIGESTS: usize = 256;
+
+/// Stands for the epochs and primaries of several groups, a part of them at a time: equal digests
+/// mean equal epochs.
 ///
-/// Load pattern: hundreds of instances renew the leases of dozens of groups twice a second,
-/// and nearly always nothing has changed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EpochDigest(u64);
+/// Load pattern: hundreds of instances renew the leases of dozens to hundreds of groups twice a
+/// second, and nearly always nothing has changed. While a fleet starts, or many primaries are
+/// replaced, each change concerns one group, and only those that share its digest are told
+/// again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochDigest(Vec<u64>);
 
 impl EpochDigest {
-    /// Returns the digest of the groups' epochs, in whatever order they come.
+    /// Returns the digests of so many groups that have no epochs yet.
+    #[must_use]
+    pub fn for_groups(groups: usize) -> Self {
+        let parts = groups.div_ceil(GROUPS_EACH).next_power_of_two();
+        let parts = parts.clamp(1, MOST_DIGESTS);
+        Self(vec![0; parts])
+    }
+
+    /// Returns digests in the same parts, of groups that have no epochs yet.
+    #[must_use]
+    pub fn like(other: &Self) -> Self {
+        Self(vec![0; other.0.len().clamp(1, MOST_DIGESTS)])
+    }
+
+    /// Adds a group's epoch, in whatever order they come.
+    pub fn add(&mut self, service: &ServiceId, epoch: GroupEpoch, primary: &TargetId) {
+        let part = self.part_of(service);
+        let mut hasher = DefaultHasher::new();
+        (service, epoch, primary).hash(&mut hasher);
+        self.0[part] = self.0[part].wrapping_add(hasher.finish());
+    }
+
+    /// Returns whether both say the same about the part that a group is in.
     #[must_use]
-    pub fn of<'a>(epochs: impl Iterator<Item = (&'a ServiceId, GroupEpoch, &'a TargetId)>) -> Self {
-        let mut digest = 0_u64;
-        for epoch in epochs {
-            let mut hasher = DefaultHasher::new();
-            epoch.hash(&mut hasher);
-            digest = digest.wrapping_add(hasher.finish());
+    pub fn agrees(&self, other: &Self, service: &ServiceId) -> bool {
+        self.0.len() == other.0.len() && {
+            let part = self.part_of(service);
+            self.0[part] == other.0[part]
         }
-        Self(digest)
+    }
+
+    fn part_of(&self, service: &ServiceId) -> usize {
+        // Below the count of the parts, which is small. With more parts each is divided.
+        ((u128::from(Self::order_of(service)) * self.0.len() as u128) >> 64) as usize
+    }
+
+    /// Returns by what groups are ordered, so that those of one part follow one another whatever
+    /// the count of the parts.
+    #[must_use]
+    pub fn order_of(service: &ServiceId) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        service.hash(&mut hasher);
+        hasher.finish()
     }
 }
--- a/crates/mustardhinge-core/src/primacy/group_desk.rs
+++ b/crates/mustardhinge-core/src/primacy/group_desk.rs
@@ -87,19 +87,31 @@
         lease: Duration,
         now: MonotonicTime,
     ) -> EpochGrant {
-        let usable = self.phase == DeskPhase::Serving;
-        self.asked_at.insert(instance.clone(), now);
-        if usable {
-            self.lease_ends.insert(instance.clone(), now + lease);
-        }
+        self.renew(instance, lease, now);
+        self.to_grant()
+    }
+
+    /// Returns what is said of the primary, without lending it.
+    #[must_use]
+    pub fn to_grant(&self) -> EpochGrant {
         EpochGrant {
             service: self.service.clone(),
             epoch: self.epoch,
             primary: self.primary.clone(),
-            usable,
+            usable: self.phase == DeskPhase::Serving,
         }
     }
 
+    /// Lends the primary again to an instance that knows it. Returns whether it may be used.
+    pub fn renew(&mut self, instance: &InstanceId, lease: Duration, now: MonotonicTime) -> bool {
+        let usable = self.phase == DeskPhase::Serving;
+        set_time(&mut self.asked_at, instance, now);
+        if usable {
+            set_time(&mut self.lease_ends, instance, now + lease);
+        }
+        usable
+    }
+
     /// Takes evidence on the primary of `epoch`.
     pub fn report(
         &mut self,
@@ -216,3 +228,17 @@
         self.phase
     }
 }
+
+/// Sets an instance's time; nearly always it has one.
+fn set_time(
+    times: &mut HashMap<InstanceId, MonotonicTime>,
+    instance: &InstanceId,
+    time: MonotonicTime,
+) {
+    match times.get_mut(instance) {
+        Some(known) => *known = time,
+        None => {
+            times.insert(instance.clone(), time);
+        }
+    }
+}
--- a/crates/mustardhinge-core/src/primacy/lease_book.rs
+++ b/crates/mustardhinge-core/src/primacy/lease_book.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::{EpochDigest, EpochGrant, GroupEpoch};
@@ -125,18 +125,35 @@
     /// Returns the epochs known here, as one digest.
     #[must_use]
     pub fn digest(&self) -> EpochDigest {
-        let groups = self.groups.iter();
-        EpochDigest::of(groups.map(|(service, held)| (service, held.epoch, &held.primary)))
+        let mut digest = EpochDigest::for_groups(self.groups.len());
+        for (service, held) in &self.groups {
+            digest.add(service, held.epoch, &held.primary);
+        }
+        digest
     }
 
-    /// Takes that all epochs known here are lent again, in answer to a question asked at
-    /// `asked_at`.
-    pub fn renew_all(&mut self, asked_at: MonotonicTime, lease: Duration) {
-        for held in self.groups.values_mut() {
+    /// Takes that the epochs are lent again of which `lent` says the same as is known here, but for
+    /// those that are told apart, in answer to a question asked at `asked_at`. Returns their
+    /// services.
+    pub fn renew(
+        &mut self,
+        lent: &EpochDigest,
+        told_apart: &HashSet<&ServiceId>,
+        asked_at: MonotonicTime,
+        lease: Duration,
+    ) -> Vec<ServiceId> {
+        let known = self.digest();
+        let mut renewed = Vec::new();
+        for (service, held) in &mut self.groups {
+            if !known.agrees(lent, service) || told_apart.contains(service) {
+                continue;
+            }
             if held.closing_since.is_none() && !held.stopped {
                 held.good_until = held.good_until.max(asked_at + lease);
             }
+            renewed.push(service.clone());
         }
+        renewed
     }
 
     /// Returns whether any lease is good now.
--- a/crates/mustardhinge-core/tests/suite/primacy/lease_book.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/lease_book.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::time::Duration;
 
 use mustardhinge_core::prelude::ServiceId;
@@ -97,7 +98,8 @@
     }
     let digest = book.digest();
     book.close(&second, GroupEpoch::new(1), at(500));
-    book.renew_all(at(1_500), LEASE);
+    let renewed = book.renew(&digest, &HashSet::new(), at(1_500), LEASE);
+    assert_eq!(renewed.len(), 2);
     assert_eq!(book.digest(), digest, "closing changes no epoch");
     assert!(book.is_good(&first, GroupEpoch::new(1), at(3_000)));
     assert!(!book.is_good(&second, GroupEpoch::new(1), at(3_000)));
--- a/crates/mustardhinge-core/tests/suite/primacy/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primacy/mod.rs
@@ -4,6 +4,7 @@
 mod duty_claim;
 mod group_desk;
 mod lease_book;
+mod lease_round;
 mod outage_forecast;
 mod store_turn;
 mod successor_choice;
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -12,7 +12,7 @@
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{GrantEcho, GroupRecord, PeerMessage};
 use crate::node::NodeState;
@@ -25,6 +25,11 @@
 const RELAY_LASTS: Duration = Duration::from_millis(1_100);
 /// A wait for the end of that time lasts a little longer, so that one look is enough.
 const RELAY_LOOK: Duration = Duration::from_millis(10);
+/// A fleet of so few instances has few watches of the list of targets.
+const FEW_INSTANCES: usize = 16;
+/// How often an instance looks whether it has to watch that list; short against the seconds within
+/// which a leaving target gets no more work.
+const LIST_LOOK: Duration = Duration::from_millis(500);
 /// How long a started instance waits for the holder's first word: the time in which one of
 /// those that were started together takes the duty and is found.
 const FIRST_GRANT: Duration = Duration::from_millis(700);
@@ -210,6 +215,37 @@
         }
     }
 
+    /// Returns whether the holder tells this instance of changes in the list of targets. Entries
+    /// change all the time in what doesn't matter here, so each watch comes back at once; in a
+    /// large fleet only the holder's follows, and its digest tells the others.
+    fn is_list_told(&self, now: MonotonicTime) -> bool {
+        if self.node.instances() <= FEW_INSTANCES {
+            return self.is_relayed(now);
+        }
+        let is_led = now.saturating_since(self.granted_at.get()) < RELAY_LASTS;
+        is_led && !self.node.duty.borrow().may_grant(now)
+    }
+
+    /// Waits until this instance has to watch the list of targets itself.
+    pub async fn until_list_wanted(&self) {
+        loop {
+            if !self.is_list_told(self.node.clock.now()) {
+                self.until_watching().await;
+                if !self.is_list_told(self.node.clock.now()) {
+                    return;
+                }
+            }
+            sleep(LIST_LOOK).await;
+        }
+    }
+
+    /// Waits until the holder tells this instance of changes in that list.
+    pub async fn until_list_told(&self) {
+        while !self.is_list_told(self.node.clock.now()) {
+            sleep(LIST_LOOK).await;
+        }
+    }
+
     /// Waits a moment after the start for the holder's first word, which may spare calls to
     /// the store.
     pub async fn await_first_grant(&self) {
--- a/crates/mustardhinge-resident/src/control/holder_answers.rs
+++ b/crates/mustardhinge-resident/src/control/holder_answers.rs
@@ -5,7 +5,7 @@
 
 use mustardhinge_core::membership::RosterEntry;
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::EpochDigest;
+use mustardhinge_core::primacy::LeaseRound;
 use mustardhinge_core::spending::{SpendGrant, SpendReport};
 
 use super::holder_words::note_versions;
@@ -158,39 +158,29 @@
             desk.saw_position(position);
         }
     }
-    let epochs = EpochDigest::of(
-        desks
-            .iter()
-            .map(|(service, desk)| (service, desk.epoch(), desk.primary())),
-    );
-    let mut is_same = epochs == ask.epochs;
-    let mut grants = Vec::with_capacity(desks.len());
-    for desk in desks.values_mut() {
-        let grant = desk.grant(&ask.from, lease, now);
-        is_same &= grant.usable;
-        grants.push(grant);
-    }
+    let round = LeaseRound::lend(&mut desks, &ask.from, &ask.epochs, lease, now);
     let position_of = |service: &ServiceId| {
         let group = control.node.group(service);
         let is_current = desks.get(service)?.epoch() == group.epoch();
         let (at, position) = group.newest_position().filter(|_| is_current)?;
         Some((position, millis(now, at)))
     };
-    if is_same {
-        let positions = ask.wants.iter().filter_map(|service| {
-            let (position, age) = position_of(service)?;
-            Some((service.clone(), position, age))
-        });
-        return GrantedGroups::Same {
-            epochs,
-            positions: positions.collect(),
-        };
-    }
-    let granted = grants.into_iter().map(|grant| GrantedGroup {
-        position: position_of(&grant.service),
-        grant,
+    let positions = ask.wants.iter().filter_map(|service| {
+        let (position, age) = position_of(service)?;
+        Some((service.clone(), position, age))
     });
-    GrantedGroups::All(granted.collect())
+    GrantedGroups {
+        positions: positions.collect(),
+        same: round.same,
+        changed: round
+            .changed
+            .into_iter()
+            .map(|grant| GrantedGroup {
+                position: position_of(&grant.service),
+                grant,
+            })
+            .collect(),
+    }
 }
 
 /// Whole milliseconds, rounded up: an age is never given too small.
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -1,11 +1,12 @@
 //! What an instance takes from the holder of the duty.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::prelude::{DocumentVersion, LogPosition, MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::{EpochDigest, GroupEpoch, RecordSighting};
+use mustardhinge_core::prelude::{DocumentVersion, MonotonicTime, ServiceId};
+use mustardhinge_core::primacy::{GroupEpoch, RecordSighting};
 use mustardhinge_process::event;
 
 use super::{
@@ -41,15 +42,9 @@
         now,
     );
     node.tell_leaving(&grant.leaving);
-    match &grant.groups {
-        GrantedGroups::All(groups) => {
-            for granted in groups {
-                take_group(control, granted, lease, now);
-            }
-        }
-        GrantedGroups::Same { epochs, positions } => {
-            take_same(control, *epochs, positions, lease);
-        }
+    take_same(control, &grant.groups, lease);
+    for granted in &grant.groups.changed {
+        take_group(control, granted, lease, now);
     }
     node.spending
         .borrow_mut()
@@ -93,27 +88,31 @@
     }
 }
 
-/// Takes that nothing has changed since the question; an answer that came after a change here
+/// Takes which groups are lent as they are known here; an answer that came after a change here
 /// says nothing about what is known now.
 fn take_same<P>(
     control: &ControlState<P>,
-    epochs: EpochDigest,
-    positions: &[(ServiceId, LogPosition, u64)],
+    granted: &GrantedGroups,
     (asked_at, lease): (MonotonicTime, Duration),
 ) {
     let node = &control.node;
-    if node.leases.borrow().digest() != epochs {
-        return;
-    }
-    node.leases.borrow_mut().renew_all(asked_at, lease);
+    // Those that are told anew may be lent no more, though their epochs are the same.
+    let changed = granted.changed.iter();
+    let told: HashSet<_> = changed.map(|granted| &granted.grant.service).collect();
     let now = node.clock.now();
-    for group in node.groups() {
-        note_lent(control, &group, false, now);
+    let renewed = node
+        .leases
+        .borrow_mut()
+        .renew(&granted.same, &told, asked_at, lease);
+    for service in &renewed {
+        note_lent(control, &node.group(service), false, now);
     }
-    for (service, position, age) in positions {
+    for (service, position, age) in &granted.positions {
         let group = node.group(service);
         let at = asked_at - Duration::from_millis(*age);
-        group.observe(group.epoch(), at, *position);
+        if renewed.contains(service) {
+            group.observe(group.epoch(), at, *position);
+        }
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -13,7 +13,7 @@
 use crate::plan::TargetsDigest;
 
 /// The form of the datagrams; instances ignore those of another form.
-const MESSAGE_FORM: u8 = 7;
+const MESSAGE_FORM: u8 = 8;
 
 /// One datagram between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -155,17 +155,14 @@
 
 /// The groups' primaries, as lent to one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GrantedGroups {
-    /// All of them, each with its epoch.
-    All(Vec<GrantedGroup>),
-    /// All that the asker knows, in the epochs of its question: nothing has changed.
-    Same {
-        /// The epochs that are meant.
-        epochs: EpochDigest,
-        /// The positions asked for, and how long ago, in milliseconds, they covered all
-        /// acknowledged writes.
-        positions: Vec<(ServiceId, LogPosition, u64)>,
-    },
+pub struct GrantedGroups {
+    /// Those that the asker did not name rightly, or that are not lent, each with its epoch.
+    pub changed: Vec<GrantedGroup>,
+    /// Of which the asker named the epochs rightly: they are lent again unless they stand above.
+    pub same: EpochDigest,
+    /// The positions asked for, and how long ago, in milliseconds, they covered all
+    /// acknowledged writes.
+    pub positions: Vec<(ServiceId, LogPosition, u64)>,
 }
 
 /// Asks for more of the customers whose allowance is used up.
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,11 +14,6 @@
 /// Pause after a change, so that several make one call; short against the seconds within
 /// which a leaving target gets no more work.
 const GATHER_PAUSE: Duration = Duration::from_millis(500);
-/// The same at instances that learn of changes from the holder too; short against the seconds
-/// within which a leaving target gets no more work.
-const LOOSE_PAUSE: Duration = Duration::from_millis(2_500);
-/// A fleet of so few instances has few watches.
-const FEW_INSTANCES: usize = 16;
 /// A target that is no longer listed is kept for this long: entries that lapsed while the
 /// store was out come back within two seconds of its return.
 const MISSING_FOR: Duration = Duration::from_millis(2_500);
@@ -28,7 +23,7 @@
     let mut missing = HashMap::new();
     control.await_first_grant().await;
     loop {
-        control.until_watching().await;
+        control.until_list_wanted().await;
         if let Err(error) = follow_once(&control, &mut missing).await {
             control.note_store(Err(&error));
             sleep(RETRY_PAUSE).await;
@@ -46,8 +41,9 @@
     let (entries, mut revision) = control.platform.list_targets().await?;
     control.note_store(Ok(()));
     let now = control.node.clock.now();
+    let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
     for known in control.node.target_list().0 {
-        if !entries.iter().any(|entry| entry.target == known.target) {
+        if !listed.contains(&known.target) {
             missing.entry(known.target).or_insert(now);
         }
     }
@@ -67,7 +63,7 @@
         let news = tokio::select! {
             news = watch => news?,
             () = pass(patience) => continue,
-            () = control.until_relayed(true) => return Ok(()),
+            () = control.until_list_told() => return Ok(()),
         };
         control.note_store(Ok(()));
         match news {
@@ -85,25 +81,13 @@
                     control.node.note_targets_revision(newest);
                 }
                 if !is_idle {
-                    sleep(gather_pause(control)).await;
+                    sleep(GATHER_PAUSE).await;
                 }
             }
         }
     }
 }
 
-/// Entries change all the time in what doesn't matter here, so each watch comes back at once. In a
-/// large fleet only the holder's follows closely: its digest tells the others what has changed.
-fn gather_pause<P>(control: &ControlState<P>) -> Duration {
-    let now = control.node.clock.now();
-    let is_holder = control.node.duty.borrow().may_grant(now);
-    if is_holder || control.node.instances() <= FEW_INSTANCES {
-        GATHER_PAUSE
-    } else {
-        LOOSE_PAUSE
-    }
-}
-
 /// Lets a time pass; without one, for ever.
 async fn pass(time: Option<Duration>) {
     match time {
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +66,9 @@
     gateways_changed: Notify,
     plan: RefCell<Rc<ServingPlan>>,
     groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
+    /// The service of each listed target.
+    homes: RefCell<HashMap<TargetId, ServiceId>>,
+    leaving: RefCell<Option<Vec<TargetId>>>,
     targets_revision: Cell<RecordRevision>,
     targets_digest: Cell<Option<TargetsDigest>>,
     instances: Cell<usize>,
@@ -97,6 +100,8 @@
             callers: Cell::new(0),
             plan: RefCell::default(),
             groups: RefCell::default(),
+            homes: RefCell::default(),
+            leaving: RefCell::default(),
             targets_revision: Cell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
@@ -156,7 +161,6 @@
     /// Takes a listed target.
     pub fn put_target(&self, entry: TargetEntry) {
         self.drop_moved(&entry);
-        self.targets_digest.set(None);
         let group = self.group(&entry.service);
         match group.find(&entry.target) {
             Some(handle) => {
@@ -164,6 +168,7 @@
                 if *known == entry {
                     return;
                 }
+                self.note_list_changed();
                 event::TARGET_CHANGED.log(format_args!(
                     "target={} service={} role={:?} leaving={} address={}",
                     entry.target, entry.service, entry.role, entry.is_leaving, entry.address
@@ -176,28 +181,29 @@
                     entry.target, entry.service, entry.role, entry.is_leaving, entry.address
                 ));
                 group.add(Rc::new(TargetHandle::new(entry)));
-                self.divide_connections();
+                self.note_list_changed();
+                self.divide_group(&group);
             }
         }
     }
 
     fn drop_moved(&self, entry: &TargetEntry) {
-        for group in self.groups.borrow().values() {
-            if *group.service() != entry.service {
-                group.remove(&entry.target, self.clock.now());
-            }
+        let mut homes = self.homes.borrow_mut();
+        let before = homes.insert(entry.target.clone(), entry.service.clone());
+        if let Some(before) = before.filter(|before| *before != entry.service)
+            && let Some(group) = self.find_group(&before)
+        {
+            group.remove(&entry.target, self.clock.now());
         }
     }
 
     /// Takes that a target is no longer listed.
     pub fn drop_target(&self, target: &TargetId) {
-        self.targets_digest.set(None);
-        for group in self.groups.borrow().values() {
-            if group.find(target).is_some() {
-                event::TARGET_DROPPED
-                    .log(format_args!("target={target} service={}", group.service()));
-                group.remove(target, self.clock.now());
-            }
+        let home = self.homes.borrow_mut().remove(target);
+        if let Some(group) = home.and_then(|service| self.find_group(&service)) {
+            self.note_list_changed();
+            event::TARGET_DROPPED.log(format_args!("target={target} service={}", group.service()));
+            group.remove(target, self.clock.now());
         }
     }
 
@@ -215,12 +221,22 @@
     /// Returns the targets whose entries say that they are leaving.
     #[must_use]
     pub fn leaving_targets(&self) -> Vec<TargetId> {
+        if let Some(known) = self.leaving.borrow().as_ref() {
+            return known.clone();
+        }
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
         let leaving = handles
             .map(|handle| handle.entry())
             .filter(|entry| entry.is_leaving);
-        leaving.map(|entry| entry.target.clone()).collect()
+        let leaving: Vec<_> = leaving.map(|entry| entry.target.clone()).collect();
+        self.leaving.replace(Some(leaving.clone()));
+        leaving
+    }
+
+    fn note_list_changed(&self) {
+        self.targets_digest.set(None);
+        self.leaving.replace(None);
     }
 
     /// Takes the word of another instance that targets are leaving, in case this one's watch
@@ -244,8 +260,9 @@
             return;
         }
         self.targets_revision.set(revision);
+        let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
         for known in self.target_list().0 {
-            if !entries.iter().any(|entry| entry.target == known.target) {
+            if !listed.contains(&known.target) {
                 self.drop_target(&known.target);
             }
         }
@@ -299,28 +316,31 @@
     }
 
     fn divide_connections(&self) {
-        let plan = self.plan();
+        for group in self.groups() {
+            self.divide_group(&group);
+        }
+    }
+
+    fn divide_group(&self, group: &GroupState) {
         let gateways = self.gateways.borrow();
         let now = self.clock.now();
-        for group in self.groups.borrow().values() {
-            let all = plan.connection_limit(group.service());
-            let share = ConnectionShare {
-                all,
-                instances: self.instances.get(),
-                place: self.place.get(),
+        let all = self.plan().connection_limit(group.service());
+        let share = ConnectionShare {
+            all,
+            instances: self.instances.get(),
+            place: self.place.get(),
+        };
+        for target in group.targets() {
+            let pair = gateways.pair_of(&target.id());
+            let own = match &pair {
+                Some(pair) => {
+                    let rank = self.peers.own_rank(pair);
+                    rank.connections(all, self.instances.get())
+                }
+                None => share.connections(),
             };
-            for target in group.targets() {
-                let pair = gateways.pair_of(&target.id());
-                let own = match &pair {
-                    Some(pair) => {
-                        let rank = self.peers.own_rank(pair);
-                        rank.connections(all, self.instances.get())
-                    }
-                    None => share.connections(),
-                };
-                target.set_gateways(pair);
-                target.set_limit(own, now);
-            }
+            target.set_gateways(pair);
+            target.set_limit(own, now);
         }
     }
 
