Let each instance read the store for itself again; bound what a new leader has to do

Change: turns, one reader a zone and the leader's lone watch of targets are taken back; a failed try, written up in decision 0085.

Not traced: what exactly holds the leader up.

--- a/crates/mustardhinge-core/src/gateway/gateway_pair.rs
+++ b/crates/mustardhinge-core/src/gateway/gateway_pair.rs
@@ -5,7 +5,7 @@
 use super::GatewayRank;
 
 /// The gateways of one target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GatewayPair {
     /// Where its statements are forwarded to.
     pub first: SocketAddr,
--- a/crates/mustardhinge-core/src/membership/feed_relay.rs
+++ b/crates/mustardhinge-core/src/membership/feed_relay.rs
@@ -18,8 +18,6 @@
     pub heard_at: MonotonicTime,
     /// Whether it knows a configuration and the store answers it, as far as it knows.
     pub is_fed: bool,
-    /// Whether it was started so short a time ago that it may not have read anything yet.
-    pub is_starting: bool,
     /// Whether it holds the duty, and watches the store anyway.
     pub is_holder: bool,
 }
@@ -34,9 +32,8 @@
 pub struct FeedRelay;
 
 impl FeedRelay {
-    /// Returns who watches for each availability zone. Where all were started together, one of them
-    /// is to read for the others. A zone that is missing has nobody whose word would help: its
-    /// instances watch themselves.
+    /// Returns who watches for each availability zone. A zone that is missing has nobody whose
+    /// word would help: its instances watch themselves.
     #[must_use]
     pub fn choose<'a>(
         candidates: impl Iterator<Item = RelayCandidate<'a>>,
@@ -44,17 +41,17 @@
     ) -> HashMap<&'a ZoneId, &'a InstanceId> {
         let usable = candidates.filter(|candidate| {
             let is_heard = now.saturating_since(candidate.heard_at) < SILENT_AFTER;
-            (candidate.is_fed || candidate.is_starting) && is_heard
+            candidate.is_fed && is_heard
         });
         let mut chosen = HashMap::new();
         for candidate in usable {
-            let place = (!candidate.is_fed, !candidate.is_holder, candidate.instance);
+            let place = (!candidate.is_holder, candidate.instance);
             let best = chosen.entry(candidate.zone).or_insert(place);
             *best = place.min(*best);
         }
         let relays = chosen.into_iter();
         relays
-            .map(|(zone, (_, _, instance))| (zone, instance))
+            .map(|(zone, (_, instance))| (zone, instance))
             .collect()
     }
 }
--- a/crates/mustardhinge-core/src/membership/instance_roster.rs
+++ b/crates/mustardhinge-core/src/membership/instance_roster.rs
@@ -15,9 +15,6 @@
 /// times more seldom.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// A started instance has read the configuration after this time, if the store answers it: many
-/// times the usual.
-const STARTS_FOR: Duration = Duration::from_millis(1_000);
 /// An instance that was not heard for this long is no gateway: three of its requests are missing.
 /// Those that forward notice sooner; a shorter time would move gateways whenever two are lost.
 const GATEWAY_SILENT_AFTER: Duration = Duration::from_millis(1_700);
@@ -50,18 +47,11 @@
     places: HashMap<InstanceId, usize>,
     relays: HashMap<ZoneId, (InstanceId, SocketAddr)>,
     looked_at: Option<MonotonicTime>,
-    started: HashMap<InstanceId, (u64, MonotonicTime)>,
 }
 
 impl InstanceRoster {
     /// Notes that an instance was heard.
     pub fn heard(&mut self, id: &InstanceId, entry: RosterEntry) {
-        let (incarnation, heard_at) = (entry.incarnation, entry.heard_at);
-        let started = self.started.entry(id.clone());
-        let started = started.or_insert((incarnation, heard_at));
-        if started.0 != incarnation {
-            *started = (incarnation, heard_at);
-        }
         if self.entries.insert(id.clone(), entry).is_none() {
             self.looked_at = None;
         }
@@ -76,8 +66,6 @@
         self.looked_at = Some(now);
         self.entries
             .retain(|_, entry| now.saturating_since(entry.heard_at) < COUNTED_FOR);
-        let entries = &self.entries;
-        self.started.retain(|id, _| entries.contains_key(id));
         let ids = self.entries.keys().cloned();
         self.places = ids.enumerate().map(|(place, id)| (id, place)).collect();
         let candidates = self.entries.iter().map(|(instance, entry)| RelayCandidate {
@@ -85,10 +73,6 @@
             zone: &entry.zone,
             heard_at: entry.heard_at,
             is_fed: entry.is_fed,
-            is_starting: self
-                .started
-                .get(instance)
-                .is_some_and(|(_, started_at)| now.saturating_since(*started_at) < STARTS_FOR),
             is_holder: instance == holder,
         });
         let relays = FeedRelay::choose(candidates, now).into_iter();
--- a/crates/mustardhinge-core/src/primacy/duty_claim.rs
+++ b/crates/mustardhinge-core/src/primacy/duty_claim.rs
@@ -4,9 +4,7 @@
 
 use super::held_duty::HeldDuty;
 use super::voter_lists::VoterLists;
-use super::{
-    DutyRecord, DutyStep, DutyVoter, PrimacySettings, RecordRevision, RecordSighting, StoreTurn,
-};
+use super::{DutyRecord, DutyStep, DutyVoter, PrimacySettings, RecordRevision, RecordSighting};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
@@ -46,9 +44,6 @@
     predecessor_gone: bool,
     next_voters: Vec<DutyVoter>,
     lists: VoterLists,
-    turn: StoreTurn,
-    instances: usize,
-    first_read_at: MonotonicTime,
 }
 
 impl DutyClaim {
@@ -84,25 +79,9 @@
             predecessor_gone: false,
             next_voters: Vec::new(),
             lists: VoterLists::default(),
-            turn: StoreTurn::default(),
-            instances: 1,
-            first_read_at: MonotonicTime::default(),
         }
     }
 
-    /// Sets the instance's turn at the store; its process was started at `now`.
-    #[must_use]
-    pub fn with_turn(mut self, turn: StoreTurn, now: MonotonicTime) -> Self {
-        self.turn = turn;
-        self.first_read_at = now + turn.first_read();
-        self
-    }
-
-    /// Notes how many instances there are.
-    pub const fn note_instances(&mut self, instances: usize) {
-        self.instances = instances;
-    }
-
     /// Takes that another instance takes this one for the holder, or asks who is: what has not been
     /// read yet is read at once.
     pub const fn asked_for_holder(&mut self) {
@@ -133,15 +112,8 @@
         if let Some(step) = self.claim_step(now) {
             return step;
         }
-        let every = READ_EVERY * StoreTurn::stretch(self.instances);
-        let turn = self.turn.next_read(READ_EVERY, self.instances);
-        let begins = self
-            .first_read_at
-            .max(self.heard_at + HOLDER_SILENCE + turn);
         match self.read_at {
-            Some(at) if now.saturating_since(at) < every => DutyStep::Wait,
-            _ if self.seen.is_some() && now < begins => DutyStep::Wait,
-            None if now < self.first_read_at => DutyStep::Wait,
+            Some(at) if now.saturating_since(at) < READ_EVERY => DutyStep::Wait,
             _ => DutyStep::Read,
         }
     }
--- a/crates/mustardhinge-core/src/spending/spend_book.rs
+++ b/crates/mustardhinge-core/src/spending/spend_book.rs
@@ -15,6 +15,10 @@
 /// While the bucket runs low, all allowances together are this many times what is in it.
 const ALLOWANCE_OF_FILL: f64 = 2.0;
 
+/// How long that is kept: an instance that falls silent takes part for this much longer. A new
+/// leader has hundreds of them to look through, for each customer of each question.
+const REACHABLE_LASTS: Duration = Duration::from_millis(100);
+
 /// Part of the rate that is left evenly to instances which are cut off; the rest goes by
 /// what they spent.
 const EVEN_PART: f64 = 0.25;
@@ -38,6 +42,8 @@
     spending: HashMap<InstanceId, InstanceSpending>,
     /// Of all instances together.
     speed: SpendSpeed,
+    /// The part of the rate that reachable instances share, and when it was worked out.
+    reachable: Option<(MonotonicTime, f64)>,
 }
 
 /// The holder's books on the customers' rates.
@@ -82,8 +88,9 @@
                 opened_at: now,
                 spending: HashMap::new(),
                 speed: SpendSpeed::default(),
+                reachable: None,
             });
-        let rate = limits.rate * account.reachable_part(unheard, instances, now);
+        let rate = limits.rate * account.look_reachable(unheard, instances, now);
         account.refill(rate, limits.burst, now);
         account.learn(instance, report.told_fill, now);
         let spent = account.count(instance, incarnation, report.spent, now);
@@ -138,6 +145,23 @@
         }
     }
 
+    /// Returns the part of the rate that reachable instances share, as it was lately.
+    fn look_reachable(
+        &mut self,
+        unheard: &[(InstanceId, MonotonicTime)],
+        instances: usize,
+        now: MonotonicTime,
+    ) -> f64 {
+        if let Some((at, part)) = self.reachable
+            && now.saturating_since(at) < REACHABLE_LASTS
+        {
+            return part;
+        }
+        let part = self.reachable_part(unheard, instances, now);
+        self.reachable = Some((now, part));
+        part
+    }
+
     /// Instances that are cut off go on alone with their part of the rate, which is left to
     /// them; so is an even part of those that were never heard, or long ago.
     fn reachable_part(
--- a/crates/mustardhinge-core/tests/suite/spending.rs
+++ b/crates/mustardhinge-core/tests/suite/spending.rs
@@ -501,3 +501,45 @@
     while table.admit(&customer(), 1, at(2_200)).is_ok() {}
     assert_eq!(ask(&mut table, 2_500, false), 1);
 }
+
+/// Returns the least time for the reports of one instance on 70 customers, to a book that has not
+/// heard from `silent` others for a while.
+fn time_among_silent(silent: usize) -> Duration {
+    let limits = CustomerRate {
+        rate: 20.0,
+        burst: 20.0,
+    };
+    let mut book = SpendBook::default();
+    for index in 0..silent {
+        let id: InstanceId = format!("i{index}").parse().unwrap();
+        book.heard(&id, silent, at(0));
+    }
+    let asker: InstanceId = "asker".parse().unwrap();
+    let customers: Vec<CustomerId> = (0..70)
+        .map(|index| format!("c{index}").parse().unwrap())
+        .collect();
+    let rounds = (1..=20_u64).map(|round| {
+        let now = at(1_000 + round);
+        let begin = std::time::Instant::now();
+        book.heard(&asker, silent, now);
+        for customer in &customers {
+            let report = SpendReport {
+                customer: customer.clone(),
+                spent: round,
+                told_fill: None,
+            };
+            book.grant((&asker, 1), &report, limits, now);
+        }
+        begin.elapsed()
+    });
+    rounds.min().unwrap()
+}
+
+/// After a loss of all instances a new leader has heard few of hundreds: an answer must not cost
+/// more for those that it waits for.
+#[test]
+fn an_answer_costs_the_same_whoever_is_silent() {
+    let few = time_among_silent(5);
+    let many = time_among_silent(3_000);
+    assert!(many < 10 * few, "5 silent {few:?}, 3,000 silent {many:?}");
+}
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayTable;
-use mustardhinge_core::membership::{InstanceRoster, RosterEntry};
+use mustardhinge_core::membership::{InstanceRoster, ListPace, RosterEntry};
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision, StoreTurn};
+use mustardhinge_core::primacy::{DutyRecord, GroupDesk, RecordRevision};
 use mustardhinge_core::spending::SpendBook;
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::timeout;
 
+use super::plan_relay::AnswerKey;
 use super::{GrantEcho, GroupRecord, PeerMessage};
 use crate::node::NodeState;
 
@@ -25,14 +26,10 @@
 const RELAY_LASTS: Duration = Duration::from_millis(1_100);
 /// A wait for the end of that time lasts a little longer, so that one look is enough.
 const RELAY_LOOK: Duration = Duration::from_millis(10);
-/// A fleet of so few instances has few watches of the list of targets.
-const FEW_INSTANCES: usize = 16;
-/// How often an instance looks whether it has to watch that list; short against the seconds within
-/// which a leaving target gets no more work.
-const LIST_LOOK: Duration = Duration::from_millis(500);
-/// How long a started instance waits for the holder's first word: the time in which one of
-/// those that were started together takes the duty and is found.
-const FIRST_GRANT: Duration = Duration::from_millis(700);
+/// Each answer holds a packed configuration and list of up to a megabyte while it is sent.
+const ANSWERS_AT_ONCE: usize = 8;
+/// How long a started instance waits for the holder's first word: many round trips.
+const FIRST_GRANT: Duration = Duration::from_millis(100);
 /// How often it looks for that.
 const FIRST_LOOK: Duration = Duration::from_millis(20);
 
@@ -65,8 +62,16 @@
     pub hint: Cell<Option<SocketAddr>>,
     /// The record of the newest holder that was named by another instance.
     pub named_holder: RefCell<Option<DutyRecord>>,
-    /// This instance's turn at the store.
-    pub turn: StoreTurn,
+    /// When a list of targets that differs from the holder's is fetched again, and the pause after.
+    pub list_pace: Cell<ListPace>,
+    /// Whether the state of another instance is being fetched.
+    pub is_fetching: Cell<bool>,
+    /// The last answer that was packed for others, and what it was made of.
+    pub(super) packed: RefCell<Option<(AnswerKey, Rc<Vec<u8>>)>>,
+    /// Answers to other instances that are made at a time.
+    pub answering: Semaphore,
+    /// Where it was asked who holds the duty while that was not known.
+    pub waiting_askers: RefCell<Vec<SocketAddr>>,
     /// Whether that one has just taken the duty over, and waits to be asked.
     pub is_hint_new: Cell<bool>,
     /// The last grant that this instance took.
@@ -109,7 +114,11 @@
             in_work: RefCell::default(),
             hint: Cell::new(None),
             named_holder: RefCell::new(None),
-            turn: StoreTurn::default(),
+            list_pace: Cell::default(),
+            is_fetching: Cell::new(false),
+            packed: RefCell::default(),
+            answering: Semaphore::new(ANSWERS_AT_ONCE),
+            waiting_askers: RefCell::default(),
             is_hint_new: Cell::new(false),
             echo: Cell::new(None),
             newer_at: Cell::new(None),
@@ -196,56 +205,6 @@
         }
     }
 
-    /// Waits until this instance has to watch the store: at once where the holder says so, after
-    /// its turn where nobody says anything.
-    pub async fn until_watching(&self) {
-        loop {
-            self.until_relayed(false).await;
-            let now = self.node.clock.now();
-            let is_told = now.saturating_since(self.granted_at.get()) < RELAY_LASTS;
-            let turn = self.turn.watch(self.node.instances());
-            if is_told || turn.is_zero() {
-                return;
-            }
-            let relayed = self.until_relayed(true);
-            // The time being out means that the turn has come.
-            if timeout(turn, relayed).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Returns whether the holder tells this instance of changes in the list of targets. Entries
-    /// change all the time in what doesn't matter here, so each watch comes back at once; in a
-    /// large fleet only the holder's follows, and its digest tells the others.
-    fn is_list_told(&self, now: MonotonicTime) -> bool {
-        if self.node.instances() <= FEW_INSTANCES {
-            return self.is_relayed(now);
-        }
-        let is_led = now.saturating_since(self.granted_at.get()) < RELAY_LASTS;
-        is_led && !self.node.duty.borrow().may_grant(now)
-    }
-
-    /// Waits until this instance has to watch the list of targets itself.
-    pub async fn until_list_wanted(&self) {
-        loop {
-            if !self.is_list_told(self.node.clock.now()) {
-                self.until_watching().await;
-                if !self.is_list_told(self.node.clock.now()) {
-                    return;
-                }
-            }
-            sleep(LIST_LOOK).await;
-        }
-    }
-
-    /// Waits until the holder tells this instance of changes in that list.
-    pub async fn until_list_told(&self) {
-        while !self.is_list_told(self.node.clock.now()) {
-            sleep(LIST_LOOK).await;
-        }
-    }
-
     /// Waits a moment after the start for the holder's first word, which may spare calls to
     /// the store.
     pub async fn await_first_grant(&self) {
--- a/crates/mustardhinge-resident/src/control/duty_task.rs
+++ b/crates/mustardhinge-resident/src/control/duty_task.rs
@@ -28,6 +28,9 @@
 const CLOSE_GRACE: Duration = Duration::from_millis(250);
 /// Least pause between two asks that callers wait for.
 const ASKED_PAUSE: Duration = Duration::from_millis(8);
+/// Pause after which a started instance asks again, if it doesn't hear of a holder before. It
+/// doesn't know yet how many others do the same.
+const FIRST_ASK_AGAIN: Duration = Duration::from_millis(300);
 /// News of other instances is waited for this long to come from the store.
 const STORE_FIRST: Duration = Duration::from_millis(400);
 /// A primary that calls itself a replica for this long was replaced by somebody else.
@@ -268,8 +271,12 @@
 ) {
     let is_urgent = has_unusable(control, now);
     let primacy = &control.node.primacy;
-    let pause = if memory.has_news {
+    let has_granted = control.granted_at.get() != MonotonicTime::default();
+    let has_hint = control.is_hint_new.get();
+    let pause = if memory.has_news && (has_granted || has_hint) {
         ASKED_PAUSE
+    } else if !has_granted {
+        FIRST_ASK_AGAIN
     } else if is_urgent {
         primacy.urgent_ask(control.node.instances())
     } else {
@@ -286,7 +293,8 @@
         memory.has_news = false;
         send_ask(control, now);
     }
-    if memory.needs_spending && is_due(memory.spending_asked_at, ASKED_PAUSE) {
+    // Before the first grant the holder has more to do than to allow one operation more.
+    if memory.needs_spending && has_granted && is_due(memory.spending_asked_at, ASKED_PAUSE) {
         memory.spending_asked_at = Some(now);
         memory.needs_spending = false;
         send_spending_ask(control, now);
--- a/crates/mustardhinge-resident/src/control/holder_words.rs
+++ b/crates/mustardhinge-resident/src/control/holder_words.rs
@@ -60,7 +60,11 @@
     control.note_granted(grant.relay, now);
     let source = grant.relay.unwrap_or(grant.record.address);
     note_versions(control, grant.plan_version, source, now);
-    if grant.targets != node.targets_digest() {
+    let known = node.targets_digest();
+    let mut pace = control.list_pace.get();
+    let is_fed = control.has_store.get() && grant.relay.is_none();
+    if !is_fed && grant.targets != known && pace.wants(known.get(), now) {
+        control.list_pace.set(pace);
         control.note_newer(source, now);
     }
 }
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -17,6 +17,8 @@
 /// Greatest datagram.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
+/// Most instances that are remembered to have asked for the holder.
+const MOST_WAITING: usize = 512;
 /// Gateways that are asked for the holder besides the seeds, which may be gone.
 const ASKED_GATEWAYS: usize = 2;
 
@@ -65,6 +67,7 @@
         PeerMessage::GrantSpending(grant) => take_spending(control, &grant),
         PeerMessage::Stop(stop) => take_stop(control, &stop),
         PeerMessage::Holder(hint) => take_hint(control, &hint, from),
+        PeerMessage::WhoLeads(address) => name_holder(control, address),
         PeerMessage::Gateways(news) => control.node.adopt_gateways(&news),
     }
 }
@@ -74,10 +77,24 @@
     let mut duty = control.node.duty.borrow_mut();
     duty.asked_for_holder();
     let named = control.named_holder.borrow();
+    let held = duty.held_record().map(|(record, _, _)| record);
     let known = duty.known_holder().into_iter().chain(named.as_ref());
-    match known.max_by_key(|record| record.fence) {
+    match known.chain(held).max_by_key(|record| record.fence) {
         Some(record) => send_hint(control, record, to),
-        None => control.wake.notify_one(),
+        None => {
+            let mut waiting = control.waiting_askers.borrow_mut();
+            if waiting.len() < MOST_WAITING && !waiting.contains(&to) {
+                waiting.push(to);
+            }
+            control.wake.notify_one();
+        }
+    }
+}
+
+/// Names the holder to those who asked while it was not known.
+pub(super) fn name_to_waiting<P>(control: &ControlState<P>, record: &DutyRecord) {
+    for address in control.waiting_askers.take() {
+        send_hint(control, record, address);
     }
 }
 
@@ -99,17 +116,24 @@
     if control.is_hint_new.take() {
         asked.extend(control.hint.get());
     }
+    let mut others = Vec::new();
     if now.saturating_since(control.granted_at.get()) > LOOK_AFTER {
         asked.extend(control.hint.get());
-        asked.extend(&control.node.settings.seeds);
+        others.extend(&control.node.settings.seeds);
         let gateways = control.node.gateway_addresses();
-        asked.extend(gateways.sample(&mut rand::rng(), ASKED_GATEWAYS));
+        others.extend(gateways.sample(&mut rand::rng(), ASKED_GATEWAYS));
     }
-    asked.sort_unstable();
-    asked.dedup();
-    let message = PeerMessage::Ask(ask);
-    for address in asked.into_iter().filter(|address| *address != own) {
-        control.send(&message, address);
+    send_to_all(control, &PeerMessage::Ask(ask), asked.clone());
+    others.retain(|address| !asked.contains(address));
+    send_to_all(control, &PeerMessage::WhoLeads(own), others);
+}
+
+fn send_to_all<P>(control: &ControlState<P>, message: &PeerMessage, mut to: Vec<SocketAddr>) {
+    to.sort_unstable();
+    to.dedup();
+    let own = control.node.settings.peers;
+    for address in to.into_iter().filter(|address| *address != own) {
+        control.send(message, address);
     }
 }
 
@@ -129,6 +153,7 @@
     let Some((record, _, _)) = duty.held_record() else {
         return;
     };
+    name_to_waiting(control, record);
     let own = control.node.settings.peers;
     let seeds = control.node.settings.seeds.iter().copied();
     let known = seeds.chain(control.node.gateway_addresses());
@@ -261,11 +286,13 @@
     }
     drop(duty);
     if is_current {
+        name_to_waiting(control, &hint.record);
         control.named_holder.replace(Some(hint.record.clone()));
     }
     if is_current && hint.record.holder != control.node.settings.instance {
-        control.hint.set(Some(hint.record.address));
-        if is_newer || control.granted_at.get() == MonotonicTime::default() {
+        let before = control.hint.replace(Some(hint.record.address));
+        let is_first = control.granted_at.get() == MonotonicTime::default();
+        if is_newer || is_first && before != Some(hint.record.address) {
             control.is_hint_new.set(true);
             control.node.tell_holder.notify_one();
         }
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -30,6 +30,8 @@
     Stop(StopMessage),
     /// An instance that isn't the holder says who is.
     Holder(HolderHint),
+    /// An instance without the holder's word asks who holds the duty, to be told at this address.
+    WhoLeads(SocketAddr),
     /// The holder says which instances are gateways.
     Gateways(GatewayNews),
 }
--- a/crates/mustardhinge-resident/src/control/plan_feed.rs
+++ b/crates/mustardhinge-resident/src/control/plan_feed.rs
@@ -17,7 +17,7 @@
 pub async fn follow_plan<P: PlatformClient>(control: Rc<ControlState<P>>) {
     control.await_first_grant().await;
     loop {
-        control.until_watching().await;
+        control.until_relayed(false).await;
         if let Err(error) = follow_once(&control).await {
             control.note_store(Err(&error));
             sleep(RETRY_PAUSE).await;
--- a/crates/mustardhinge-resident/src/control/plan_relay.rs
+++ b/crates/mustardhinge-resident/src/control/plan_relay.rs
@@ -27,6 +27,10 @@
 /// a list of thousands of targets.
 const RELAY_BYTES: u64 = 4 * 1024 * 1024;
 
+/// How often the zone's reader is asked before the holder, whose link all zones share.
+const RELAY_TRIES: usize = 4;
+/// Pause between two such questions: a read of the store takes a few round trips.
+const RELAY_PAUSE: Duration = Duration::from_millis(250);
 /// Most bytes of a question for them.
 const QUERY_BYTES: u64 = 256;
 
@@ -100,26 +104,47 @@
         .read_to_end(&mut question)
         .await?;
     let query: RelayQuery = serde_json::from_slice(&question)?;
+    let _permit = control.answering.acquire().await?;
     let plan = control.node.plan();
     let (targets, revision) = control.node.target_list();
     let has_plan = plan.version() > query.plan_version;
     let is_current = revision >= query.targets_revision;
     let has_targets = is_current && control.node.targets_digest() != query.targets;
-    let state = RelayedState {
+    let state = || RelayedState {
         plan: has_plan.then(|| String::from_utf8_lossy(plan.source()).into_owned()),
         targets: has_targets.then_some(targets),
         revision,
     };
-    let answer = serde_json::to_vec(&state)?;
     let answer = if query.takes_packed {
-        pack(&answer)?
+        let digest = control.node.targets_digest();
+        let key = (plan.version(), digest, (has_plan, has_targets));
+        packed_answer(control, key, state)?
     } else {
-        answer
+        Rc::new(serde_json::to_vec(&state())?)
     };
     stream.write_all(&answer).await?;
     Ok(None)
 }
 
+/// Which state an answer was made of, and which parts of it.
+pub(super) type AnswerKey = (DocumentVersion, TargetsDigest, (bool, bool));
+
+/// Returns the packed answer. A zone that starts asks for the same one dozens of times.
+fn packed_answer<P>(
+    control: &ControlState<P>,
+    key: AnswerKey,
+    state: impl FnOnce() -> RelayedState,
+) -> anyhow::Result<Rc<Vec<u8>>> {
+    if let Some((known, answer)) = control.packed.borrow().as_ref()
+        && *known == key
+    {
+        return Ok(Rc::clone(answer));
+    }
+    let answer = Rc::new(pack(&serde_json::to_vec(&state())?)?);
+    control.packed.replace(Some((key, Rc::clone(&answer))));
+    Ok(answer)
+}
+
 /// Packs an answer; configurations shrink to a tenth.
 fn pack(answer: &[u8]) -> std::io::Result<Vec<u8>> {
     let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
@@ -145,14 +170,29 @@
     control: Rc<ControlState<P>>,
     address: SocketAddr,
 ) {
-    let before = query_of(&control);
-    adopt_from(&control, address).await;
-    if query_of(&control) != before {
+    if control.is_fetching.replace(true) {
         return;
     }
+    fetch_newest(&control, address).await;
+    control.is_fetching.set(false);
+}
+
+async fn fetch_newest<P: PlatformClient>(control: &ControlState<P>, address: SocketAddr) {
+    let before = query_of(control);
+    for _ in 0..RELAY_TRIES {
+        adopt_from(control, address).await;
+        if query_of(control) != before {
+            return;
+        }
+        if control.relay.get() != Some(address) {
+            break;
+        }
+        // One that was started with this instance is still reading.
+        sleep(RELAY_PAUSE).await;
+    }
     let holder = control.node.duty.borrow().known_holder().cloned();
     if let Some(holder) = holder.filter(|holder| holder.address != address) {
-        adopt_from(&control, holder.address).await;
+        adopt_from(control, holder.address).await;
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -23,7 +23,7 @@
     let mut missing = HashMap::new();
     control.await_first_grant().await;
     loop {
-        control.until_list_wanted().await;
+        control.until_relayed(false).await;
         if let Err(error) = follow_once(&control, &mut missing).await {
             control.note_store(Err(&error));
             sleep(RETRY_PAUSE).await;
@@ -63,7 +63,7 @@
         let news = tokio::select! {
             news = watch => news?,
             () = pass(patience) => continue,
-            () = control.until_list_told() => return Ok(()),
+            () = control.until_relayed(true) => return Ok(()),
         };
         control.note_store(Ok(()));
         match news {
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use mustardhinge_core::primacy::{DutyClaim, StoreTurn};
-use mustardhinge_process::{BootClock, event};
+use mustardhinge_core::primacy::DutyClaim;
+use mustardhinge_process::event;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -50,12 +50,8 @@
         let socket = socket.with_context(|| format!("datagrams at {}", settings.peers))?;
         let rank = u32::try_from(incarnation % u64::from(CLAIM_RANKS)).unwrap_or(0);
         let duty = DutyClaim::new(settings.instance.clone(), incarnation, settings.peers, rank);
-        let turn = StoreTurn::new(&settings.instance, incarnation);
-        let duty = duty.with_turn(turn, BootClock.now());
         let node = Rc::new(NodeState::new(settings, duty, incarnation));
-        let mut control = ControlState::new(node, platform, socket, incarnation);
-        control.turn = turn;
-        let control = Rc::new(control);
+        let control = Rc::new(ControlState::new(node, platform, socket, incarnation));
         Ok(Self {
             control,
             listener: Some(listener),
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -303,7 +303,6 @@
         let is_new = (instances, Some(place)) != (self.instances.get(), self.place.get());
         if is_new && instances > 0 {
             self.instances.set(instances);
-            self.duty.borrow_mut().note_instances(instances);
             self.place.set(Some(place));
             self.divide_connections();
         }
--- a/crates/mustardhinge-resident/src/plan/targets_digest.rs
+++ b/crates/mustardhinge-resident/src/plan/targets_digest.rs
@@ -9,6 +9,12 @@
 pub struct TargetsDigest(u64);
 
 impl TargetsDigest {
+    /// Returns the digest as a number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
     /// Returns the digest of a list, in whatever order it comes.
     #[must_use]
     pub fn of<'a>(entries: impl Iterator<Item = &'a TargetEntry>) -> Self {
