--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What one instance knows, shared by its sessions and its control.
 
 mod drain_phase;
+mod node_gateways;
 mod node_limits;
 mod node_process;
 mod node_settings;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -1,13 +1,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mustardhinge_core::connection::ConnectionShare;
-use mustardhinge_core::gateway::{
-    ConnectionPlan, GatewayNews, GatewayPair, GatewayRank, GatewayVersion, GatewayView,
-};
+use mustardhinge_core::gateway::GatewayView;
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primacy::{
     DutyClaim, GroupEpoch, LeaseBook, PrimacySettings, RecordRevision,
@@ -15,20 +12,15 @@
 use mustardhinge_core::spending::SpendTable;
 use mustardhinge_process::{BootClock, event};
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
 
 use super::{DrainPhase, NodeLimits, NodeSettings};
-use crate::gateway::{ForwardedLink, GatewayPeers};
+use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
 use crate::plan::{ServingPlan, TargetEntry, TargetsDigest};
-use crate::seam::SessionWire;
-use crate::target::{LinkError, LinkLease, LinkNeed, TargetHandle};
+use crate::target::TargetHandle;
 
 /// How many instances are assumed to share the targets until the holder of the duty tells.
 const ASSUMED_INSTANCES: usize = 8;
-/// How long a statement waits for the first table of gateways: a new leader makes it within a
-/// few hundred milliseconds.
-const GATEWAYS_WAIT: Duration = Duration::from_millis(400);
 /// Leases must have been gone for this long before the instance asks for no more callers;
 /// longer than the duty takes to move.
 const UNREADY_AFTER: Duration = Duration::from_millis(3_000);
@@ -62,16 +54,16 @@
     pub forwarded: Cell<usize>,
     /// The gateways that this instance forwards to.
     pub peers: GatewayPeers,
-    gateways: RefCell<GatewayView>,
-    gateways_changed: Notify,
+    pub(super) gateways: RefCell<GatewayView>,
+    pub(super) gateways_changed: Notify,
     plan: RefCell<Rc<ServingPlan>>,
-    groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
+    pub(super) groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
     /// The service of each listed target.
     homes: RefCell<HashMap<TargetId, ServiceId>>,
     leaving: RefCell<Option<Vec<TargetId>>>,
     targets_revision: Cell<RecordRevision>,
     targets_digest: Cell<Option<TargetsDigest>>,
-    instances: Cell<usize>,
+    pub(super) instances: Cell<usize>,
     place: Cell<Option<usize>>,
     leased_at: Cell<MonotonicTime>,
     drain: watch::Sender<DrainPhase>,
@@ -314,7 +306,7 @@
         self.instances.get()
     }
 
-    fn divide_connections(&self) {
+    pub(super) fn divide_connections(&self) {
         for group in self.groups() {
             self.divide_group(&group);
         }
@@ -343,93 +335,6 @@
         }
     }
 
-    /// Takes what has changed in the table of gateways.
-    pub fn adopt_gateways(&self, news: &GatewayNews) {
-        if !self.gateways.borrow_mut().apply(news) {
-            return;
-        }
-        let gateways = self.gateways.borrow();
-        event::GATEWAYS_CHANGED.log(format_args!(
-            "version={}.{} whole={} changed={} targets={}",
-            news.version.fence,
-            news.version.number,
-            news.is_whole,
-            news.changes.len(),
-            gateways.len()
-        ));
-        metrics::gauge!("resident_gateway_targets").set(gateways.len() as f64);
-        drop(gateways);
-        self.divide_connections();
-        self.gateways_changed.notify_waiters();
-        let groups = self.groups.borrow();
-        let targets = groups.values().flat_map(|group| group.targets());
-        let pairs: Vec<_> = targets.filter_map(|target| target.gateways()).collect();
-        self.peers.retain(|address| {
-            let is_of = |pair: &GatewayPair| pair.rank_of(address) != GatewayRank::Other;
-            pairs.iter().any(is_of)
-        });
-    }
-
-    /// Returns the instances that are gateways.
-    #[must_use]
-    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
-        let groups = self.groups.borrow();
-        let targets = groups.values().flat_map(|group| group.targets());
-        let pairs = targets.filter_map(|target| target.gateways());
-        let mut addresses: Vec<_> = pairs
-            .flat_map(|pair| [Some(pair.first), pair.second])
-            .flatten()
-            .filter(|address| *address != self.settings.peers)
-            .collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
-    }
-
-    /// Returns which table of gateways is known.
-    #[must_use]
-    pub fn gateway_version(&self) -> GatewayVersion {
-        self.gateways.borrow().version()
-    }
-
-    /// Borrows a connection to a target when it is the session's turn, or a place through the
-    /// target's gateway, where it waits for its turn.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the turn can't come in time, or the target can't be reached.
-    pub async fn borrow_link<W: SessionWire>(
-        &self,
-        target: &Rc<TargetHandle>,
-        need: &LinkNeed,
-    ) -> Result<LinkLease, LinkError> {
-        self.await_gateways(target, need).await;
-        let peer = target
-            .gateways()
-            .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
-        match peer {
-            Some(peer) => {
-                let link = ForwardedLink::new(peer);
-                Ok(LinkLease::forwarded(Rc::clone(target), link))
-            }
-            None => target.borrow_link::<W>(need, &self.clock).await,
-        }
-    }
-
-    /// Waits a moment for the table of gateways where connections are few: a fleet that starts
-    /// together would take them all before its gateways can.
-    async fn await_gateways(&self, target: &TargetHandle, need: &LinkNeed) {
-        let plan = self.plan();
-        let all = plan.connection_limit(&target.entry().service);
-        let customers = plan.customers().len();
-        let wants = ConnectionPlan::decide(all, self.instances.get(), customers);
-        if wants == ConnectionPlan::Gateways && self.gateway_version().number == 0 {
-            let wait = need.wait.min(GATEWAYS_WAIT);
-            // The time being out means that this instance connects itself.
-            let _ = timeout(wait, self.gateways_changed.notified()).await;
-        }
-    }
-
     /// Returns whether an epoch is known to be over, or to be ending.
     #[must_use]
     pub fn is_epoch_over(&self, service: &ServiceId, epoch: GroupEpoch) -> bool {
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -5,6 +5,7 @@
 mod link_lease;
 mod link_need;
 mod link_pool;
+mod target_gateways;
 mod target_handle;
 mod target_health;
 mod target_line;
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -22,8 +22,6 @@
 /// Pause before a connection is opened again at a target that has too many; it counts those of
 /// dead processes for about three seconds.
 const CROWDED_PAUSE: Duration = Duration::from_millis(100);
-/// What a gateway told of a target's load counts for this long: a few service times.
-const LOAD_COUNTS: Duration = Duration::from_millis(250);
 /// When to come back if the line was left without an answer.
 const LATE_RETRY: Duration = Duration::from_millis(150);
 
@@ -32,16 +30,16 @@
 pub struct TargetHandle {
     entry: RefCell<Rc<TargetEntry>>,
     links: LinkPool,
-    line: TargetLine,
-    meter: Cell<ServiceMeter>,
+    pub(super) line: TargetLine,
+    pub(super) meter: Cell<ServiceMeter>,
     lag: Cell<ReplicaLag>,
     health: Cell<TargetHealth>,
     is_told_leaving: Cell<bool>,
     is_gone: Cell<bool>,
     is_probed: Cell<bool>,
-    forwarded: Cell<usize>,
-    gateways: Cell<Option<GatewayPair>>,
-    gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
+    pub(super) forwarded: Cell<usize>,
+    pub(super) gateways: Cell<Option<GatewayPair>>,
+    pub(super) gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
 }
 
 impl TargetHandle {
@@ -144,52 +142,6 @@
         self.line.load() + self.forwarded.get()
     }
 
-    /// Returns how many statements it works on or wait for it, as far as is known here.
-    #[must_use]
-    pub fn placed_load(&self, now: MonotonicTime) -> usize {
-        let told = self.gateway_load(now);
-        let told = told.map_or(0, |load| load.statements as usize);
-        self.load().max(told)
-    }
-
-    /// Returns what its gateway told of late.
-    fn gateway_load(&self, now: MonotonicTime) -> Option<GatewayLoad> {
-        let (load, at) = self.gateway_load.get()?;
-        (now.saturating_since(at) < LOAD_COUNTS).then_some(load)
-    }
-
-    /// Takes what its gateway told.
-    pub fn note_gateway_load(&self, load: GatewayLoad, now: MonotonicTime) {
-        self.gateway_load.set(Some((load, now)));
-    }
-
-    /// Returns how busy it is, for those that forward here.
-    #[must_use]
-    pub fn own_load(&self, now: MonotonicTime) -> GatewayLoad {
-        GatewayLoad::new(self.line.load(), self.meter.get().usual(now))
-    }
-
-    /// Returns its gateways; none if each instance connects to it itself.
-    #[must_use]
-    pub const fn gateways(&self) -> Option<GatewayPair> {
-        self.gateways.get()
-    }
-
-    /// Sets its gateways.
-    pub fn set_gateways(&self, gateways: Option<GatewayPair>) {
-        self.gateways.set(gateways);
-    }
-
-    /// Counts a place through its gateway as taken.
-    pub(super) fn begin_forward(&self) {
-        self.forwarded.set(self.forwarded.get() + 1);
-    }
-
-    /// Counts such a place as free.
-    pub(super) fn end_forward(&self) {
-        self.forwarded.set(self.forwarded.get().saturating_sub(1));
-    }
-
     /// Returns whether a connection for the customer lies idle.
     #[must_use]
     pub fn has_idle(&self, need: &LinkNeed) -> bool {
