--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key;
 pub mod membership;
 pub mod outcome;
+pub mod overload;
 pub mod placement;
 pub mod prelude;
 pub mod primary_lease;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -68,4 +68,5 @@
     GATEWAY_LEAVING = 6022, Info, "gateway is stopping";
     FORWARDER_LEFT = 6023, Info, "instance that forwards left";
     FORWARD_REFUSED = 6024, Info, "forwarded statement not run";
+    OVERLOAD_CONTROL_CHANGED = 6025, Info, "overload control changed";
 }
--- a/crates/mustardhinge-resident/src/node/node_settings.rs
+++ b/crates/mustardhinge-resident/src/node/node_settings.rs
@@ -24,6 +24,10 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// CPU capacity in hundredths of a core, the weight of its share of the gateway work.
     pub cpu_centicores: u16,
+    /// Whether the settings request overload control.
+    pub requests_overload_control: bool,
+    /// All availability zones of the deployment.
+    pub zones: Vec<ZoneId>,
     /// Limits that can change at run time.
     pub limits: NodeLimits,
 }
@@ -51,6 +55,8 @@
                 peer_address,
                 seed_addresses: Vec::new(),
                 cpu_centicores: DEFAULT_CPU_CENTICORES,
+                requests_overload_control: false,
+                zones: Vec::new(),
                 limits: NodeLimits::default(),
             },
         }
@@ -68,6 +74,18 @@
         self
     }
 
+    /// Requests overload control, or leaves the decision to the zones of the targets.
+    pub const fn request_overload_control(mut self, is_requested: bool) -> Self {
+        self.settings.requests_overload_control = is_requested;
+        self
+    }
+
+    /// Sets all availability zones of the deployment.
+    pub fn zones(mut self, zones: Vec<ZoneId>) -> Self {
+        self.settings.zones = zones;
+        self
+    }
+
     /// Sets the maximum number of concurrent caller sessions.
     pub const fn max_callers(mut self, max_callers: usize) -> Self {
         self.settings.limits.max_callers = max_callers;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -5,6 +5,7 @@
 
 use mustardhinge_core::connection::ConnectionShare;
 use mustardhinge_core::gateway::GatewayView;
+use mustardhinge_core::overload::{OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision,
@@ -62,6 +63,9 @@
     target_services: RefCell<HashMap<TargetId, ServiceId>>,
     /// Cached result of [`Self::leaving_targets`].
     leaving_targets: RefCell<Option<Vec<TargetId>>>,
+    overload_switch: RefCell<OverloadSwitch>,
+    /// Cached result of [`Self::overload_control`].
+    overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
@@ -77,6 +81,8 @@
     /// Creates the state of an instance without configuration, targets or leases.
     #[must_use]
     pub fn new(settings: NodeSettings, election: LeaderElection, incarnation: u64) -> Self {
+        let overload_switch =
+            OverloadSwitch::new(settings.requests_overload_control, settings.zones.clone());
         Self {
             peers: GatewayPeers::new(settings.peer_address, incarnation),
             gateways: RefCell::default(),
@@ -97,6 +103,8 @@
             groups: RefCell::default(),
             target_services: RefCell::default(),
             leaving_targets: RefCell::default(),
+            overload_switch: RefCell::new(overload_switch),
+            overload_control: Cell::new(None),
             targets_revision: Cell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
@@ -229,7 +237,29 @@
         leaving
     }
 
+    /// Returns whether overload control is in force on this instance.
+    #[must_use]
+    pub fn overload_control(&self) -> OverloadControl {
+        if let Some(known) = self.overload_control.get() {
+            return known;
+        }
+        let mut switch = self.overload_switch.borrow_mut();
+        let before = switch.current();
+        let groups = self.groups.borrow();
+        let handles = groups.values().flat_map(|group| group.targets());
+        let entries: Vec<_> = handles.map(|handle| handle.entry()).collect();
+        switch.record_targets(entries.iter().map(|entry| &entry.zone));
+        let current = switch.current();
+        self.overload_control.set(Some(current));
+        if current != before {
+            event::OVERLOAD_CONTROL_CHANGED
+                .log(format_args!("overload_control={current} before={before}"));
+        }
+        current
+    }
+
     fn invalidate_list_caches(&self) {
+        self.overload_control.set(None);
         self.targets_digest.set(None);
         self.leaving_targets.replace(None);
     }
