Bind a change of primary to the target of an order that may take effect

The next attempt found the old primary reachable again and kept it, and its leases were used while the accepted promotion took effect.

Change: PromotionOrders keeps the orders of a group that may still take effect, and until then only their target can become primary: 4 s for an accepted order, 7 s for one without a response. An order that was never sent (no connection, 429) binds nothing, so that a partition doesn't prolong the outage.

Tests: a table and a proptest of late, lost and repeated orders in the core; a late promotion beside a recovered primary in the adapter's suite, which fails without the restriction (server-0 confirms a write).

--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -6,6 +6,7 @@
 mod held_leases;
 mod leader_election;
 mod lease_response;
+mod promotion_orders;
 mod successor_choice;
 mod voters;
 mod wait_decision;
--- a/crates/mustardhinge-resident/src/adapter/platform_error.rs
+++ b/crates/mustardhinge-resident/src/adapter/platform_error.rs
@@ -5,6 +5,7 @@
 pub struct PlatformError {
     call: &'static str,
     cause: String,
+    is_unsent: bool,
 }
 
 impl PlatformError {
@@ -14,8 +15,22 @@
         Self {
             call,
             cause: cause.to_string(),
+            is_unsent: false,
         }
     }
+
+    /// Marks that the call was never sent, because there was no connection.
+    #[must_use]
+    pub const fn unsent(mut self, is_unsent: bool) -> Self {
+        self.is_unsent = is_unsent;
+        self
+    }
+
+    /// Returns whether the call was never sent, so that it has no effect.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        self.is_unsent
+    }
 }
 
 impl fmt::Display for PlatformError {
--- a/crates/mustardhinge-resident/src/adapter/promotion_request.rs
+++ b/crates/mustardhinge-resident/src/adapter/promotion_request.rs
@@ -20,6 +20,8 @@
     Accepted,
     /// The target can't be promoted.
     Rejected(String),
+    /// The request was not executed and never will be.
+    NotExecuted(String),
     /// The outcome is unknown.
     Unknown(String),
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -7,7 +7,9 @@
 use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{InstanceRoster, ListFetchBackoff, RosterEntry};
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primary_lease::{GroupLeases, LeaderRecord, RecordRevision};
+use mustardhinge_core::primary_lease::{
+    GroupLeases, LeaderRecord, PromotionOrders, RecordRevision,
+};
 use mustardhinge_core::rate_limit::RateLimiter;
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
@@ -49,6 +51,8 @@
     pub group_leases: RefCell<HashMap<ServiceId, GroupLeases>>,
     /// The group records as last written or read, with their revisions.
     pub records: RefCell<HashMap<ServiceId, (RecordRevision, GroupRecord)>>,
+    /// The orders to promote that may still take effect, by service.
+    pub promotion_orders: RefCell<HashMap<ServiceId, PromotionOrders>>,
     /// The leader's limiter of the customers' rates.
     pub rate_limiter: RefCell<RateLimiter>,
     /// The instances from which a message was received.
@@ -110,6 +114,7 @@
             socket,
             group_leases: RefCell::default(),
             records: RefCell::default(),
+            promotion_orders: RefCell::default(),
             rate_limiter: RefCell::default(),
             instances: RefCell::default(),
             gateways: RefCell::default(),
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -3,7 +3,7 @@
 
 use mustardhinge_core::prelude::{LeaderTerm, MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
-    ChangeCause, GroupEpoch, GroupPhase, ServerStatus, SuccessorChoice,
+    ChangeCause, GroupEpoch, GroupPhase, OrderOutcome, ServerStatus, SuccessorChoice,
 };
 use mustardhinge_process::event;
 use tokio::task::spawn_local;
@@ -103,7 +103,8 @@
     let statuses = query_targets::<W>(group).await;
     let server_statuses = to_server_statuses(group, &statuses);
     let may_keep = may_keep_primary(cause, was_failing);
-    match SuccessorChoice::choose(&server_statuses, &old, term, may_keep) {
+    let choice = SuccessorChoice::choose(&server_statuses, &old, term, may_keep);
+    match restrict_choice(control, service, choice, &server_statuses, term) {
         SuccessorChoice::Adopt(primary, term) => {
             adopt_primary(control, group, &primary, term).await
         }
@@ -118,6 +119,32 @@
     }
 }
 
+/// Restricts the choice to the target of an order to promote that may still take effect.
+fn restrict_choice<P>(
+    control: &ControlState<P>,
+    service: &ServiceId,
+    choice: SuccessorChoice,
+    server_statuses: &[ServerStatus],
+    term: LeaderTerm,
+) -> SuccessorChoice {
+    let now = control.node.clock.now();
+    match control.promotion_orders.borrow().get(service) {
+        Some(orders) => orders.restrict(choice, server_statuses, term, now),
+        None => choice,
+    }
+}
+
+fn record_order<P>(
+    control: &ControlState<P>,
+    order: &PromotionRequest,
+    sent_at: MonotonicTime,
+    outcome: OrderOutcome,
+) {
+    let mut orders = control.promotion_orders.borrow_mut();
+    let orders = orders.entry(order.service.clone()).or_default();
+    orders.record(&order.target, sent_at, outcome);
+}
+
 fn to_server_statuses(
     group: &GroupState,
     statuses: &[(TargetId, StatusReport)],
@@ -238,6 +265,7 @@
             fence: record.fence,
         }
     };
+    let sent_at = control.node.clock.now();
     control.is_promoting.set(true);
     let response = timeout(PROMOTE_CALL_TIMEOUT, control.platform.promote(&order)).await;
     control.is_promoting.set(false);
@@ -245,6 +273,14 @@
         "service={service} target={candidate} fence={} answer={response:?}",
         order.fence
     ));
+    let outcome = match response {
+        Ok(PromotionOutcome::Accepted) => OrderOutcome::Accepted,
+        Ok(PromotionOutcome::Rejected(_) | PromotionOutcome::NotExecuted(_)) => {
+            OrderOutcome::NotExecuted
+        }
+        Ok(PromotionOutcome::Unknown(_)) | Err(_) => OrderOutcome::Unknown,
+    };
+    record_order(control, &order, sent_at, outcome);
     !matches!(response, Ok(PromotionOutcome::Rejected(_)))
 }
 
@@ -314,6 +350,13 @@
     primary: &TargetId,
     term: LeaderTerm,
 ) {
+    if let Some(orders) = control
+        .promotion_orders
+        .borrow_mut()
+        .get_mut(group.service())
+    {
+        orders.record_promoted(primary);
+    }
     let mut group_leases = control.group_leases.borrow_mut();
     if let Some(leases) = group_leases.get_mut(group.service()) {
         leases.begin_epoch(epoch, primary.clone(), term);
