Distrust a target that answers probes and fails every statement

Change: ProbeTrust counts statements that are lost in a row although the target had accepted a connection or answered a probe before. After four, only a served statement or a trial (after 0.6 s, doubled up to 4.8 s) puts it back into service, and the leader doesn't keep it as a primary. In force only with overload control.

--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod overload;
 mod placement;
 mod primary_lease;
+mod probe_trust;
 mod queue;
 mod rate_limit;
 mod replication;
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -102,7 +102,10 @@
     };
     let statuses = query_targets::<W>(group).await;
     let server_statuses = to_server_statuses(group, &statuses);
-    let may_keep = may_keep_primary(cause, was_failing);
+    let is_distrusted = group
+        .find(&old)
+        .is_some_and(|target| target.is_distrusted());
+    let may_keep = may_keep_primary(cause, was_failing) && !is_distrusted;
     let choice = SuccessorChoice::choose(&server_statuses, &old, term, may_keep);
     match restrict_choice(control, service, choice, &server_statuses, term) {
         SuccessorChoice::Adopt(primary, term) => {
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -251,6 +251,9 @@
         switch.record_targets(entries.iter().map(|entry| &entry.zone));
         let current = switch.current();
         self.overload_control.set(Some(current));
+        for handle in groups.values().flat_map(|group| group.targets()) {
+            handle.set_overload_control(current);
+        }
         if current != before {
             event::OVERLOAD_CONTROL_CHANGED
                 .log(format_args!("overload_control={current} before={before}"));
@@ -354,7 +357,9 @@
             instances: self.instances.get(),
             index: self.index.get(),
         };
+        let overload_control = self.overload_control();
         for target in group.targets() {
+            target.set_overload_control(overload_control);
             let pair = gateways.pair_of(&target.id());
             let own_limit = match &pair {
                 Some(pair) => {
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -220,9 +220,36 @@
         ForwardedOutcome::NotRun(NotRunCause::Leaving) => gateway.peer().mark_stopping(),
         _ => {}
     }
+    record_trust(
+        &target,
+        execution.step,
+        (&response, load.is_some()),
+        sent_at,
+    );
     handle_response(&target, response, (load.is_some(), sent_at), now)
 }
 
+/// Records whether the target served a forwarded statement, as evidence besides its probes.
+fn record_trust(
+    target: &TargetHandle,
+    step: TransactionStep,
+    (response, is_from_gateway): (&ForwardedOutcome, bool),
+    sent_at: MonotonicTime,
+) {
+    // The begin and the end of a transaction are statements of the proxy, like a probe.
+    if matches!(
+        step,
+        TransactionStep::Begin { .. } | TransactionStep::Rollback
+    ) {
+        return;
+    }
+    match response {
+        ForwardedOutcome::Replied(_) => target.record_served_statement(),
+        ForwardedOutcome::Lost { .. } if is_from_gateway => target.record_lost_statement(sent_at),
+        ForwardedOutcome::Lost { .. } | ForwardedOutcome::NotRun(_) => {}
+    }
+}
+
 /// Converts the gateway's response to a result, and updates the target's health and the
 /// metrics.
 fn handle_response(
--- a/crates/mustardhinge-resident/src/session/target_probe.rs
+++ b/crates/mustardhinge-resident/src/session/target_probe.rs
@@ -70,7 +70,12 @@
         while !target.is_removed() && target.health().is_failing() {
             let sent_at = node.clock.now();
             match request_status::<W>(&target, &ProxyStatement::Status).await {
-                Ok((_, reply)) => target.record_response(reply.position, node.clock.now()),
+                Ok((_, reply)) => {
+                    let now = node.clock.now();
+                    if !target.record_probe_response(reply.position, now) {
+                        sleep(PROBE_INTERVAL).await;
+                    }
+                }
                 Err(error) => {
                     target.record_failure(sent_at, error.is_refusal());
                     sleep(PROBE_INTERVAL).await;
--- a/crates/mustardhinge-resident/src/target/response_timeouts.rs
+++ b/crates/mustardhinge-resident/src/target/response_timeouts.rs
@@ -13,3 +13,11 @@
     /// Kind of the request; a label of the latency metric.
     pub kind: &'static str,
 }
+
+impl ResponseTimeouts {
+    /// Returns whether the request is a caller's statement, not one of the proxy's own.
+    #[must_use]
+    pub const fn is_callers_statement(&self) -> bool {
+        self.slow_after.is_some()
+    }
+}
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayPair;
+use mustardhinge_core::overload::{OverloadControl, ProbeTrust};
 use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
-use mustardhinge_process::BootClock;
+use mustardhinge_process::{BootClock, event};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -34,6 +35,8 @@
     pub(super) latency: Cell<LatencyEstimate>,
     lag: Cell<ReplicaLag>,
     health: Cell<TargetHealth>,
+    probe_trust: Cell<ProbeTrust>,
+    overload_control: Cell<OverloadControl>,
     is_marked_leaving: Cell<bool>,
     is_removed: Cell<bool>,
     is_probed: Cell<bool>,
@@ -53,6 +56,8 @@
             latency: Cell::new(LatencyEstimate::default()),
             lag: Cell::new(ReplicaLag::default()),
             health: Cell::new(TargetHealth::default()),
+            probe_trust: Cell::default(),
+            overload_control: Cell::default(),
             is_marked_leaving: Cell::new(false),
             is_removed: Cell::new(false),
             is_probed: Cell::new(false),
@@ -88,6 +93,7 @@
         if moved || restarted {
             self.connections.close_idle();
             self.health.set(TargetHealth::default());
+            self.probe_trust.set(ProbeTrust::default());
         }
     }
 
@@ -148,8 +154,65 @@
         self.connections.has_idle(&request.customer)
     }
 
-    /// Records a response; an error response counts as well.
+    /// Sets whether overload control is in force on this instance.
+    pub fn set_overload_control(&self, overload_control: OverloadControl) {
+        self.overload_control.set(overload_control);
+    }
+
+    /// Returns whether the target fails statements although it answers probes.
+    #[must_use]
+    pub fn is_distrusted(&self) -> bool {
+        self.overload_control.get().is_on() && self.probe_trust.get().is_distrusted()
+    }
+
+    /// Records a response to a caller's statement.
+    pub fn record_served_statement(&self) {
+        let mut trust = self.probe_trust.get();
+        trust.record_served_statement();
+        self.probe_trust.set(trust);
+    }
+
+    /// Records that a caller's statement sent at `sent_at` got no response.
+    pub fn record_lost_statement(&self, sent_at: MonotonicTime) {
+        let mut trust = self.probe_trust.get();
+        let is_new = trust.record_lost_statement(sent_at);
+        self.probe_trust.set(trust);
+        if !self.is_distrusted() {
+            return;
+        }
+        let mut health = self.health.get();
+        health.mark_failing(sent_at);
+        self.health.set(health);
+        if is_new {
+            metrics::counter!("resident_distrusted_targets_total").increment(1);
+            event::TARGET_DISTRUSTED.log(format_args!("target={}", self.id()));
+        }
+    }
+
+    /// Records a response to a probe. Returns whether it puts the target back into service.
+    pub fn record_probe_response(&self, position: Option<LogPosition>, now: MonotonicTime) -> bool {
+        let mut trust = self.probe_trust.get();
+        let is_accepted = trust.accept_probe(now);
+        self.probe_trust.set(trust);
+        if is_accepted || !self.overload_control.get().is_on() {
+            self.set_responding(position, now);
+            return true;
+        }
+        false
+    }
+
+    /// Records a response; an error response counts as well. A distrusted target stays failing
+    /// until it has served a statement or is tried again.
     pub fn record_response(&self, position: Option<LogPosition>, now: MonotonicTime) {
+        let mut trust = self.probe_trust.get();
+        trust.record_sign_of_life(now);
+        self.probe_trust.set(trust);
+        if !(self.is_distrusted() && self.health.get().is_failing()) {
+            self.set_responding(position, now);
+        }
+    }
+
+    fn set_responding(&self, position: Option<LogPosition>, now: MonotonicTime) {
         let mut health = self.health.get();
         health.record_response(position, now);
         self.health.set(health);
--- a/crates/mustardhinge-resident/src/target/target_health.rs
+++ b/crates/mustardhinge-resident/src/target/target_health.rs
@@ -44,6 +44,11 @@
         true
     }
 
+    /// Marks the target as failing since `since` at the latest, whatever responses it gave.
+    pub fn mark_failing(&mut self, since: MonotonicTime) {
+        self.failing_since.get_or_insert(since);
+    }
+
     /// Records that the target reported a missing log position.
     pub fn record_missing_position(&mut self, now: MonotonicTime) {
         self.lacks_position_until = now + MISSING_POSITION_PENALTY;
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -134,6 +134,9 @@
                 metrics::histogram!("resident_target_seconds", "kind" => timeouts.kind)
                     .record(elapsed.as_secs_f64());
                 let position = replies.iter().rev().find_map(|reply| reply.position);
+                if timeouts.is_callers_statement() {
+                    target.record_served_statement();
+                }
                 target.record_response(position, now);
                 record_latencies(target, replies, timeouts, elapsed, now);
             }
@@ -141,6 +144,7 @@
                 self.connection = LeasedConnection::Closed;
                 target.record_closed(now);
                 if error.is_failure() {
+                    target.record_lost_statement(sent_at);
                     target.record_failure(now - Duration::from_millis(1), error.is_refusal());
                 }
             }
