--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -168,18 +168,9 @@
     let Some(gateway) = lease.forwarded_mut() else {
         return Err(ExecutionError::NotRun(ConnectionError::Closed));
     };
-    let gone = NotRunCause::TransactionGone;
-    let step = match (execution.step, gateway.pin()) {
-        (TransactionStep::Single, _) => ForwardedStep::Single,
-        (TransactionStep::Begin { read_only }, _) => ForwardedStep::Begin { read_only },
-        (TransactionStep::Within, Some(pin)) => ForwardedStep::Within { pin },
-        (TransactionStep::Commit, Some(pin)) => ForwardedStep::Commit { pin },
-        (TransactionStep::Rollback, Some(pin)) => ForwardedStep::Rollback { pin },
-        (_, None) => {
-            return Err(ExecutionError::NotRun(ConnectionError::GatewayRefused(
-                gone,
-            )));
-        }
+    let Some(step) = forwarded_step(execution.step, gateway.pin()) else {
+        let gone = ConnectionError::GatewayRefused(NotRunCause::TransactionGone);
+        return Err(ExecutionError::NotRun(gone));
     };
     let forwarded = forwarded_work(&execution, &target, (gateway.next_number(), step), sent_at);
     request.record_attempt(target.id(), execution.epoch, sent_at);
@@ -229,6 +220,18 @@
     handle_response(&target, response, (load.is_some(), sent_at), now)
 }
 
+/// Returns the step as the gateway knows it, or `None` without the open transaction that it needs.
+const fn forwarded_step(step: TransactionStep, pin: Option<u64>) -> Option<ForwardedStep> {
+    match (step, pin) {
+        (TransactionStep::Single, _) => Some(ForwardedStep::Single),
+        (TransactionStep::Begin { read_only }, _) => Some(ForwardedStep::Begin { read_only }),
+        (TransactionStep::Within, Some(pin)) => Some(ForwardedStep::Within { pin }),
+        (TransactionStep::Commit, Some(pin)) => Some(ForwardedStep::Commit { pin }),
+        (TransactionStep::Rollback, Some(pin)) => Some(ForwardedStep::Rollback { pin }),
+        (_, None) => None,
+    }
+}
+
 /// Records whether the target served a forwarded statement, as evidence besides its probes.
 fn record_trust(
     target: &TargetHandle,
