Admit operations without a leader by shares that add up, under overload control

Cause: an instance without a grant refuses at once, and isolated instances start with an empty bucket. Their shares follow recent usage with each grant and are kept for 15 s, so they add up to more than the whole rate.

Change, only while overload control is on: an operation on a started instance waits for the first grant; an isolated instance starts with its share of what the customer may still use; the leader grants shares that add up to at most the whole rate; a new leader takes the mean of the levels that the instances extrapolate from their usage.

--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -1,8 +1,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{AllowanceGrant, CustomerAllowance, CustomerRate, RateRefusal, UsageReport};
+use super::customer_allowance::{ISOLATED_AFTER, SHARE_VALIDITY};
+use super::{
+    AdmissionContext, AllowanceGrant, CustomerAllowance, CustomerRate, RateRefusal, UsageReport,
+};
 use crate::ids::CustomerId;
+use crate::overload::OverloadControl;
 use crate::units::MonotonicTime;
 
 /// Time after the last operation for which a customer is reported, so that a few lost reports
@@ -10,6 +14,9 @@
 const REPORT_WINDOW: Duration = Duration::from_secs(2);
 /// Approximate maximum time for which an operation waits for a larger allowance.
 const MAX_WAIT: Duration = Duration::from_millis(50);
+/// Time after the start of the process for which operations may wait for the first grant; a
+/// started instance usually finds the leader within half a second.
+const FIRST_GRANT_WINDOW: Duration = Duration::from_millis(1_500);
 /// Retry delay for a customer that is not in the configuration.
 const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
 
@@ -33,13 +40,28 @@
         }
     }
 
-    fn report(&mut self, customer: &CustomerId, now: MonotonicTime) -> UsageReport {
+    fn report(
+        &mut self,
+        customer: &CustomerId,
+        is_isolated: bool,
+        now: MonotonicTime,
+    ) -> UsageReport {
         let spent = self.allowance.spent();
         self.reported = Some((now, spent));
         UsageReport {
             customer: customer.clone(),
             spent,
-            last_fill: self.allowance.last_fill(),
+            last_fill: self.allowance.reported_fill(is_isolated),
+        }
+    }
+
+    /// Returns the time after the last operation for which the customer is reported. A new leader
+    /// also learns of customers whose share of an earlier leader would still be valid.
+    fn report_window(&self, overload: OverloadControl) -> Duration {
+        if overload.is_on() && self.acknowledged.is_none() && self.allowance.last_fill().is_some() {
+            SHARE_VALIDITY
+        } else {
+            REPORT_WINDOW
         }
     }
 
@@ -55,9 +77,26 @@
     entries: HashMap<CustomerId, AllowanceEntry>,
     last_response_at: MonotonicTime,
     newest_request_at: MonotonicTime,
+    overload: OverloadControl,
+    started_at: MonotonicTime,
+    has_response: bool,
 }
 
 impl AllowanceTable {
+    /// Creates the table of a process that started at `started_at`.
+    #[must_use]
+    pub fn starting_at(started_at: MonotonicTime) -> Self {
+        Self {
+            started_at,
+            ..Self::default()
+        }
+    }
+
+    /// Sets whether overload control is in force.
+    pub const fn set_overload_control(&mut self, overload: OverloadControl) {
+        self.overload = overload;
+    }
+
     /// Sets the customers of a configuration and their limits.
     pub fn set_customers<'a>(
         &mut self,
@@ -82,6 +121,13 @@
             .map(|entry| entry.allowance.limits())
     }
 
+    /// Returns the time until the instance counts as isolated unless the leader answers.
+    #[must_use]
+    pub fn time_until_isolated(&self, now: MonotonicTime) -> Duration {
+        let isolated_at = self.last_response_at + ISOLATED_AFTER;
+        isolated_at.saturating_since(now)
+    }
+
     /// Admits one operation of a customer whose rate is shared by `instances` instances.
     ///
     /// # Errors
@@ -97,17 +143,30 @@
             return Err(RateRefusal::Exhausted(UNKNOWN_RETRY));
         };
         entry.used_at = now;
-        entry.allowance.admit(self.last_response_at, instances, now)
+        let waits_until = self.started_at + FIRST_GRANT_WINDOW;
+        if self.overload.is_on() && !self.has_response && now < waits_until {
+            let left = waits_until.saturating_since(now);
+            return Err(RateRefusal::AwaitFirstGrant(left));
+        }
+        let context = AdmissionContext {
+            overload: self.overload,
+            last_response_at: self.last_response_at,
+            instances,
+        };
+        entry.allowance.admit(context, now)
     }
 
     /// Returns the reports for a request to the leader at `now`: recently active customers whose
     /// count the leader has not acknowledged or whose allowance is exhausted.
     pub fn reports(&mut self, now: MonotonicTime) -> Vec<UsageReport> {
+        let overload = self.overload;
+        let is_isolated = overload.is_on() && self.time_until_isolated(now).is_zero();
         let entries = self.entries.iter_mut().filter(|(_, entry)| {
-            now.saturating_since(entry.used_at) < REPORT_WINDOW && entry.needs_report()
+            now.saturating_since(entry.used_at) < entry.report_window(overload)
+                && entry.needs_report()
         });
         entries
-            .map(|(customer, entry)| entry.report(customer, now))
+            .map(|(customer, entry)| entry.report(customer, is_isolated, now))
             .collect()
     }
 
@@ -118,15 +177,22 @@
             entry.allowance.is_exhausted() && now.saturating_since(entry.used_at) < MAX_WAIT
         });
         entries
-            .map(|(customer, entry)| entry.report(customer, now))
+            .map(|(customer, entry)| entry.report(customer, false, now))
             .collect()
     }
 
     /// Clears all acknowledgements for a new leader, so that all recently active customers are
     /// reported again.
+    ///
+    /// Under overload control, the shares of the earlier leader end as well. The new one doesn't
+    /// know them and grants shares that add up to the whole rate.
     pub fn resend_all(&mut self) {
+        let ended_at = self.newest_request_at;
         for entry in self.entries.values_mut() {
             entry.acknowledged = None;
+            if self.overload.is_on() {
+                entry.allowance.expire_share(ended_at);
+            }
         }
     }
 
@@ -142,6 +208,7 @@
         }
         self.newest_request_at = requested_at;
         self.last_response_at = requested_at;
+        self.has_response = true;
         for grant in grants {
             if let Some(entry) = self.entries.get_mut(&grant.customer) {
                 entry.allowance.apply_grant(grant, now);
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -1,15 +1,16 @@
 use std::time::Duration;
 
-use super::{AllowanceGrant, CustomerRate, RateRefusal};
+use super::isolated_bucket::IsolatedBucket;
+use super::{AdmissionContext, AllowanceGrant, CustomerRate, RateRefusal};
 use crate::units::MonotonicTime;
 
 /// Time without a response of the leader after which an instance is isolated and admits
 /// operations within its own share of the rates; longer than the interval between two requests.
-const ISOLATED_AFTER: Duration = Duration::from_millis(750);
+pub(super) const ISOLATED_AFTER: Duration = Duration::from_millis(750);
 
 /// Time for which an isolated instance may use its share of the rate after it received the
 /// share; longer than most partitions.
-const SHARE_VALIDITY: Duration = Duration::from_secs(15);
+pub(super) const SHARE_VALIDITY: Duration = Duration::from_secs(15);
 /// Fraction of an even share that an isolated instance may use after its share has expired; the
 /// leader reserves this much for every instance.
 const EXPIRED_SHARE: f64 = 0.25;
@@ -26,6 +27,10 @@
     last_fill: Option<i64>,
     isolated_fill: f64,
     isolated_refilled_at: MonotonicTime,
+    /// The allowance of the last grant.
+    granted: u64,
+    /// What was left to use without a leader since the last grant, under overload control.
+    isolated: Option<IsolatedBucket>,
 }
 
 impl CustomerAllowance {
@@ -42,6 +47,8 @@
             last_fill: None,
             isolated_fill: 0.0,
             isolated_refilled_at: now,
+            granted: 0,
+            isolated: None,
         }
     }
 
@@ -75,33 +82,59 @@
         self.spent >= self.ceiling
     }
 
-    /// Returns the level of the customer's bucket in the last grant.
+    /// Returns the level of the customer's bucket in the last grant, less what was used without
+    /// a leader since.
     #[must_use]
-    pub const fn last_fill(&self) -> Option<i64> {
-        self.last_fill
+    pub fn last_fill(&self) -> Option<i64> {
+        let Some(bucket) = &self.isolated else {
+            return self.last_fill;
+        };
+        let unused = self.ceiling.saturating_sub(self.spent);
+        // The value is small.
+        let used = bucket.used_by_all(unused, self.limits).ceil() as i64;
+        self.last_fill.map(|fill| fill - used)
+    }
+
+    /// Returns the level to report to a leader; `None` if the instance is isolated and had no
+    /// operation since, so that it can't tell what the others used.
+    #[must_use]
+    pub fn reported_fill(&self, is_isolated: bool) -> Option<i64> {
+        let is_unknown = is_isolated && self.isolated.is_none();
+        self.last_fill().filter(|_| !is_unknown)
+    }
+
+    /// Expires the share of the rate, which an earlier leader granted.
+    pub const fn expire_share(&mut self, now: MonotonicTime) {
+        self.share_until = now;
     }
 
     /// Admits one operation.
     ///
-    /// The leader's last response belongs to a request sent at `last_response_at`, and
-    /// `instances` instances share the rate.
-    ///
     /// # Errors
     ///
     /// Returns an error if the allowance is exhausted or, for an isolated instance, its share of
     /// the rate.
     pub fn admit(
         &mut self,
-        last_response_at: MonotonicTime,
-        instances: usize,
+        context: AdmissionContext,
         now: MonotonicTime,
     ) -> Result<(), RateRefusal> {
+        let isolated_at = context.last_response_at + ISOLATED_AFTER;
+        let is_isolated = now > isolated_at;
+        if is_isolated && context.overload.is_on() {
+            self.begin_isolation(context.instances, isolated_at, now);
+        }
         if self.spent < self.ceiling {
             self.spent += 1;
             return Ok(());
         }
-        if now.saturating_since(last_response_at) > ISOLATED_AFTER {
-            return self.admit_isolated(last_response_at, instances, now);
+        if is_isolated {
+            return match &mut self.isolated {
+                Some(bucket) if context.overload.is_on() => bucket
+                    .take(self.limits, isolated_at, now)
+                    .map_err(RateRefusal::Exhausted),
+                _ => self.admit_isolated(context.last_response_at, context.instances, now),
+            };
         }
         if now < self.closed_until {
             return Err(RateRefusal::Exhausted(
@@ -111,17 +144,50 @@
         Err(RateRefusal::RequestMore)
     }
 
-    fn admit_isolated(
+    /// Sets up the bucket of an isolated instance, or updates its share.
+    ///
+    /// The whole allowance of the last grant counts against the share, also the part that was
+    /// used since: the level in that grant doesn't include it.
+    fn begin_isolation(
         &mut self,
-        last_response_at: MonotonicTime,
         instances: usize,
+        isolated_at: MonotonicTime,
         now: MonotonicTime,
-    ) -> Result<(), RateRefusal> {
-        let share = if now < self.share_until {
+    ) {
+        let is_valid = now < self.share_until;
+        let share = self.current_share(instances, now);
+        if let Some(bucket) = &mut self.isolated {
+            bucket.set_share(share);
+            return;
+        }
+        // Buckets hold far less than the exact range of the type.
+        let level = self.last_fill.filter(|_| is_valid).map(|fill| fill as f64);
+        let usable = level.map_or(0.0, |level| self.limits.usable(level));
+        // A process without a grant refills from its start.
+        let refilled_at = isolated_at.max(self.isolated_refilled_at);
+        self.isolated = Some(IsolatedBucket::new(
+            share,
+            usable,
+            self.granted,
+            refilled_at,
+        ));
+    }
+
+    fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
+        if now < self.share_until {
             self.share
         } else {
             EXPIRED_SHARE / instances.max(1) as f64
-        };
+        }
+    }
+
+    fn admit_isolated(
+        &mut self,
+        last_response_at: MonotonicTime,
+        instances: usize,
+        now: MonotonicTime,
+    ) -> Result<(), RateRefusal> {
+        let share = self.current_share(instances, now);
         let share = CustomerRate {
             rate: self.limits.rate * share,
             burst: self.limits.burst * share,
@@ -153,6 +219,8 @@
     /// Applies a grant of the leader.
     pub fn apply_grant(&mut self, grant: &AllowanceGrant, now: MonotonicTime) {
         self.ceiling = grant.ceiling;
+        self.granted = grant.ceiling.saturating_sub(self.spent);
+        self.isolated = None;
         self.share = f64::from(grant.share) / 1_000_000.0;
         self.share_until = now + SHARE_VALIDITY;
         self.last_fill = Some(grant.fill);
--- a/crates/mustardhinge-core/src/rate_limit/customer_rate.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_rate.rs
@@ -20,4 +20,13 @@
     pub fn allowances(&self) -> f64 {
         self.burst + self.rate * ALLOWANCE_SECONDS + ALLOWANCE_EXTRA
     }
+
+    /// Returns what the customer may still use over all instances without a leader, if its
+    /// bucket's level is `level`.
+    ///
+    /// A negative level reduces it: the operations beyond the burst are within the same windows.
+    #[must_use]
+    pub fn usable(&self, level: f64) -> f64 {
+        (level + self.rate * ALLOWANCE_SECONDS + ALLOWANCE_EXTRA).max(0.0)
+    }
 }
--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -4,16 +4,21 @@
 //! leader keeps one token bucket per customer and grants no allowance while the bucket is
 //! negative. Groups that keep ledgers in the store use [`budget`](crate::budget) instead.
 
+mod admission_context;
 mod allowance_grant;
 mod allowance_table;
 mod customer_allowance;
 mod customer_rate;
 mod decaying_rate;
+mod fill_recovery;
+mod isolated_bucket;
 mod rate_limiter;
 mod rate_refusal;
+mod share_ledger;
 mod unreachable_instances;
 mod usage_report;
 
+pub use admission_context::AdmissionContext;
 pub use allowance_grant::AllowanceGrant;
 pub use allowance_table::AllowanceTable;
 pub use customer_allowance::CustomerAllowance;
--- a/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
+++ b/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
@@ -1,10 +1,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::decaying_rate::DecayingRate;
+use super::decaying_rate::{DECAY_TIME, DecayingRate};
+use super::fill_recovery::FillRecovery;
+use super::share_ledger::ShareLedger;
 use super::unreachable_instances::UnreachableInstances;
 use super::{AllowanceGrant, CustomerRate, UsageReport};
 use crate::ids::{CustomerId, InstanceId};
+use crate::overload::OverloadControl;
 use crate::units::MonotonicTime;
 
 /// Initial level of a bucket, in seconds of the rate, if no instance reports a level: all
@@ -27,6 +30,13 @@
 /// fraction; a second longer than an isolated instance may use its granted share.
 const SHARE_EXPIRY: Duration = Duration::from_secs(16);
 
+/// Time constant of the usage that shares follow under overload control. A small customer has an
+/// operation every few seconds on each of its instances; with 4 s, its shares jump with each one.
+const SHARE_DECAY_TIME: Duration = Duration::from_secs(20);
+/// Usage that is assumed in addition, evenly divided, as a fraction of the rate: the first
+/// instances that report to a new leader must not get all shares.
+const ASSUMED_USAGE: f64 = 0.03;
+
 #[derive(Clone, Copy, Debug)]
 struct InstanceUsage {
     incarnation: u64,
@@ -45,6 +55,10 @@
     usage_rate: DecayingRate,
     /// The share of the rate for the reachable instances, and when it was computed.
     cached_reachable_share: Option<(MonotonicTime, f64)>,
+    /// The shares by usage, under overload control.
+    shares: ShareLedger,
+    /// The level that the instances report, under overload control.
+    recovery: FillRecovery,
 }
 
 /// The leader's token buckets of all customers.
@@ -58,9 +72,15 @@
     buckets: HashMap<CustomerId, CustomerBucket>,
     unreachable: UnreachableInstances,
     instances: usize,
+    overload: OverloadControl,
 }
 
 impl RateLimiter {
+    /// Sets whether overload control is in force.
+    pub const fn set_overload_control(&mut self, overload: OverloadControl) {
+        self.overload = overload;
+    }
+
     /// Records a request of an instance, and the number of instances that may exist.
     pub fn record_request(&mut self, instance: &InstanceId, instances: usize, now: MonotonicTime) {
         self.unreachable.record_request(instance, now);
@@ -79,6 +99,12 @@
         now: MonotonicTime,
     ) -> AllowanceGrant {
         let instances = self.instances;
+        let overload = self.overload;
+        let decay_time = if overload.is_on() {
+            SHARE_DECAY_TIME
+        } else {
+            DECAY_TIME
+        };
         let unreachable = self.unreachable.current(now);
         let bucket = self
             .buckets
@@ -88,14 +114,24 @@
                 refilled_at: now,
                 created_at: now,
                 usage: HashMap::new(),
-                usage_rate: DecayingRate::default(),
+                usage_rate: DecayingRate::new(decay_time),
                 cached_reachable_share: None,
+                shares: ShareLedger::default(),
+                recovery: FillRecovery::default(),
             });
         let rate = limits.rate * bucket.reachable_share(unreachable, instances, now);
         bucket.refill(rate, limits.burst, now);
-        bucket.recover_fill(instance, report.last_fill, now);
+        if overload.is_on() {
+            bucket.add_reported_fill(instance, report.last_fill, limits, now);
+        } else {
+            bucket.recover_fill(instance, report.last_fill, now);
+        }
         let spent = bucket.record_usage(instance, incarnation, report.spent, now);
-        let share = bucket.update_share(instance, instances, now);
+        let share = if overload.is_on() {
+            bucket.grant_share(instance, instances, limits, now)
+        } else {
+            bucket.update_share(instance, instances, now)
+        };
         let allowance = Self::allowance(bucket.fill, limits, instances);
         AllowanceGrant {
             customer: report.customer.clone(),
@@ -146,6 +182,22 @@
         }
     }
 
+    /// Applies the level that an instance reports after it used its share without a leader.
+    fn add_reported_fill(
+        &mut self,
+        instance: &InstanceId,
+        last_fill: Option<i64>,
+        limits: CustomerRate,
+        now: MonotonicTime,
+    ) {
+        let is_new = !self.usage.contains_key(instance);
+        let is_recovering = now.saturating_since(self.created_at) < RECOVERY_TIME;
+        if let Some(fill) = last_fill.filter(|_| is_new && is_recovering) {
+            // Buckets hold far less than the exact range of the type.
+            self.fill += self.recovery.add(fill as f64, limits);
+        }
+    }
+
     /// Returns the share of the rate for the reachable instances, which may be cached.
     fn reachable_share(
         &mut self,
@@ -198,7 +250,7 @@
         let mut usage = known.filter(is_same).unwrap_or(InstanceUsage {
             incarnation,
             spent,
-            usage_rate: DecayingRate::default(),
+            usage_rate: self.usage_rate.restarted(),
             share: 0.0,
         });
         // Counts of a process are far below the exact range of the type.
@@ -226,4 +278,34 @@
         own.share = EVEN_FRACTION * even_share + (1.0 - EVEN_FRACTION) * by_usage;
         own.share
     }
+
+    /// Returns the share of the rate that an instance may use while it is isolated, under
+    /// overload control. The shares of all instances add up to at most the whole rate.
+    fn grant_share(
+        &mut self,
+        instance: &InstanceId,
+        instances: usize,
+        limits: CustomerRate,
+        now: MonotonicTime,
+    ) -> f64 {
+        let even_share = 1.0 / instances.max(1) as f64;
+        let assumed = (limits.rate * ASSUMED_USAGE).max(f64::MIN_POSITIVE);
+        let total = self.usage_rate.at(now) + assumed;
+        let Some(own) = self.usage.get_mut(instance) else {
+            return EVEN_FRACTION * even_share;
+        };
+        // Instances without callers of the customer would hold their shares until these expire.
+        let has_callers = own.spent > 0;
+        let assumed_own = if has_callers {
+            assumed * even_share
+        } else {
+            0.0
+        };
+        let used = own.usage_rate.at(now) + assumed_own;
+        let by_usage = (used / total).min(1.0) * (1.0 - EVEN_FRACTION);
+        let wanted = (by_usage, 1.0 - EVEN_FRACTION);
+        let granted = self.shares.grant(instance, wanted, SHARE_EXPIRY, now);
+        own.share = EVEN_FRACTION * even_share + granted;
+        own.share
+    }
 }
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod primary_lease;
 mod queue;
 mod rate_limit;
+mod rate_replay;
 mod replication;
 mod retry;
 mod routing;
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -81,6 +81,7 @@
 ) -> Vec<AllowanceGrant> {
     let now = control.node.clock.now();
     let mut rate_limiter = control.rate_limiter.borrow_mut();
+    rate_limiter.set_overload_control(control.node.overload_control());
     rate_limiter.record_request(requester.0, instances, now);
     let table = control.node.allowances.borrow();
     let grants = reports.iter().filter_map(|report| {
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -92,7 +92,7 @@
             settings,
             clock: BootClock,
             leases: RefCell::default(),
-            allowances: RefCell::default(),
+            allowances: RefCell::new(AllowanceTable::starting_at(BootClock.now())),
             allowances_changed: Notify::new(),
             allowance_request_due: Notify::new(),
             leader_request_due: Notify::new(),
@@ -251,6 +251,7 @@
         switch.record_targets(entries.iter().map(|entry| &entry.zone));
         let current = switch.current();
         self.overload_control.set(Some(current));
+        self.allowances.borrow_mut().set_overload_control(current);
         if current != before {
             event::OVERLOAD_CONTROL_CHANGED
                 .log(format_args!("overload_control={current} before={before}"));
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use mustardhinge_core::prelude::RefusalReason;
+use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
 use mustardhinge_core::rate_limit::RateRefusal;
 use tokio::time::timeout;
 
@@ -23,31 +23,89 @@
     if SessionAccess::is_public(&request.customer) {
         return Ok(());
     }
+    let mut waiting_since = None;
     loop {
         let now = node.clock.now();
-        let instances = node.instances();
-        let admitted = {
-            let mut spending = node.allowances.borrow_mut();
-            spending.admit(&request.customer, instances, now)
-        };
-        let retry_after = match admitted {
+        let (admitted, until_isolated) = try_admit(node, request, now);
+        let (wait, retry_after) = match admitted {
             Ok(()) => return Ok(()),
-            Err(RateRefusal::Exhausted(retry_after)) => retry_after,
-            Err(RateRefusal::RequestMore) => ALLOWANCE_TIMEOUT,
+            Err(RateRefusal::Exhausted(retry_after)) => (None, retry_after),
+            Err(RateRefusal::AwaitFirstGrant(left)) => (first_grant_wait(request, left, now), left),
+            Err(RateRefusal::RequestMore) => {
+                // The wait for the first grant doesn't count.
+                let is_on = node.overload_control().is_on();
+                let since = if is_on { now } else { request.received_at };
+                let waited = now.saturating_since(*waiting_since.get_or_insert(since));
+                let wait = allowance_wait(waited)
+                    .or_else(|| isolation_wait(node, request, until_isolated, now));
+                if wait.is_some() {
+                    node.allowance_request_due.notify_one();
+                }
+                (wait, until_isolated.max(ALLOWANCE_TIMEOUT))
+            }
         };
-        let waited = now.saturating_since(request.received_at);
-        if admitted != Err(RateRefusal::RequestMore) || waited >= ALLOWANCE_TIMEOUT {
+        let Some(wait) = wait else {
             return Err(SessionRefusal::NotRun {
                 reason: RefusalReason::RateExceeded,
                 retry_after: Some(retry_after),
             });
-        }
-        node.allowance_request_due.notify_one();
+        };
         // A timeout is ignored, because the loop checks again.
-        let _ = timeout(
-            ALLOWANCE_TIMEOUT - waited,
-            node.allowances_changed.notified(),
-        )
-        .await;
+        let _ = timeout(wait, node.allowances_changed.notified()).await;
     }
 }
+
+/// Tries to admit an operation, and returns the result and the time until the instance counts as
+/// isolated. That time is zero unless overload control is in force.
+fn try_admit(
+    node: &NodeState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> (Result<(), RateRefusal>, Duration) {
+    let overload = node.overload_control();
+    let mut allowances = node.allowances.borrow_mut();
+    let admitted = allowances.admit(&request.customer, node.instances(), now);
+    let until_isolated = if overload.is_on() {
+        allowances.time_until_isolated(now)
+    } else {
+        Duration::ZERO
+    };
+    (admitted, until_isolated)
+}
+
+/// Returns how long an operation that has `waited` still waits for a larger allowance.
+fn allowance_wait(waited: Duration) -> Option<Duration> {
+    let rest = ALLOWANCE_TIMEOUT.checked_sub(waited)?;
+    (!rest.is_zero()).then_some(rest)
+}
+
+/// Returns how long an operation waits for the first grant, which is expected within `left`:
+/// three quarters of the statement timeout, so that the statement can still run.
+fn first_grant_wait(
+    request: &SessionRequest,
+    left: Duration,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    let waited = now.saturating_since(request.received_at);
+    let max_wait = request.route.statement_timeout * 3 / 4;
+    let rest = max_wait
+        .checked_sub(waited)
+        .filter(|rest| !rest.is_zero())?;
+    Some(rest.min(left))
+}
+
+/// Returns how long an operation waits until the instance counts as isolated, if it can still
+/// meet its objective then.
+fn isolation_wait(
+    node: &NodeState,
+    request: &SessionRequest,
+    until_isolated: Duration,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    let waited = now.saturating_since(request.received_at);
+    let max_wait = request.route.objective * 3 / 4;
+    let fits = until_isolated + waited < max_wait;
+    // The instance is isolated only after the end of the interval.
+    let wait = until_isolated + Duration::from_millis(1);
+    (node.overload_control().is_on() && fits).then_some(wait)
+}
