Return operations to the rate that were refused before they were sent

Change: with overload control, an operation that ends as not run before anything was sent is returned, unless the leader has been told of it already. What is counted doesn't fall below a reported count, so the leader's bucket stays exact.

Tests: a customer at half its rate whose operations need three attempts each is refused more than 50 times without and never with the release.

--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -3,7 +3,8 @@
 
 use super::customer_allowance::{ISOLATED_AFTER, SHARE_VALIDITY};
 use super::{
-    AdmissionContext, AllowanceGrant, CustomerAllowance, CustomerRate, RateRefusal, UsageReport,
+    AdmissionContext, AllowanceGrant, AllowanceSource, CustomerAllowance, CustomerRate,
+    RateRefusal, UsageReport,
 };
 use crate::ids::CustomerId;
 use crate::overload::OverloadControl;
@@ -138,7 +139,7 @@
         customer: &CustomerId,
         instances: usize,
         now: MonotonicTime,
-    ) -> Result<(), RateRefusal> {
+    ) -> Result<AllowanceSource, RateRefusal> {
         let Some(entry) = self.entries.get_mut(customer) else {
             return Err(RateRefusal::Exhausted(UNKNOWN_RETRY));
         };
@@ -156,6 +157,18 @@
         entry.allowance.admit(context, now)
     }
 
+    /// Returns an operation that was admitted out of `source` and never sent to a target.
+    ///
+    /// Load pattern: callers are refused because a primary or the age of replicas is unknown, and
+    /// retry twice. If the refused attempts counted, a customer within its rate would be refused
+    /// for its rate as well.
+    pub fn release(&mut self, customer: &CustomerId, source: AllowanceSource) {
+        if let Some(entry) = self.entries.get_mut(customer) {
+            let reported = entry.reported.map_or(0, |(_, spent)| spent);
+            entry.allowance.release(source, reported);
+        }
+    }
+
     /// Returns the reports for a request to the leader at `now`: recently active customers whose
     /// count the leader has not acknowledged or whose allowance is exhausted.
     pub fn reports(&mut self, now: MonotonicTime) -> Vec<UsageReport> {
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::isolated_bucket::IsolatedBucket;
-use super::{AdmissionContext, AllowanceGrant, CustomerRate, RateRefusal};
+use super::{AdmissionContext, AllowanceGrant, AllowanceSource, CustomerRate, RateRefusal};
 use crate::units::MonotonicTime;
 
 /// Time without a response of the leader after which an instance is isolated and admits
@@ -118,7 +118,7 @@
         &mut self,
         context: AdmissionContext,
         now: MonotonicTime,
-    ) -> Result<(), RateRefusal> {
+    ) -> Result<AllowanceSource, RateRefusal> {
         let isolated_at = context.last_response_at + ISOLATED_AFTER;
         let is_isolated = now > isolated_at;
         if is_isolated && context.overload.is_on() {
@@ -126,15 +126,16 @@
         }
         if self.spent < self.ceiling {
             self.spent += 1;
-            return Ok(());
+            return Ok(AllowanceSource::Grant);
         }
         if is_isolated {
-            return match &mut self.isolated {
+            let admitted = match &mut self.isolated {
                 Some(bucket) if context.overload.is_on() => bucket
                     .take(self.limits, isolated_at, now)
                     .map_err(RateRefusal::Exhausted),
                 _ => self.admit_isolated(context.last_response_at, context.instances, now),
             };
+            return admitted.map(|()| AllowanceSource::IsolatedShare);
         }
         if now < self.closed_until {
             return Err(RateRefusal::Exhausted(
@@ -144,6 +145,16 @@
         Err(RateRefusal::RequestMore)
     }
 
+    /// Returns an operation that was admitted and never sent to a target, while the count of
+    /// `reported` operations does not include it yet.
+    pub fn release(&mut self, source: AllowanceSource, reported: u64) {
+        match (source, &mut self.isolated) {
+            (AllowanceSource::Grant, _) if self.spent > reported => self.spent -= 1,
+            (AllowanceSource::IsolatedShare, Some(bucket)) => bucket.put_back(self.limits),
+            _ => {}
+        }
+    }
+
     /// Sets up the bucket of an isolated instance, or updates its share.
     ///
     /// The whole allowance of the last grant counts against the share, also the part that was
--- a/crates/mustardhinge-core/src/rate_limit/isolated_bucket.rs
+++ b/crates/mustardhinge-core/src/rate_limit/isolated_bucket.rs
@@ -71,6 +71,11 @@
         Err(Duration::try_from_secs_f64(seconds).map_or(MAX_RETRY, |wait| wait.min(MAX_RETRY)))
     }
 
+    /// Puts back one operation that was taken and not used.
+    pub(super) fn put_back(&mut self, limits: CustomerRate) {
+        self.level = (self.level + 1.0).min(self.capacity(limits));
+    }
+
     /// Returns the operations that all instances together have used beyond the refill, if they
     /// use their shares like this one, of whose granted allowance `unused` operations are left.
     pub(super) fn used_by_all(&self, unused: u64, limits: CustomerRate) -> f64 {
--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission_context;
 mod allowance_grant;
+mod allowance_source;
 mod allowance_table;
 mod customer_allowance;
 mod customer_rate;
@@ -20,6 +21,7 @@
 
 pub use admission_context::AdmissionContext;
 pub use allowance_grant::AllowanceGrant;
+pub use allowance_source::AllowanceSource;
 pub use allowance_table::AllowanceTable;
 pub use customer_allowance::CustomerAllowance;
 pub use customer_rate::CustomerRate;
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -21,6 +21,7 @@
 mod probe_trust;
 mod queue;
 mod rate_limit;
+mod rate_release;
 mod rate_replay;
 mod replication;
 mod retry;
--- a/crates/mustardhinge-core/tests/suite/rate_limit.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_limit.rs
@@ -114,7 +114,7 @@
                 .table
                 .admit(&customer(), count, at(now + 5));
             match admitted {
-                Ok(()) => return self.admitted.push(now),
+                Ok(_) => return self.admitted.push(now),
                 Err(RateRefusal::RequestMore) if attempt == 0 => self.request(index, now),
                 Err(_) => break,
             }
--- a/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
@@ -146,7 +146,7 @@
                 .table
                 .admit(id, INSTANCES, at(now + 5));
             match admitted {
-                Ok(()) => return self.customers[customer].admitted.push(now),
+                Ok(_) => return self.customers[customer].admitted.push(now),
                 Err(RateRefusal::AwaitFirstGrant(_)) if now < arrived_at + FIRST_GRANT_WAIT => {
                     return self.instances[index].waiting.push((customer, arrived_at));
                 }
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::caller_channel::{CallerChannel, IdleState, SessionEvent};
-use super::rate_admission::admit;
+use super::rate_admission::{admit, release_unsent};
 use super::read_path::{LastCommit, run_read};
 use super::refusal_log::{log_refusal, log_unauthorized};
 use super::response_log::log_response;
@@ -262,19 +262,36 @@
             .is_some_and(|open| open.lease.is_some());
         // A transaction counts once against the rate, when its first statement begins it at a
         // target.
-        if !has_begun && let Err(refusal) = admit(&self.node, &request).await {
-            self.fail_transaction();
-            log_refusal(&self.node, &request, &refusal);
-            self.respond_refusal(&refusal);
-            return;
+        let admitted = if has_begun {
+            Ok(None)
+        } else {
+            admit(&self.node, &request).await
+        };
+        let source = match admitted {
+            Ok(source) => source,
+            Err(refusal) => {
+                self.fail_transaction();
+                log_refusal(&self.node, &request, &refusal);
+                self.respond_refusal(&refusal);
+                return;
+            }
+        };
+        let response = self.run_admitted(&request).await;
+        if let Some(source) = source {
+            release_unsent(&self.node, &request, source, &response);
         }
+        self.respond(&request, response);
+    }
+
+    /// Runs a statement that the customer's rate allows.
+    async fn run_admitted(&mut self, request: &SessionRequest) -> StatementResponse {
         let group = self.node.group(&request.route.service);
         group.record_use(self.node.clock.now());
-        let response = match self.transaction.as_mut() {
+        match self.transaction.as_mut() {
             Some(transaction) => {
                 run_in_transaction::<W>(
                     &self.node,
-                    &request,
+                    request,
                     &self.values,
                     self.last_commit,
                     transaction,
@@ -282,13 +299,12 @@
                 .await
             }
             None if request.writes => {
-                let (response, commit) = run_write::<W>(&self.node, &request, &self.values).await;
+                let (response, commit) = run_write::<W>(&self.node, request, &self.values).await;
                 self.last_commit = commit.or(self.last_commit);
                 response
             }
-            None => run_read::<W>(&self.node, &request, &self.values, self.last_commit).await,
-        };
-        self.respond(&request, response);
+            None => run_read::<W>(&self.node, request, &self.values, self.last_commit).await,
+        }
     }
 
     fn new_request(
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -1,17 +1,18 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
-use mustardhinge_core::rate_limit::RateRefusal;
+use mustardhinge_core::rate_limit::{AllowanceSource, RateRefusal};
 use tokio::time::timeout;
 
-use super::{SessionAccess, SessionRequest};
+use super::{SessionAccess, SessionRequest, StatementResponse};
 use crate::adapter::SessionRefusal;
 use crate::node::NodeState;
 
 /// How long an operation waits for the leader to grant more; a few round trips.
 const ALLOWANCE_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// Counts an operation against its customer's rate.
+/// Counts an operation against its customer's rate, and returns what it was counted against, if
+/// the customer has a rate.
 ///
 /// # Errors
 ///
@@ -19,16 +20,16 @@
 pub(super) async fn admit(
     node: &NodeState,
     request: &SessionRequest,
-) -> Result<(), SessionRefusal> {
+) -> Result<Option<AllowanceSource>, SessionRefusal> {
     if SessionAccess::is_public(&request.customer) {
-        return Ok(());
+        return Ok(None);
     }
     let mut waiting_since = None;
     loop {
         let now = node.clock.now();
         let (admitted, until_isolated) = try_admit(node, request, now);
         let (wait, retry_after) = match admitted {
-            Ok(()) => return Ok(()),
+            Ok(source) => return Ok(Some(source)),
             Err(RateRefusal::Exhausted(retry_after)) => (None, retry_after),
             Err(RateRefusal::AwaitFirstGrant(left)) => (first_grant_wait(request, left, now), left),
             Err(RateRefusal::RequestMore) => {
@@ -55,13 +56,33 @@
     }
 }
 
+/// Returns an operation to its customer's rate if it was refused before it was sent anywhere.
+pub(super) fn release_unsent(
+    node: &NodeState,
+    request: &SessionRequest,
+    source: AllowanceSource,
+    response: &StatementResponse,
+) {
+    let is_refused = matches!(
+        response,
+        StatementResponse::Refused(SessionRefusal::NotRun { .. })
+    );
+    let is_unsent = request.last_attempt.borrow().is_none();
+    if is_refused && is_unsent && node.overload_control().is_on() {
+        metrics::counter!("resident_released_operations_total").increment(1);
+        node.allowances
+            .borrow_mut()
+            .release(&request.customer, source);
+    }
+}
+
 /// Tries to admit an operation, and returns the result and the time until the instance counts as
 /// isolated. That time is zero unless overload control is in force.
 fn try_admit(
     node: &NodeState,
     request: &SessionRequest,
     now: MonotonicTime,
-) -> (Result<(), RateRefusal>, Duration) {
+) -> (Result<AllowanceSource, RateRefusal>, Duration) {
     let overload = node.overload_control();
     let mut allowances = node.allowances.borrow_mut();
     let admitted = allowances.admit(&request.customer, node.instances(), now);
