Choose the target of a read by expected free capacity (core)

All instances take the target with the lowest cost from the same outdated report, so targets are overloaded in turn. A customer with half of all traffic makes its one preferred replica hot.

TargetLoad estimates a target's load from the last report, its age and the own unanswered statements. SpreadPlacement draws among the targets whose cost is within the age of the information of the lowest, in proportion to the capacity that they free in that time; fixed costs (connection, zone, primary, fault) are compared exactly. Another zone is used only while no replica of the own zone can start the read in half of the time left. TargetAffinity::prefer_by_share prefers as many targets as keep one customer from loading any of them above 1.2 times the mean.

Nothing calls it yet; ReadPlacement::choose and TargetAffinity::prefer decide as before, their tests are unchanged.

--- a/crates/mustardhinge-core/src/placement/mod.rs
+++ b/crates/mustardhinge-core/src/placement/mod.rs
@@ -1,16 +1,32 @@
 //! The choice of a target for each statement, and the log position that the target must have
 //! applied, for groups whose primary is used under a lease.
 
+mod customer_share;
 mod latency_estimate;
+mod load_estimate;
 mod placement_candidate;
 mod position_history;
+mod preferred_targets;
 mod read_placement;
 mod replica_lag;
+mod spread_candidate;
+mod spread_choice;
+mod spread_limits;
+mod spread_placement;
 mod target_affinity;
+mod target_load;
 
+pub use customer_share::CustomerShare;
 pub use latency_estimate::LatencyEstimate;
+pub use load_estimate::LoadEstimate;
 pub use placement_candidate::PlacementCandidate;
 pub use position_history::PositionHistory;
+pub use preferred_targets::PreferredTargets;
 pub use read_placement::ReadPlacement;
 pub use replica_lag::ReplicaLag;
+pub use spread_candidate::SpreadCandidate;
+pub use spread_choice::SpreadChoice;
+pub use spread_limits::SpreadLimits;
+pub use spread_placement::SpreadPlacement;
 pub use target_affinity::TargetAffinity;
+pub use target_load::TargetLoad;
--- a/crates/mustardhinge-core/src/placement/read_placement.rs
+++ b/crates/mustardhinge-core/src/placement/read_placement.rs
@@ -37,8 +37,7 @@
     pub fn choose(candidates: &[PlacementCandidate], tried: &[usize]) -> Option<usize> {
         let has_staying = candidates.iter().any(|candidate| !candidate.is_leaving);
         let eligible = candidates.iter().enumerate().filter(|(index, candidate)| {
-            let is_excluded = has_staying && candidate.is_leaving && !candidate.is_primary;
-            !tried.contains(index) && !candidate.is_too_stale && !is_excluded
+            !tried.contains(index) && Self::is_eligible(candidate, has_staying)
         });
         eligible
             .min_by_key(|(_, candidate)| Self::expected_cost(candidate))
@@ -50,7 +49,20 @@
     pub fn expected_cost(candidate: &PlacementCandidate) -> Duration {
         let slots = u32::try_from(candidate.slots.max(1)).unwrap_or(1);
         let in_flight = u32::try_from(candidate.in_flight).unwrap_or(u32::MAX - 1);
-        let mut time = candidate.typical_latency + candidate.typical_latency * in_flight / slots;
+        let load_time = candidate.typical_latency + candidate.typical_latency * in_flight / slots;
+        load_time + Self::fixed_cost(candidate)
+    }
+
+    /// Returns whether a read may be sent to the candidate; `has_staying` is whether any target of
+    /// the group isn't leaving.
+    pub(super) const fn is_eligible(candidate: &PlacementCandidate, has_staying: bool) -> bool {
+        let is_excluded = has_staying && candidate.is_leaving && !candidate.is_primary;
+        !candidate.is_too_stale && !is_excluded
+    }
+
+    /// Returns the penalties of the candidate, expressed as time. They don't depend on its load.
+    pub(super) fn fixed_cost(candidate: &PlacementCandidate) -> Duration {
+        let mut time = Duration::ZERO;
         for (applies, cost) in [
             (!candidate.has_connection, CONNECTION_COST),
             (!candidate.is_same_zone, CROSS_ZONE_COST),
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -24,4 +24,5 @@
 mod retry;
 mod routing;
 mod safety;
+mod spread;
 mod units;
