Place reads by expected free capacity with overload control

Each forwarded statement counts as unanswered until its response, its time-out or the end of its caller; the report in a response of the gateway replaces the earlier one. The gateway of a target uses its own queue, which holds the statements of all instances. A reported latency is used for 2 s, the reported load for 250 ms as before.

With overload control off, the choice is unchanged.

--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -12,6 +12,8 @@
 };
 use mustardhinge_core::rate_limit::AllowanceTable;
 use mustardhinge_process::{BootClock, event};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::sync::{Notify, watch};
 
 use super::{DrainPhase, NodeLimits, NodeSettings};
@@ -53,6 +55,8 @@
     pub open_sessions: Cell<usize>,
     /// Number of statements and transactions that this instance runs as a gateway for others.
     pub forwarded_work: Cell<usize>,
+    /// Random numbers for the placement of reads, seeded by the incarnation.
+    pub placement_rng: RefCell<SmallRng>,
     /// The gateways that this instance forwards to.
     pub peers: GatewayPeers,
     pub(super) gateways: RefCell<GatewayView>,
@@ -84,6 +88,7 @@
         let overload_switch =
             OverloadSwitch::new(settings.requests_overload_control, settings.zones.clone());
         Self {
+            placement_rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: GatewayPeers::new(settings.peer_address, incarnation),
             gateways: RefCell::default(),
             gateways_changed: Notify::new(),
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use mustardhinge_core::key::{KeyDigest, KeyTable};
+use mustardhinge_core::placement::CustomerShare;
 use mustardhinge_core::prelude::{CustomerId, DocumentVersion, ServiceId};
 
 use super::{PlanCustomer, PlanRoute};
@@ -31,13 +32,26 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServingPlan {
     parts: PlanParts,
+    customer_shares: HashMap<CustomerId, CustomerShare>,
 }
 
 impl ServingPlan {
     /// Creates a plan from its contents.
     #[must_use]
-    pub const fn new(parts: PlanParts) -> Self {
-        Self { parts }
+    pub fn new(parts: PlanParts) -> Self {
+        let customers = parts.customers.iter();
+        let total = customers.map(|limits| limits.limits.rate).sum();
+        let customers = parts.customers.iter();
+        let customer_shares = customers
+            .map(|limits| {
+                let share = CustomerShare::new(limits.limits.rate, total);
+                (limits.customer.clone(), share)
+            })
+            .collect();
+        Self {
+            parts,
+            customer_shares,
+        }
     }
 
     /// Returns the version.
@@ -64,6 +78,13 @@
         &self.parts.customers
     }
 
+    /// Returns a customer's share of the rates of all customers, or 0 for an unknown customer.
+    #[must_use]
+    pub fn customer_share(&self, customer: &CustomerId) -> CustomerShare {
+        let share = self.customer_shares.get(customer);
+        share.copied().unwrap_or_default()
+    }
+
     /// Returns the services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
         self.parts.connection_limits.keys()
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -6,6 +6,7 @@
 mod open_transaction;
 mod primary_wait;
 mod rate_admission;
+mod read_candidates;
 mod read_floor;
 mod read_path;
 mod refusal_log;
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -7,6 +7,7 @@
 use mustardhinge_process::event;
 
 use super::primary_wait::await_primary;
+use super::read_candidates::choose_by_capacity;
 use super::read_floor::await_floor;
 use super::write_path::wait_before_retry;
 use super::{
@@ -356,6 +357,9 @@
     request: &SessionRequest,
     (max_staleness, tried): (Duration, &[TargetId]),
 ) -> Option<Rc<TargetHandle>> {
+    if node.overload_control().is_on() {
+        return choose_by_capacity(node, group, request, (max_staleness, tried));
+    }
     let now = node.clock.now();
     let connection_request = request.connection_request(now);
     let primary = node
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -10,7 +10,9 @@
     ForwardResult, ForwardedOutcome, ForwardedStatement, ForwardedStep, NotRunCause,
 };
 use crate::node::NodeState;
-use crate::target::{ConnectionError, ResponseTimeouts, TargetHandle, TargetLease, TargetReply};
+use crate::target::{
+    ConnectionError, ResponseTimeouts, TargetHandle, TargetLease, TargetReply, UnansweredStatement,
+};
 
 /// Idle time after which a connection is validated before a write or a transaction uses it.
 const VALIDATE_AFTER_IDLE: Duration = Duration::from_millis(700);
@@ -187,20 +189,19 @@
         TransactionStep::Rollback => SETUP_TIMEOUT,
         _ => request.time_left(sent_at),
     };
-    // Only a read or the begin of a transaction is abandoned when the gateway is unresponsive;
-    // the outcome of any other statement must be known.
-    let can_abandon = matches!(execution.step, TransactionStep::Begin { .. })
-        || execution.step == TransactionStep::Single && !request.writes;
+    let can_abandon = can_abandon(&execution);
     let group = node.group(&request.route.service);
     let epoch = execution
         .epoch
         .filter(|_| !matches!(execution.step, TransactionStep::Begin { .. }));
     let epoch_ended = node.wait_for_epoch_end(&group, epoch);
+    let unanswered = UnansweredStatement::new(&target, sent_at);
     let end = tokio::select! {
         biased;
         end = gateway.run(forwarded, limit, can_abandon) => end,
         () = epoch_ended => return Err(ExecutionError::Lost(ConnectionError::EpochEnded)),
     };
+    drop(unanswered);
     let now = node.clock.now();
     metrics::histogram!("resident_forwarded_seconds")
         .record(now.saturating_since(sent_at).as_secs_f64());
@@ -223,6 +224,16 @@
     handle_response(&target, response, (load.is_some(), sent_at), now)
 }
 
+/// Returns whether the statement is abandoned when the gateway is unresponsive. Only a read or the
+/// begin of a transaction is; the outcome of any other statement must be known.
+const fn can_abandon(execution: &StatementExecution<'_>) -> bool {
+    match execution.step {
+        TransactionStep::Begin { .. } => true,
+        TransactionStep::Single => !execution.request.writes,
+        _ => false,
+    }
+}
+
 /// Converts the gateway's response to a result, and updates the target's health and the
 /// metrics.
 fn handle_response(
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -11,6 +11,7 @@
 mod target_lease;
 mod target_queue;
 mod target_reply;
+mod unanswered_statement;
 
 pub use connection_error::ConnectionError;
 pub use connection_request::ConnectionRequest;
@@ -20,3 +21,4 @@
 pub use target_health::TargetHealth;
 pub use target_lease::TargetLease;
 pub use target_reply::TargetReply;
+pub use unanswered_statement::UnansweredStatement;
--- a/crates/mustardhinge-resident/src/target/target_gateways.rs
+++ b/crates/mustardhinge-resident/src/target/target_gateways.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayPair;
+use mustardhinge_core::placement::LoadEstimate;
 use mustardhinge_core::prelude::MonotonicTime;
 
 use super::TargetHandle;
@@ -10,6 +11,9 @@
 
 /// Maximum age of a load report from a gateway; a few service times.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(250);
+/// Maximum age of the latency in a load report. The speed of a target changes more slowly than its
+/// load, and each of 77 instances sends to a target less than once a second.
+const LATENCY_MAX_AGE: Duration = Duration::from_secs(2);
 
 impl TargetHandle {
     /// Returns an estimate of the statements that run at the target or are queued for it: the load
@@ -27,9 +31,36 @@
         (now.saturating_since(at) < LOAD_MAX_AGE).then_some(load)
     }
 
-    /// Records the load reported by the gateway.
+    /// Records the load reported by the gateway, after the end of the answered statement.
     pub fn record_gateway_load(&self, load: GatewayLoad, now: MonotonicTime) {
         self.gateway_load.set(Some((load, now)));
+        let mut shared_load = self.shared_load.get();
+        shared_load.record_report(load.statements as usize, now);
+        self.shared_load.set(shared_load);
+    }
+
+    /// Returns the expected load of all instances, for the placement of reads.
+    ///
+    /// `is_gateway` is whether this instance is the target's gateway, whose own queue holds the
+    /// statements of all instances.
+    #[must_use]
+    pub fn shared_load(&self, is_gateway: bool, now: MonotonicTime) -> LoadEstimate {
+        let queued = self.queue.load();
+        if is_gateway {
+            return LoadEstimate {
+                statements: queued,
+                ..LoadEstimate::default()
+            };
+        }
+        let latency = self.shared_latency(now);
+        let estimate = self
+            .shared_load
+            .get()
+            .estimate(self.entry().slots, latency, now);
+        LoadEstimate {
+            statements: estimate.statements + queued,
+            ..estimate
+        }
     }
 
     /// Returns the load at this instance, as reported to the instances that forward to it.
@@ -38,6 +69,17 @@
         GatewayLoad::new(self.queue.load(), self.latency.get().typical(now))
     }
 
+    /// Returns the typical latency for the placement of reads.
+    #[must_use]
+    pub fn shared_latency(&self, now: MonotonicTime) -> Duration {
+        match self.gateway_load.get() {
+            Some((load, at)) if now.saturating_since(at) < LATENCY_MAX_AGE => {
+                load.typical_latency()
+            }
+            _ => self.latency.get().typical(now),
+        }
+    }
+
     /// Returns the target's gateways, or `None` if every instance connects to it directly.
     #[must_use]
     pub const fn gateways(&self) -> Option<GatewayPair> {
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayPair;
-use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
+use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag, TargetLoad};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
 use mustardhinge_process::BootClock;
 use tokio::task::spawn_local;
@@ -40,6 +40,8 @@
     pub(super) forwarded: Cell<usize>,
     pub(super) gateways: Cell<Option<GatewayPair>>,
     pub(super) gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
+    /// What is known of the load of all instances, for the placement of reads.
+    pub(super) shared_load: Cell<TargetLoad>,
 }
 
 impl TargetHandle {
@@ -59,6 +61,7 @@
             forwarded: Cell::new(0),
             gateways: Cell::new(None),
             gateway_load: Cell::new(None),
+            shared_load: Cell::new(TargetLoad::default()),
         }
     }
 
