Spread reads over the time until the next report

Right after a report its age is zero, so all instances sent to the target with the lowest load until the report grew old. The age that placement uses is now at least the usual interval between reports of the target.

--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -8,7 +8,9 @@
 use anyhow::Context;
 use mustardhinge_bench::cli::{BenchCommand, HELP, RunOptions};
 use mustardhinge_bench::history::RunHistory;
-use mustardhinge_bench::model::{FIGURES_HEAD, LoadPattern, run_all};
+use mustardhinge_bench::model::{
+    FIGURES_HEAD, LoadPattern, PLACEMENT_HEAD, PlacementCase, run_all, run_placement,
+};
 use mustardhinge_bench::plot::{plot_history, plot_policies};
 use mustardhinge_bench::report::{FigureComparison, read_reports};
 use mustardhinge_bench::run::BenchRun;
@@ -83,6 +85,12 @@
             }
         }
     }
+    println!("\n{PLACEMENT_HEAD}");
+    for case in PlacementCase::ALL {
+        for figures in run_placement(case, seed) {
+            println!("{figures}");
+        }
+    }
     Ok(())
 }
 
--- a/crates/mustardhinge-bench/src/model/mod.rs
+++ b/crates/mustardhinge-bench/src/model/mod.rs
@@ -4,6 +4,8 @@
 //! The model has what the policies decide on: slots that several instances share unseen by one
 //! another, a queue at each server, connections that belong to a customer and cost a slot's time
 //! to open, and replicas that are behind. Answers travel in no time, and nothing fails.
+//!
+//! A second model compares how reads are placed from reports of the targets' load that are outdated.
 
 mod even_slots_line;
 mod fair_line;
@@ -12,6 +14,10 @@
 mod load_pattern;
 mod model_run;
 mod model_server;
+mod placement_case;
+mod placement_figures;
+mod placement_policy;
+mod placement_run;
 mod policy_figures;
 mod waiting_statement;
 
@@ -22,5 +28,9 @@
 pub use load_pattern::LoadPattern;
 pub(crate) use model_run::STEP;
 pub use model_run::{run_all, run_policy};
+pub use placement_case::PlacementCase;
+pub use placement_figures::{PLACEMENT_HEAD, PlacementFigures};
+pub use placement_policy::PlacementPolicy;
+pub use placement_run::run_placement;
 pub use policy_figures::{FIGURES_HEAD, FigureStep, PolicyFigures};
 pub use waiting_statement::WaitingStatement;
--- a/crates/mustardhinge-core/src/placement/spread_candidate.rs
+++ b/crates/mustardhinge-core/src/placement/spread_candidate.rs
@@ -8,7 +8,7 @@
     /// The properties that placement compares; `in_flight` is the expected load from all
     /// instances.
     pub target: PlacementCandidate,
-    /// Age of the information about the statements of other instances.
+    /// Age that the information about the statements of other instances has or usually reaches.
     pub age: Duration,
     /// Whether the target owes responses for longer than its load explains.
     pub is_silent: bool,
--- a/crates/mustardhinge-core/src/placement/target_load.rs
+++ b/crates/mustardhinge-core/src/placement/target_load.rs
@@ -5,6 +5,8 @@
 
 /// Maximum age of a load report; a few service times.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(250);
+/// Weight of a new interval between reports in the moving average, in eighths.
+const NEW_INTERVAL_EIGHTHS: u32 = 1;
 /// A target is silent if it sends no response for this many expected response times.
 const SILENT_RESPONSE_TIMES: u32 = 3;
 /// Minimum time without a response before a target is silent. It covers the hop to a gateway in
@@ -26,14 +28,27 @@
 /// Load pattern: each response carries a report, and all instances send to the same targets. A
 /// report is outdated by what other instances have sent since, and a target that has stopped
 /// responding keeps its last, favorable report.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct TargetLoad {
     report: Option<LoadReport>,
+    /// Moving average of the time between reports.
+    report_interval: Duration,
     unanswered: usize,
     /// Since when responses are owed: the last response or the first unanswered statement.
     waiting_since: Option<MonotonicTime>,
 }
 
+impl Default for TargetLoad {
+    fn default() -> Self {
+        Self {
+            report: None,
+            report_interval: REPORT_MAX_AGE,
+            unanswered: 0,
+            waiting_since: None,
+        }
+    }
+}
+
 impl TargetLoad {
     /// Records that a statement was sent to the target.
     pub fn record_sent(&mut self, now: MonotonicTime) {
@@ -44,6 +59,12 @@
     /// Records the report that came with a response, after the end of the answered statement. The
     /// newest report replaces earlier ones, whichever process sent them.
     pub fn record_report(&mut self, statements: usize, now: MonotonicTime) {
+        let interval = self.report.map_or(REPORT_MAX_AGE, |report| {
+            let interval = now.saturating_since(report.received_at);
+            interval.min(REPORT_MAX_AGE)
+        });
+        let known = self.report_interval * (8 - NEW_INTERVAL_EIGHTHS);
+        self.report_interval = (known + interval * NEW_INTERVAL_EIGHTHS) / 8;
         self.report = Some(LoadReport {
             statements,
             unanswered: self.unanswered,
@@ -77,6 +98,7 @@
         let report = report.filter(|(_, age)| *age < REPORT_MAX_AGE);
         let (reported, age) = report.map_or((0, REPORT_MAX_AGE), |(report, age)| {
             let statements = report.statements + self.unanswered;
+            let age = age.max(self.report_interval);
             (statements.saturating_sub(report.unanswered), age)
         });
         let known = reported.max(self.unanswered);
