--- a/crates/mustardhinge-bench/tests/suite/policies.rs
+++ b/crates/mustardhinge-bench/tests/suite/policies.rs
@@ -1,6 +1,9 @@
 //! Policies side by side over the loads of the model.
 
-use mustardhinge_bench::model::{FairLine, FirstComeLine, LoadPattern, run_all, run_policy};
+use mustardhinge_bench::model::{
+    FairLine, FirstComeLine, LoadPattern, PlacementCase, PlacementFigures, PlacementPolicy,
+    run_all, run_placement, run_policy,
+};
 
 #[test]
 fn a_seed_gives_the_same_figures_and_the_same_statements_to_all() {
@@ -54,3 +57,55 @@
         );
     }
 }
+
+/// Returns the figures of the four policies for each number of instances and age of the reports.
+fn placement_groups(case: PlacementCase) -> Vec<[PlacementFigures; 4]> {
+    let figures = run_placement(case, 3);
+    let groups = figures.chunks(PlacementPolicy::ALL.len());
+    groups
+        .map(|group| group.to_vec().try_into().unwrap())
+        .collect()
+}
+
+/// Guards against targets that are overloaded in turn because all instances follow the same
+/// reports, and against a choice that gains nothing from them.
+#[test]
+fn free_capacity_leaves_fewer_slots_idle_than_other_policies() {
+    for group in placement_groups(PlacementCase::Even) {
+        let [least_loaded, two, power, free] = &group;
+        assert!(free.in_time() >= 0.99, "{free}");
+        assert!(free.spread() <= two.spread(), "{free}\n{two}");
+        assert!(
+            free.spread() <= least_loaded.spread(),
+            "{free}\n{least_loaded}"
+        );
+        // Reports that are too old to be used leave a choice by power.
+        assert!(free.spread() <= power.spread() * 1.05, "{free}\n{power}");
+        if free.report_ms == 50 {
+            assert!(free.idle() <= power.idle() * 0.95, "{free}\n{power}");
+        }
+    }
+}
+
+/// Guards against a slow target that gets as much as the others.
+#[test]
+fn free_capacity_suits_targets_of_different_speed() {
+    for [least_loaded, _, _, free] in placement_groups(PlacementCase::UnevenSpeeds) {
+        assert!(free.in_time() >= 0.99, "{free}");
+        assert!(
+            free.spread() <= least_loaded.spread(),
+            "{free}\n{least_loaded}"
+        );
+    }
+}
+
+/// Guards against bytes between zones beyond the demand of the zone without a target, which is a
+/// quarter of all.
+#[test]
+fn free_capacity_crosses_zones_only_where_it_must() {
+    for [.., free] in placement_groups(PlacementCase::UnevenZones) {
+        assert!(free.in_time() >= 0.99, "{free}");
+        let other_zone = f64::from(free.other_zone) / f64::from(free.came);
+        assert!(other_zone <= 0.3, "{free}");
+    }
+}
