--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -4,7 +4,7 @@
 
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::overload::{OverloadControl, ProbeTrust};
-use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
+use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag, TargetLoad};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
 use mustardhinge_process::{BootClock, event};
 use tokio::task::spawn_local;
@@ -43,6 +43,8 @@
     pub(super) forwarded: Cell<usize>,
     pub(super) gateways: Cell<Option<GatewayPair>>,
     pub(super) gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
+    /// What is known of the load of all instances, for the placement of reads.
+    pub(super) shared_load: Cell<TargetLoad>,
 }
 
 impl TargetHandle {
@@ -64,6 +66,7 @@
             forwarded: Cell::new(0),
             gateways: Cell::new(None),
             gateway_load: Cell::new(None),
+            shared_load: Cell::new(TargetLoad::default()),
         }
     }
 
