--- a/crates/mustardhinge-core/src/rate_limit/customer_rate.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_rate.rs
@@ -24,7 +24,7 @@
     /// Returns what the customer may still use over all instances without a leader, if its
     /// bucket's level is `level`.
     ///
-    /// A negative level reduces it: the operations beyond the burst are within the same windows.
+    /// A negative level reduces it, because the overuse is within the same windows.
     #[must_use]
     pub fn usable(&self, level: f64) -> f64 {
         (level + self.rate * ALLOWANCE_SECONDS + ALLOWANCE_EXTRA).max(0.0)
