Take a wait without a report for load before silence

An instance that sends to a target less than once a second has no valid report of it, so a queue of others' statements looked like a frozen target after 72 ms, and reads left the zone although the near replica had capacity within the objective. Without a report, a target is silent only after 250 ms; until then the wait counts as load.

--- a/crates/mustardhinge-core/src/placement/target_load.rs
+++ b/crates/mustardhinge-core/src/placement/target_load.rs
@@ -107,8 +107,10 @@
             .map_or(Duration::ZERO, |since| now.saturating_since(since));
         let slots = slots.max(1);
         let response_time = latency.mul_f64(1.0 + known as f64 / slots as f64);
-        let is_silent = silence > (response_time * SILENT_RESPONSE_TIMES).max(MIN_SILENCE);
-        let statements = if is_silent {
+        let is_overdue = silence > (response_time * SILENT_RESPONSE_TIMES).max(MIN_SILENCE);
+        // Without a report, a queue of other instances' statements explains a longer wait.
+        let is_silent = is_overdue && (report.is_some() || silence >= REPORT_MAX_AGE);
+        let statements = if is_overdue {
             // The statements that a target of this speed would have completed in the meantime.
             let latency = latency.max(Duration::from_millis(1));
             known.max((silence.as_secs_f64() / latency.as_secs_f64() * slots as f64) as usize)
