Detect uneven demand by service, not by zone

Change: it is on if no service has ever had targets in all zones. It is computed when it is first asked for, so that a list under way logs nothing.

--- a/crates/mustardhinge-core/src/overload/overload_switch.rs
+++ b/crates/mustardhinge-core/src/overload/overload_switch.rs
@@ -1,33 +1,34 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::OverloadControl;
-use crate::ids::ZoneId;
+use crate::ids::{ServiceId, ZoneId};
 
 /// Decides whether overload control applies to a deployment.
 ///
 /// It does if the settings request it, or if demand and targets are uneven: callers arrive in
-/// an availability zone that has never had a target. A zone whose targets are only gone for a
-/// while doesn't count, so that an outage changes nothing.
+/// every availability zone, and no service has ever had targets in all of them. Targets that are
+/// gone for a while still count, so that an outage changes nothing.
 ///
 /// # Examples
 ///
 /// ```
 /// use mustardhinge_core::overload::{OverloadControl, OverloadSwitch};
-/// use mustardhinge_core::prelude::ZoneId;
+/// use mustardhinge_core::prelude::{ServiceId, ZoneId};
 ///
+/// let service: ServiceId = "orders".parse().unwrap();
 /// let zones: Vec<ZoneId> = ["north", "south"].map(|zone| zone.parse().unwrap()).to_vec();
 /// let mut switch = OverloadSwitch::new(false, zones.clone());
 /// assert_eq!(switch.current(), OverloadControl::Off);
-/// switch.record_targets([&zones[0]]);
+/// switch.record_targets([(&service, &zones[0])]);
 /// assert_eq!(switch.current(), OverloadControl::On);
-/// switch.record_targets([&zones[1]]);
+/// switch.record_targets([(&service, &zones[1])]);
 /// assert_eq!(switch.current(), OverloadControl::Off);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct OverloadSwitch {
     is_requested: bool,
     zones: Vec<ZoneId>,
-    zones_with_targets: BTreeSet<ZoneId>,
+    zones_of_services: BTreeMap<ServiceId, BTreeSet<ZoneId>>,
 }
 
 impl OverloadSwitch {
@@ -37,16 +38,18 @@
         Self {
             is_requested,
             zones,
-            zones_with_targets: BTreeSet::new(),
+            zones_of_services: BTreeMap::new(),
         }
     }
 
-    /// Records the availability zones of the listed targets.
-    pub fn record_targets<'a>(&mut self, zones: impl IntoIterator<Item = &'a ZoneId>) {
-        for zone in zones {
-            if !self.zones_with_targets.contains(zone) {
-                self.zones_with_targets.insert(zone.clone());
-            }
+    /// Records the services and availability zones of the listed targets.
+    pub fn record_targets<'a>(
+        &mut self,
+        targets: impl IntoIterator<Item = (&'a ServiceId, &'a ZoneId)>,
+    ) {
+        for (service, zone) in targets {
+            let zones = self.zones_of_services.entry(service.clone()).or_default();
+            zones.insert(zone.clone());
         }
     }
 
@@ -54,9 +57,11 @@
     /// decide.
     #[must_use]
     pub fn current(&self) -> OverloadControl {
-        let has_targets = !self.zones_with_targets.is_empty();
-        let lacks_targets = |zone: &ZoneId| !self.zones_with_targets.contains(zone);
-        if self.is_requested || has_targets && self.zones.iter().any(lacks_targets) {
+        let mut services = self.zones_of_services.values();
+        let has_targets = !self.zones_of_services.is_empty();
+        let has_even_service =
+            services.any(|covered| self.zones.iter().all(|zone| covered.contains(zone)));
+        if self.is_requested || has_targets && !has_even_service {
             OverloadControl::On
         } else {
             OverloadControl::Off
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod key;
 mod membership;
 mod overload;
+mod overload_switch;
 mod placement;
 mod primary_lease;
 mod probe_trust;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -253,7 +253,7 @@
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
         let entries: Vec<_> = handles.map(|handle| handle.entry()).collect();
-        switch.record_targets(entries.iter().map(|entry| &entry.zone));
+        switch.record_targets(entries.iter().map(|entry| (&entry.service, &entry.zone)));
         let current = switch.current();
         self.overload_control.set(Some(current));
         for handle in groups.values().flat_map(|group| group.targets()) {
@@ -363,9 +363,7 @@
             instances: self.instances.get(),
             index: self.index.get(),
         };
-        let overload_control = self.overload_control();
         for target in group.targets() {
-            target.set_overload_control(overload_control);
             let pair = gateways.pair_of(&target.id());
             let own_limit = match &pair {
                 Some(pair) => {
