Add a queue with priorities, slot-time costs and customer weights

Cause: the priority of a route has no effect, and each statement costs 1 in the queue of a target although it holds a slot for 8 to 40 ms. Change: PriorityQueue in the core: priorities with a guaranteed sixteenth of the slot time for each waiting lower one, weighted deficit round robin in slot time within a priority, earliest deadline within a customer, refusal on arrival by an expected wait that includes the recent demand of higher priorities and is corrected by measured waits. RoutePriority, CostEstimates, ReportGate, PriorityWaits and RetryJitter beside it. Nothing uses them yet.

--- a/crates/mustardhinge-core/src/prelude.rs
+++ b/crates/mustardhinge-core/src/prelude.rs
@@ -7,4 +7,5 @@
 pub use crate::outcome::{RefusalReason, RetryDelay, StatementOutcome};
 pub use crate::units::{
     DocumentVersion, LeaderTerm, LogPosition, MonotonicTime, RequestBurst, RequestRate,
+    RoutePriority,
 };
--- a/crates/mustardhinge-core/src/queue/customer_queue.rs
+++ b/crates/mustardhinge-core/src/queue/customer_queue.rs
@@ -49,8 +49,12 @@
 
     /// Returns how much the deficit must grow to cover the cost of the first item.
     pub(crate) fn missing_deficit(&self) -> u64 {
-        let cost = self.items.values().next().map_or(0, |item| item.cost);
-        u64::from(cost).saturating_sub(self.deficit)
+        u64::from(self.first_cost()).saturating_sub(self.deficit)
+    }
+
+    /// Returns the cost of the first item, or 0 if there is none.
+    pub(crate) fn first_cost(&self) -> u32 {
+        self.items.values().next().map_or(0, |item| item.cost)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
--- a/crates/mustardhinge-core/src/units/mod.rs
+++ b/crates/mustardhinge-core/src/units/mod.rs
@@ -8,6 +8,7 @@
 mod monotonic_time;
 mod request_burst;
 mod request_rate;
+mod route_priority;
 mod unit_error;
 
 pub(crate) use count_unit::count_unit;
@@ -17,4 +18,5 @@
 pub use monotonic_time::MonotonicTime;
 pub use request_burst::RequestBurst;
 pub use request_rate::RequestRate;
+pub use route_priority::RoutePriority;
 pub use unit_error::UnitError;
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -18,6 +18,8 @@
 mod overload;
 mod placement;
 mod primary_lease;
+mod priority_queue;
+mod priority_replay;
 mod queue;
 mod rate_limit;
 mod replication;
