Order the queue of a target by priority under overload control

Cause: gateways ran forwarded statements as priority 0 and each target had one fair queue whose waits the other instances didn't know, so that statements were forwarded only to be refused. Change: with overload control on, sessions wait in PriorityQueue; costs are learned from the slot time of leases and from opened connections. The caller's instance refuses a statement without the hop if the report of each target's gateway is too long. Retry delays of full queues are spread. New: resident_queue_refusals_total, resident_queue_wait_seconds, priority= in refusals. Off, the fair queue is used as before.

--- a/crates/mustardhinge-core/src/queue/priority_queue.rs
+++ b/crates/mustardhinge-core/src/queue/priority_queue.rs
@@ -223,7 +223,8 @@
     }
 
     /// Returns the expected time until everything that waits with this priority is sent.
-    fn drain_time(&self, priority: RoutePriority, now: MonotonicTime) -> RetryDelay {
+    #[must_use]
+    pub fn drain_time(&self, priority: RoutePriority, now: MonotonicTime) -> RetryDelay {
         let band = self.bands.get(&priority);
         let total = band.map_or(0, PriorityBand::get_total_cost);
         let wait = self.wait_for(priority, (total, 0), now);
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,7 +58,7 @@
             read_rule: ReadRule::Primary,
             statement_timeout: Duration::from_millis(statement.timeout_ms.into()),
             objective: Duration::from_millis(statement.objective_ms.into()),
-            priority: 0,
+            priority: statement.priority,
             is_public: false,
         };
         Self {
@@ -74,6 +74,7 @@
                 session,
                 received_at: sent_at - Duration::from_micros(statement.waited),
                 last_attempt: RefCell::new(None),
+                begins: Cell::new(matches!(statement.step, ForwardedStep::Begin { .. })),
             },
             values,
             epoch: statement.epoch,
@@ -157,6 +158,7 @@
             return Err(NotRunCause::Leaving);
         }
         let request = self.request.connection_request(node.clock.now());
+        let request = node.weigh(request);
         let acquired = target.acquire_lease::<W>(&request, &node.clock).await;
         let lease = acquired.map_err(|error| not_run_cause::<W>(node, target, &error))?;
         if session.is_cancelled(self.number) {
--- a/crates/mustardhinge-resident/src/gateway/forwarded_statement.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_statement.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use mustardhinge_core::prelude::{CustomerId, LogPosition, ServiceId, TargetId};
+use mustardhinge_core::prelude::{CustomerId, LogPosition, RoutePriority, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,8 @@
     pub age_ms: Option<u32>,
     /// Role of the statement in a transaction.
     pub step: ForwardedStep,
+    /// Priority of the statement's route.
+    pub priority: RoutePriority,
 }
 
 /// A prepared statement of a session.
--- a/crates/mustardhinge-resident/src/gateway/gateway_load.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_load.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use mustardhinge_core::queue::PriorityWaits;
 use serde::{Deserialize, Serialize};
 
 /// Load of a target, as measured by its gateway.
@@ -10,6 +11,8 @@
     /// Typical latency of the target, in microseconds.
     #[serde(rename = "usual")]
     pub typical_latency_us: u32,
+    /// Expected wait of an arrival at the gateway's queue, by priority.
+    pub waits: PriorityWaits,
 }
 
 impl GatewayLoad {
@@ -19,9 +22,17 @@
         Self {
             statements: u32::try_from(statements).unwrap_or(u32::MAX),
             typical_latency_us: u32::try_from(typical_latency.as_micros()).unwrap_or(u32::MAX),
+            waits: PriorityWaits::default(),
         }
     }
 
+    /// Sets the expected wait of an arrival, by priority.
+    #[must_use]
+    pub const fn waits(mut self, waits: PriorityWaits) -> Self {
+        self.waits = waits;
+        self
+    }
+
     /// Returns the typical latency of the target.
     #[must_use]
     pub const fn typical_latency(&self) -> Duration {
--- a/crates/mustardhinge-resident/src/node/node_gateways.rs
+++ b/crates/mustardhinge-resident/src/node/node_gateways.rs
@@ -7,6 +7,7 @@
 use mustardhinge_core::gateway::{
     ConnectionPlan, GatewayPair, GatewayRank, GatewayUpdate, GatewayVersion,
 };
+use mustardhinge_core::queue::CustomerWeight;
 use mustardhinge_process::event;
 use tokio::time::timeout;
 
@@ -81,18 +82,35 @@
         need: &ConnectionRequest,
     ) -> Result<TargetLease, ConnectionError> {
         self.wait_for_gateways(target, need).await;
+        let need = self.weigh(need.clone());
         let peer = target
             .gateways()
             .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
         match peer {
             Some(peer) => {
+                target.admit_by_report(&need, self.clock.now())?;
                 let link = ForwardedConnection::new(peer);
                 Ok(TargetLease::forwarded(Rc::clone(target), link))
             }
-            None => target.acquire_lease::<W>(need, &self.clock).await,
+            None => target.acquire_lease::<W>(&need, &self.clock).await,
         }
     }
 
+    /// Sets the weight of the request's customer, by its configured rate, if overload control is in
+    /// force.
+    #[must_use]
+    pub fn weigh(&self, mut request: ConnectionRequest) -> ConnectionRequest {
+        request.weight = self.overload_control().is_on().then(|| {
+            let plan = self.plan();
+            let mut customers = plan.customers().iter();
+            let known = customers.find(|known| known.customer == request.customer);
+            known.map_or(CustomerWeight::LOWEST, |known| {
+                CustomerWeight::from_rate(known.limits.rate)
+            })
+        });
+        request
+    }
+
     /// Waits for the first gateway table if connections are scarce. Instances that start at the
     /// same time would otherwise take all connections before the gateways can.
     async fn wait_for_gateways(&self, target: &TargetHandle, need: &ConnectionRequest) {
--- a/crates/mustardhinge-resident/src/plan/plan_route.rs
+++ b/crates/mustardhinge-resident/src/plan/plan_route.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use mustardhinge_core::prelude::ServiceId;
+use mustardhinge_core::prelude::{RoutePriority, ServiceId};
 
 use super::ReadRule;
 
@@ -15,8 +15,8 @@
     pub statement_timeout: Duration,
     /// Latency objective of a request.
     pub objective: Duration,
-    /// Priority of the requests; 0 is the highest.
-    pub priority: u8,
+    /// Priority of the requests.
+    pub priority: RoutePriority,
     /// Whether callers without a key are accepted.
     pub is_public: bool,
 }
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use super::read_path::{LastCommit, run_read};
 use super::refusal_log::{log_refusal, log_unauthorized};
 use super::response_log::log_response;
+use super::retry_spread::spread_retry;
 use super::transaction_path::{commit, roll_back, run_in_transaction};
 use super::write_path::run_write;
 use super::{OpenTransaction, SessionAccess, SessionRequest, SessionValues, StatementResponse};
@@ -308,6 +309,7 @@
             session: self.number,
             received_at: self.node.clock.now(),
             last_attempt: RefCell::new(None),
+            begins: Cell::new(false),
         }
     }
 
@@ -320,6 +322,7 @@
                     .write_response(&reply.body, state, reply.position);
             }
             StatementResponse::Refused(refusal) => {
+                let refusal = spread_retry(&self.node, request, refusal);
                 log_refusal(&self.node, request, &refusal);
                 self.respond_refusal(&refusal);
             }
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -10,6 +10,7 @@
 mod read_path;
 mod refusal_log;
 mod response_log;
+mod retry_spread;
 mod session_access;
 mod session_request;
 mod session_values;
--- a/crates/mustardhinge-resident/src/session/refusal_log.rs
+++ b/crates/mustardhinge-resident/src/session/refusal_log.rs
@@ -20,10 +20,16 @@
         .newest_position()
         .map(|(at, _)| now.saturating_since(at).as_millis());
     let attempt = request.last_attempt.borrow();
+    // The field is left out where priorities have no effect.
+    let priority = if node.overload_control().is_on() {
+        format!(" priority={}", request.route.priority)
+    } else {
+        String::new()
+    };
     let attempt_epoch = attempt.as_ref().and_then(|attempt| attempt.epoch);
     event.log(format_args!(
         "request={} reason={reason} customer={} service={service} writes={} waited_ms={} \
-         target={} epoch={} leased={} position_age_ms={position_age:?} version={}",
+         target={} epoch={} leased={} position_age_ms={position_age:?} version={}{priority}",
         String::from_utf8_lossy(&request.id),
         request.customer,
         request.writes,
--- a/crates/mustardhinge-resident/src/session/session_request.rs
+++ b/crates/mustardhinge-resident/src/session/session_request.rs
@@ -1,10 +1,11 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
+use mustardhinge_core::queue::WorkKind;
 
 use super::LastAttempt;
 use crate::plan::PlanRoute;
@@ -40,6 +41,8 @@
     pub received_at: MonotonicTime,
     /// Last attempt to run the statement.
     pub last_attempt: RefCell<Option<LastAttempt>>,
+    /// Whether the request begins a transaction at a target.
+    pub begins: Cell<bool>,
 }
 
 impl SessionRequest {
@@ -80,6 +83,17 @@
             customer: self.customer.clone(),
             session: self.session,
             wait: self.wait_left(now),
+            priority: self.route.priority,
+            kind: self.work_kind(),
+            weight: None,
+        }
+    }
+
+    const fn work_kind(&self) -> WorkKind {
+        match (self.begins.get(), self.writes) {
+            (true, _) => WorkKind::Begin,
+            (false, true) => WorkKind::Write,
+            (false, false) => WorkKind::Read,
         }
     }
 
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -302,6 +302,7 @@
         floor: execution.floor,
         age_ms: execution.max_staleness.map(millis),
         step,
+        priority: request.route.priority,
     }
 }
 
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -179,6 +179,7 @@
     last_commit: LastCommit,
     read_only: bool,
 ) -> Result<(TargetLease, Option<GroupEpoch>), StatementResponse> {
+    request.begins.set(true);
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
     let mut last = StatementResponse::not_run(RefusalReason::NoTarget, BUSY_RETRY_AFTER);
--- a/crates/mustardhinge-resident/src/target/connection_request.rs
+++ b/crates/mustardhinge-resident/src/target/connection_request.rs
@@ -1,6 +1,11 @@
 use std::time::Duration;
 
-use mustardhinge_core::prelude::CustomerId;
+use mustardhinge_core::prelude::{CustomerId, RoutePriority};
+use mustardhinge_core::queue::{CustomerWeight, WorkKind};
+
+/// Maximum expected wait of a queued statement, in quarters of its allowed wait. The expected wait
+/// is a mean, and about half of the statements wait longer.
+const EXPECTED_WAIT_QUARTERS: u32 = 3;
 
 /// A session's request for a lease of a target connection.
 #[derive(Clone, Debug)]
@@ -11,4 +16,19 @@
     pub session: u64,
     /// Maximum time to wait for a slot and a connection.
     pub wait: Duration,
+    /// The priority of the statement.
+    pub priority: RoutePriority,
+    /// The kind of the statement, by which its cost is estimated.
+    pub kind: WorkKind,
+    /// The weight of the customer, or `None` without overload control: the request then waits in
+    /// the fair queue without priorities.
+    pub weight: Option<CustomerWeight>,
+}
+
+impl ConnectionRequest {
+    /// Returns the longest expected wait with which the request is queued.
+    #[must_use]
+    pub fn max_expected_wait(&self) -> Duration {
+        self.wait * EXPECTED_WAIT_QUARTERS / 4
+    }
 }
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -3,6 +3,8 @@
 mod connection_error;
 mod connection_pool;
 mod connection_request;
+mod leased_work;
+mod queue_metrics;
 mod response_timeouts;
 mod target_connection;
 mod target_gateways;
@@ -11,6 +13,7 @@
 mod target_lease;
 mod target_queue;
 mod target_reply;
+mod wait_ticket;
 
 pub use connection_error::ConnectionError;
 pub use connection_request::ConnectionRequest;
--- a/crates/mustardhinge-resident/src/target/target_gateways.rs
+++ b/crates/mustardhinge-resident/src/target/target_gateways.rs
@@ -5,7 +5,8 @@
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::prelude::MonotonicTime;
 
-use super::TargetHandle;
+use super::queue_metrics::count_refusal;
+use super::{ConnectionError, ConnectionRequest, TargetHandle};
 use crate::gateway::GatewayLoad;
 
 /// Maximum age of a load report from a gateway; a few service times.
@@ -30,12 +31,39 @@
     /// Records the load reported by the gateway.
     pub fn record_gateway_load(&self, load: GatewayLoad, now: MonotonicTime) {
         self.gateway_load.set(Some((load, now)));
+        let mut gate = self.report_gate.get();
+        gate.record(load.waits, now);
+        self.report_gate.set(gate);
+    }
+
+    /// Decides from the last report of the gateway whether a request is forwarded, under overload
+    /// control.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the reported wait if the request would wait too long at the gateway.
+    pub fn admit_by_report(
+        &self,
+        request: &ConnectionRequest,
+        now: MonotonicTime,
+    ) -> Result<(), ConnectionError> {
+        if request.weight.is_none() {
+            return Ok(());
+        }
+        let mut gate = self.report_gate.get();
+        let admitted = gate.admit(request.priority, request.max_expected_wait(), now);
+        self.report_gate.set(gate);
+        admitted.map_err(|wait| {
+            count_refusal(request, "reported");
+            ConnectionError::Full(wait)
+        })
     }
 
     /// Returns the load at this instance, as reported to the instances that forward to it.
     #[must_use]
     pub fn local_load(&self, now: MonotonicTime) -> GatewayLoad {
         GatewayLoad::new(self.queue.load(), self.latency.get().typical(now))
+            .waits(self.queue.reported_waits(now))
     }
 
     /// Returns the target's gateways, or `None` if every instance connects to it directly.
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -4,12 +4,15 @@
 
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
-use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
+use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RoutePriority, TargetId};
+use mustardhinge_core::queue::{ReportGate, WorkKind};
 use mustardhinge_process::BootClock;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::connection_pool::ConnectionPool;
+use super::leased_work::LeasedWork;
+use super::queue_metrics::{count_refusal, record_queue_wait};
 use super::target_queue::{ConnectionGrant, TargetQueue};
 use super::{ConnectionError, ConnectionRequest, TargetConnection, TargetHealth, TargetLease};
 use crate::adapter::{SessionCodec, TargetFault};
@@ -40,6 +43,7 @@
     pub(super) forwarded: Cell<usize>,
     pub(super) gateways: Cell<Option<GatewayPair>>,
     pub(super) gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
+    pub(super) report_gate: Cell<ReportGate>,
 }
 
 impl TargetHandle {
@@ -59,6 +63,7 @@
             forwarded: Cell::new(0),
             gateways: Cell::new(None),
             gateway_load: Cell::new(None),
+            report_gate: Cell::new(ReportGate::default()),
         }
     }
 
@@ -253,40 +258,55 @@
     ) -> Result<TargetLease, ConnectionError> {
         let now = clock.now();
         self.connections.record_use(&request.customer, now);
+        let has_idle = self.has_idle(request);
         let immediate = self.queue.is_empty().then(|| self.try_grant(request, now));
         let grant = match immediate.flatten() {
-            Some(grant) => grant,
-            None => self.wait_for_grant(request, now, clock).await?,
+            Some(grant) => {
+                self.queue.record_immediate(request, has_idle, now);
+                grant
+            }
+            None => self.wait_for_grant(request, (has_idle, now), clock).await?,
         };
-        match grant {
-            ConnectionGrant::Idle(connection) => Ok(TargetLease::new(Rc::clone(self), *connection)),
-            ConnectionGrant::Open => self.open_connection::<W>(request, clock).await,
-        }
+        let lease = match grant {
+            ConnectionGrant::Idle(connection) => TargetLease::new(Rc::clone(self), *connection),
+            ConnectionGrant::Open => self.open_connection::<W>(request, clock).await?,
+        };
+        Ok(lease.work(LeasedWork::of(request)))
     }
 
     async fn wait_for_grant(
         &self,
         request: &ConnectionRequest,
-        now: MonotonicTime,
+        (has_idle, now): (bool, MonotonicTime),
         clock: &BootClock,
     ) -> Result<ConnectionGrant, ConnectionError> {
-        let (ticket, grant) = self
-            .queue
-            .push(request, now)
-            .map_err(ConnectionError::Full)?;
+        let (ticket, grant) = self.queue.push(request, has_idle, now).map_err(|after| {
+            count_refusal(request, "queue_full");
+            ConnectionError::Full(after)
+        })?;
         // If nothing is running, no later event would grant this session a slot.
         self.grant_waiting(now);
         let grant = timeout(request.wait, grant).await;
         record_wait("turn", now, clock);
+        let left_at = clock.now();
+        record_queue_wait(request, left_at.saturating_since(now));
         match grant {
-            Ok(Ok(grant)) => Ok(grant),
+            Ok(Ok(Ok(grant))) => Ok(grant),
+            Ok(Ok(Err(retry_after))) => {
+                count_refusal(request, "displaced");
+                Err(ConnectionError::Full(retry_after))
+            }
             Ok(Err(_)) if self.is_removed() || self.health().is_failing() => {
                 Err(ConnectionError::Dissolved)
             }
             Ok(Err(_)) => Err(ConnectionError::Full(LATE_RETRY_DELAY)),
             Err(_) => {
                 self.queue.cancel(&ticket);
-                Err(ConnectionError::Full(LATE_RETRY_DELAY))
+                count_refusal(request, "deadline_passed");
+                let retry_after = self.queue.retry_delay(request, left_at);
+                Err(ConnectionError::Full(
+                    retry_after.unwrap_or(LATE_RETRY_DELAY),
+                ))
             }
         }
     }
@@ -322,11 +342,14 @@
                 customer,
                 session: waiter.session,
                 wait: Duration::ZERO,
+                priority: RoutePriority::HIGHEST,
+                kind: WorkKind::Read,
+                weight: None,
             };
             let Some(grant) = self.try_grant(&request, now) else {
                 return;
             };
-            if let Err(unused) = waiter.grant.send(grant) {
+            if let Err(Ok(unused)) = waiter.grant.send(Ok(grant)) {
                 self.queue.release_reservation();
                 match unused {
                     ConnectionGrant::Idle(connection) => self.connections.add_idle(*connection),
@@ -349,6 +372,7 @@
             Ok((connection, reply)) => {
                 self.record_response(reply.position, now);
                 metrics::counter!("resident_connections_opened_total").increment(1);
+                self.queue.record_opening(now.saturating_since(since));
                 metrics::histogram!("resident_target_seconds", "kind" => "open")
                     .record(now.saturating_since(since).as_secs_f64());
                 Ok(TargetLease::new(Rc::clone(self), connection))
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::BootClock;
 
+use super::leased_work::LeasedWork;
 use super::{ConnectionError, ResponseTimeouts, TargetConnection, TargetHandle, TargetReply};
 use crate::adapter::{SessionCodec, TargetFault, TransactionState};
 use crate::gateway::ForwardedConnection;
@@ -33,6 +34,7 @@
     target: Rc<TargetHandle>,
     connection: LeasedConnection,
     holds_reservation: bool,
+    work: Option<LeasedWork>,
 }
 
 impl TargetLease {
@@ -41,9 +43,16 @@
             target,
             connection: LeasedConnection::Direct(Box::new(connection)),
             holds_reservation: true,
+            work: None,
         }
     }
 
+    /// Sets the work whose slot time is recorded when the lease ends.
+    pub(super) const fn work(mut self, work: Option<LeasedWork>) -> Self {
+        self.work = work;
+        self
+    }
+
     /// Creates a lease that forwards through the target's gateway.
     #[must_use]
     pub fn forwarded(target: Rc<TargetHandle>, connection: ForwardedConnection) -> Self {
@@ -52,6 +61,7 @@
             target,
             connection: LeasedConnection::Forwarded(connection),
             holds_reservation: false,
+            work: None,
         }
     }
 
@@ -131,6 +141,9 @@
             Ok(replies) => {
                 connection.used_at = now;
                 let elapsed = now.saturating_since(sent_at);
+                if let Some(work) = &mut self.work {
+                    work.slot_time += elapsed;
+                }
                 metrics::histogram!("resident_target_seconds", "kind" => timeouts.kind)
                     .record(elapsed.as_secs_f64());
                 let position = replies.iter().rev().find_map(|reply| reply.position);
@@ -149,11 +162,20 @@
         result
     }
 
+    /// Records the slot time of the lease once, unless nothing ran.
+    fn record_work(&mut self) {
+        let work = self.work.take();
+        if let Some(work) = work.filter(|work| !work.slot_time.is_zero()) {
+            self.target.queue.record_work(work);
+        }
+    }
+
     /// Returns the connection to the pool, or closes it if a transaction is open on it.
     pub fn release(mut self, now: MonotonicTime) {
         if std::mem::take(&mut self.holds_reservation) {
             self.target.release_reservation();
         }
+        self.record_work();
         match self.connection.take() {
             LeasedConnection::Direct(mut connection)
                 if connection.state == TransactionState::Idle =>
@@ -173,6 +195,7 @@
         if std::mem::take(&mut self.holds_reservation) {
             self.target.release_reservation();
         }
+        self.record_work();
         match self.connection.take() {
             LeasedConnection::Direct(_) => self.target.record_closed(BootClock.now()),
             LeasedConnection::Forwarded(_) => self.target.end_forward(),
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -3,10 +3,13 @@
 
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
 use mustardhinge_core::queue::{
-    FairQueue, PopOutcome, PushOutcome, QueueLimits, QueueTicket, SlotWindow, WaitingItem,
+    CostEstimates, CustomerWeight, FairQueue, PopOutcome, PriorityItem, PriorityQueue,
+    PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitingItem,
 };
 use tokio::sync::oneshot;
 
+use super::leased_work::LeasedWork;
+use super::wait_ticket::WaitTicket;
 use super::{ConnectionRequest, TargetConnection};
 
 /// Statements of one customer that are granted in succession. With a higher value, a flood from one
@@ -18,10 +21,6 @@
 /// Assumed service time until the first measurement; a typical value.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
 
-/// Maximum expected wait of a queued statement, in quarters of its allowed wait. The expected wait
-/// is a mean, and about half of the statements wait longer.
-const EXPECTED_WAIT_QUARTERS: u32 = 3;
-
 /// A slot granted to a session, with the connection to use.
 #[derive(Debug)]
 pub(super) enum ConnectionGrant {
@@ -36,15 +35,28 @@
 pub(super) struct WaitingSession {
     /// The session number, used to prefer a connection that the session used before.
     pub session: u64,
-    /// Receives the grant; dropped without one if the session is rejected.
-    pub grant: oneshot::Sender<ConnectionGrant>,
+    /// Receives the grant, or the retry delay; dropped without either if the session is rejected
+    /// by the fair queue, or because the target failed.
+    pub grant: oneshot::Sender<GrantResult>,
 }
 
+/// A grant, or the retry delay of a session that was evicted or expired in the queue with
+/// priorities.
+pub(super) type GrantResult = Result<ConnectionGrant, Duration>;
+
+/// The receiver of a waiting session's grant, with the ticket to cancel it.
+pub(super) type PendingGrant = (WaitTicket, oneshot::Receiver<GrantResult>);
+
 /// Fair queue in front of one target, with a window that limits the statements that this instance
 /// runs there concurrently.
+///
+/// Under overload control, sessions wait in a queue with priorities instead. After a change of the
+/// setting, the sessions that wait in the other queue are served as well.
 #[derive(Debug)]
 pub(super) struct TargetQueue {
     waiting: RefCell<FairQueue<WaitingSession>>,
+    by_priority: RefCell<PriorityQueue<WaitingSession>>,
+    costs: RefCell<CostEstimates>,
     window: Cell<SlotWindow>,
     running: Cell<usize>,
     reserved: Cell<usize>,
@@ -59,6 +71,8 @@
             .slots(u32::try_from(slots).unwrap_or(1));
         Self {
             waiting: RefCell::new(FairQueue::new(limits)),
+            by_priority: RefCell::new(PriorityQueue::new(limits)),
+            costs: RefCell::default(),
             window: Cell::new(SlotWindow::new(slots)),
             running: Cell::new(0),
             reserved: Cell::new(0),
@@ -67,12 +81,16 @@
 
     /// Returns the number of statements that run at the target, hold a reserved slot or are queued.
     pub(super) fn load(&self) -> usize {
-        self.running.get() + self.reserved.get() + self.waiting.borrow().len()
+        self.running.get() + self.reserved.get() + self.waiting_count()
+    }
+
+    fn waiting_count(&self) -> usize {
+        self.waiting.borrow().len() + self.by_priority.borrow().len()
     }
 
     /// Returns whether no session is queued.
     pub(super) fn is_empty(&self) -> bool {
-        self.waiting.borrow().is_empty()
+        self.waiting_count() == 0
     }
 
     /// Returns whether the window allows one more statement at the target.
@@ -110,9 +128,71 @@
         let mut window = self.window.get();
         window.record_response((elapsed, slow_after), self.running.get() + 1, now);
         self.window.set(window);
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.record_service(STATEMENT_COST, elapsed);
-        waiting.set_slots(u32::try_from(window.size()).unwrap_or(u32::MAX));
+        self.waiting
+            .borrow_mut()
+            .record_service(STATEMENT_COST, elapsed);
+        self.set_slots(window.size());
+    }
+
+    fn set_slots(&self, slots: usize) {
+        let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+        self.waiting.borrow_mut().set_slots(slots);
+        self.by_priority.borrow_mut().set_slots(slots);
+    }
+
+    /// Records the slot time of a completed lease.
+    pub(super) fn record_work(&self, work: LeasedWork) {
+        self.costs
+            .borrow_mut()
+            .record(work.priority, work.kind, work.slot_time);
+    }
+
+    /// Records how long opening a connection took.
+    pub(super) fn record_opening(&self, elapsed: Duration) {
+        self.costs.borrow_mut().record_opening(elapsed);
+    }
+
+    /// Returns the expected cost of a request, with or without opening a connection.
+    fn cost_of(&self, request: &ConnectionRequest, has_idle: bool) -> SlotCost {
+        let costs = self.costs.borrow();
+        let cost = costs.cost_of(request.priority, request.kind);
+        if has_idle {
+            cost
+        } else {
+            cost + costs.opening_cost()
+        }
+    }
+
+    /// Records a request that got a slot without waiting.
+    pub(super) fn record_immediate(
+        &self,
+        request: &ConnectionRequest,
+        has_idle: bool,
+        now: MonotonicTime,
+    ) {
+        if request.weight.is_some() {
+            let cost = self.cost_of(request, has_idle);
+            let mut queue = self.by_priority.borrow_mut();
+            queue.record_immediate(request.priority, cost, now);
+        }
+    }
+
+    /// Returns the expected wait of an arrival, by priority.
+    pub(super) fn reported_waits(&self, now: MonotonicTime) -> PriorityWaits {
+        self.by_priority.borrow().reported_waits(now)
+    }
+
+    /// Returns the retry delay of a request that has waited too long, or `None` without overload
+    /// control.
+    pub(super) fn retry_delay(
+        &self,
+        request: &ConnectionRequest,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
+        let queue = self.by_priority.borrow();
+        request
+            .weight
+            .map(|_| queue.drain_time(request.priority, now).get())
     }
 
     /// Records that the target refused a statement because it is busy.
@@ -120,8 +200,7 @@
         let mut window = self.window.get();
         window.record_refusal(typical_latency, now);
         self.window.set(window);
-        let size = u32::try_from(window.size()).unwrap_or(u32::MAX);
-        self.waiting.borrow_mut().set_slots(size);
+        self.set_slots(window.size());
     }
 
     /// Queues a session that waits for a slot.
@@ -132,12 +211,24 @@
     pub(super) fn push(
         &self,
         request: &ConnectionRequest,
+        has_idle: bool,
         now: MonotonicTime,
-    ) -> Result<(QueueTicket, oneshot::Receiver<ConnectionGrant>), Duration> {
+    ) -> Result<PendingGrant, Duration> {
+        match request.weight {
+            Some(weight) => self.push_by_priority((request, weight), has_idle, now),
+            None => self.push_fair(request, now),
+        }
+    }
+
+    fn push_fair(
+        &self,
+        request: &ConnectionRequest,
+        now: MonotonicTime,
+    ) -> Result<PendingGrant, Duration> {
         let (grant, granted) = oneshot::channel();
         let item = WaitingItem {
             customer: request.customer.clone(),
-            deadline: now + request.wait * EXPECTED_WAIT_QUARTERS / 4,
+            deadline: now + request.max_expected_wait(),
             cost: STATEMENT_COST,
             item: WaitingSession {
                 session: request.session,
@@ -146,14 +237,53 @@
         };
         // Displaced and expired sessions are notified by their dropped sender.
         match self.waiting.borrow_mut().push(item, now) {
-            PushOutcome::Queued { ticket, .. } => Ok((ticket, granted)),
+            PushOutcome::Queued { ticket, .. } => Ok((WaitTicket::Fair(ticket), granted)),
+            PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
+        }
+    }
+
+    fn push_by_priority(
+        &self,
+        (request, weight): (&ConnectionRequest, CustomerWeight),
+        has_idle: bool,
+        now: MonotonicTime,
+    ) -> Result<PendingGrant, Duration> {
+        let (grant, granted) = oneshot::channel();
+        let cost = self.cost_of(request, has_idle);
+        let slot_time = Duration::from_micros(cost.as_micros().into());
+        let item = PriorityItem {
+            customer: request.customer.clone(),
+            weight,
+            priority: request.priority,
+            admit_by: now + request.max_expected_wait(),
+            deadline: now + request.wait.saturating_sub(slot_time),
+            cost,
+            item: WaitingSession {
+                session: request.session,
+                grant,
+            },
+        };
+        match self.by_priority.borrow_mut().push(item, now) {
+            PushOutcome::Queued { ticket, displaced } => {
+                if let Some(refusal) = displaced {
+                    notify_refused(refusal);
+                }
+                Ok((WaitTicket::Priority(request.priority, ticket), granted))
+            }
             PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
         }
     }
 
     /// Removes a session that no longer waits.
-    pub(super) fn cancel(&self, ticket: &QueueTicket) {
-        self.waiting.borrow_mut().cancel(ticket);
+    pub(super) fn cancel(&self, ticket: &WaitTicket) {
+        match ticket {
+            WaitTicket::Fair(ticket) => {
+                self.waiting.borrow_mut().cancel(ticket);
+            }
+            WaitTicket::Priority(priority, ticket) => {
+                self.by_priority.borrow_mut().cancel(*priority, ticket);
+            }
+        }
     }
 
     /// Removes and returns the next waiting session, with its customer.
@@ -167,6 +297,16 @@
                 PopOutcome::Ready(_) | PopOutcome::Expired(_) => {}
             }
         }
+        let mut by_priority = self.by_priority.borrow_mut();
+        while let Some(outcome) = by_priority.pop(now) {
+            match outcome {
+                PopOutcome::Ready(ready) if !ready.item.grant.is_closed() => {
+                    return Some((ready.customer, ready.item));
+                }
+                PopOutcome::Ready(_) => {}
+                PopOutcome::Expired(refusal) => notify_refused(refusal),
+            }
+        }
         None
     }
 
@@ -175,3 +315,13 @@
         while self.pop(now).is_some() {}
     }
 }
+
+/// Sends the retry delay to a session that was evicted or expired.
+fn notify_refused(refusal: QueueRefusal<WaitingSession>) {
+    // The session may have stopped waiting.
+    let _ = refusal
+        .refused
+        .item
+        .grant
+        .send(Err(refusal.retry_after.get()));
+}
