--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -5,7 +5,7 @@
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RoutePriority, TargetId};
-use mustardhinge_core::queue::{ReportGate, WorkKind};
+use mustardhinge_core::queue::{ReportGate, SlotCost, WorkKind};
 use mustardhinge_process::BootClock;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -153,6 +153,12 @@
         self.connections.has_idle(&request.customer)
     }
 
+    /// Returns the slot time that a request is expected to occupy at the target.
+    #[must_use]
+    pub fn expected_cost(&self, request: &ConnectionRequest) -> SlotCost {
+        self.queue.cost_of(request, self.has_idle(request))
+    }
+
     /// Records a response; an error response counts as well.
     pub fn record_response(&self, position: Option<LogPosition>, now: MonotonicTime) {
         let mut health = self.health.get();
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -153,7 +153,7 @@
     }
 
     /// Returns the expected cost of a request, with or without opening a connection.
-    fn cost_of(&self, request: &ConnectionRequest, has_idle: bool) -> SlotCost {
+    pub(super) fn cost_of(&self, request: &ConnectionRequest, has_idle: bool) -> SlotCost {
         let costs = self.costs.borrow();
         let cost = costs.cost_of(request.priority, request.kind);
         if has_idle {
