Look for idle connections only where costs are estimated

Cause: each lease searched the idle connections for the customer also without overload control, where the result wasn't used. Change: the search is made only under overload control.

--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -264,7 +264,8 @@
     ) -> Result<TargetLease, ConnectionError> {
         let now = clock.now();
         self.connections.record_use(&request.customer, now);
-        let has_idle = self.has_idle(request);
+        // Only the cost estimates of overload control need it.
+        let has_idle = request.weight.is_some() && self.has_idle(request);
         let immediate = self.queue.is_empty().then(|| self.try_grant(request, now));
         let grant = match immediate.flatten() {
             Some(grant) => {
