--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -19,6 +19,8 @@
 mod overload_switch;
 mod placement;
 mod primary_lease;
+mod priority_queue;
+mod priority_replay;
 mod probe_trust;
 mod queue;
 mod rate_limit;
