Keep fences, epochs and departures across a restored store

Cause: in a drill the store comes back from an older copy. Its revisions are issued again and its records are gone, which the election, the feeds and the group records took for the newest state.

Change: revisions carry the era of the header Store-Era and order by it first; responses of an older era fail. A leader writes its record again under a higher fence, a claimant waits for the lost leader, and groups are set up from reports and terms. MESSAGE_FORMAT rises to 9.

--- a/crates/mustardhinge-core/src/primary_lease/group_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/group_leases.rs
@@ -102,6 +102,7 @@
             epoch: self.epoch,
             primary: self.primary.clone(),
             usable: self.phase == GroupPhase::Serving,
+            term: self.term,
         }
     }
 
--- a/crates/mustardhinge-core/src/primary_lease/held_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leases.rs
@@ -3,12 +3,13 @@
 
 use super::{EpochDigest, GroupEpoch, LeaseGrant};
 use crate::ids::{ServiceId, TargetId};
-use crate::units::MonotonicTime;
+use crate::units::{LeaderTerm, MonotonicTime};
 
 #[derive(Clone, Debug)]
 struct HeldLease {
     epoch: GroupEpoch,
     primary: TargetId,
+    term: LeaderTerm,
     valid_until: MonotonicTime,
     closing_since: Option<MonotonicTime>,
     stopped: bool,
@@ -57,6 +58,7 @@
                 HeldLease {
                     epoch: grant.epoch,
                     primary: grant.primary.clone(),
+                    term: grant.term,
                     valid_until: MonotonicTime::default(),
                     closing_since: None,
                     stopped: false,
@@ -123,6 +125,20 @@
         })
     }
 
+    /// Returns the latest epoch of each group for a leader that may not know it.
+    #[must_use]
+    pub fn known_epochs(&self) -> Vec<LeaseGrant> {
+        let groups = self.groups.iter();
+        let known = groups.map(|(service, held)| LeaseGrant {
+            service: service.clone(),
+            epoch: held.epoch,
+            primary: held.primary.clone(),
+            usable: held.closing_since.is_none() && !held.stopped,
+            term: held.term,
+        });
+        known.collect()
+    }
+
     /// Returns a digest of the epochs known to this instance.
     #[must_use]
     pub fn digest(&self) -> EpochDigest {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -4,7 +4,9 @@
 
 use super::held_leadership::HeldLeadership;
 use super::voter_acks::VoterAcks;
-use super::{ElectionStep, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, Voter};
+use super::{
+    ElectionStep, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter,
+};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
@@ -38,6 +40,11 @@
     settings: LeaseSettings,
     observed: Option<ObservedRecord>,
     is_record_absent: bool,
+    era: StoreEra,
+    /// Since when the record is known to be absent in this era.
+    absent_since: Option<MonotonicTime>,
+    /// Whether no other instance can have become leader before the store was restored.
+    is_unbroken: bool,
     held: Option<HeldLeadership>,
     highest_fence: u64,
     last_heartbeat_at: MonotonicTime,
@@ -66,6 +73,7 @@
             released: false,
             settled: false,
             voters: Vec::new(),
+            era: StoreEra::default(),
         };
         Self {
             own,
@@ -73,6 +81,9 @@
             settings: LeaseSettings::default(),
             observed: None,
             is_record_absent: false,
+            era: StoreEra::default(),
+            absent_since: None,
+            is_unbroken: false,
             held: None,
             highest_fence: 0,
             last_heartbeat_at: MonotonicTime::default(),
@@ -127,6 +138,9 @@
     }
 
     fn renewal_step(&self, held: &HeldLeadership, now: MonotonicTime) -> ElectionStep {
+        if self.needs_restore(held) {
+            return self.restore_step(held, now);
+        }
         let last = self
             .last_write_at
             .unwrap_or(held.renewed_at)
@@ -144,6 +158,35 @@
         }
     }
 
+    /// Returns whether the store lost the leader's record, or has it overwritten by a write that was
+    /// sent in an earlier era and whose expected number has been issued again.
+    fn needs_restore(&self, held: &HeldLeadership) -> bool {
+        let is_overwritten = self
+            .observed
+            .as_ref()
+            .is_some_and(|observed| is_from_copy(observed) && observed.revision > held.revision);
+        held.record.era < self.era || is_overwritten
+    }
+
+    /// Returns the step by which a leader writes its record to a restored store, with a new fence.
+    fn restore_step(&self, held: &HeldLeadership, now: MonotonicTime) -> ElectionStep {
+        let is_recent = |at: MonotonicTime| now.saturating_since(at) < STALE_READ_INTERVAL;
+        if self.last_write_at.is_some_and(is_recent) {
+            return ElectionStep::Wait;
+        }
+        let stored = self.observed.as_ref().map(|observed| observed.revision);
+        let expected = stored.filter(|revision| revision.era() == self.era);
+        if expected.is_none() && !self.is_record_absent {
+            return match self.last_read_at {
+                Some(at) if is_recent(at) => ElectionStep::Wait,
+                _ => ElectionStep::Read,
+            };
+        }
+        let mut record = self.claim_record(self.highest_fence + 1, expected);
+        record.settled = self.is_unbroken && held.is_settled(now);
+        ElectionStep::Write { record, expected }
+    }
+
     fn claim_step(&self, now: MonotonicTime) -> Option<ElectionStep> {
         if self
             .last_write_at
@@ -152,33 +195,93 @@
             return None;
         }
         let Some(observed) = &self.observed else {
-            let mut record = self.claim_record(self.highest_fence + 1);
-            record.settled = self.highest_fence == 0;
-            return self.is_record_absent.then_some(ElectionStep::Write {
-                record,
-                expected: None,
-            });
+            return self.absent_claim_step(now);
         };
+        if observed.revision.era() < self.era {
+            return None;
+        }
         let is_own = observed.record.holder == self.own.holder;
         let spread = CLAIM_SPREAD * self.rank;
         let wait = match (is_own, observed.record.released) {
+            _ if is_from_copy(observed) => self.settings.claim_after + spread,
             (true, _) => Duration::ZERO,
             (false, true) => spread,
             (false, false) => self.settings.claim_after + spread,
         };
         (now.saturating_since(observed.first_seen) >= wait).then(|| ElectionStep::Write {
-            record: self.claim_record(observed.record.fence.max(self.highest_fence) + 1),
+            record: self.claim_record(
+                observed.record.fence.max(self.highest_fence) + 1,
+                Some(observed.revision),
+            ),
             expected: Some(observed.revision),
         })
     }
 
-    fn claim_record(&self, fence: u64) -> LeaderRecord {
+    /// Returns the claim for a record that the store doesn't have.
+    ///
+    /// A restored store may have lost the record of a leader that still replaces primaries, so the
+    /// claim waits as long as for a record that its leader doesn't renew.
+    fn absent_claim_step(&self, now: MonotonicTime) -> Option<ElectionStep> {
+        let is_first = self.era == StoreEra::default();
+        let wait = self.settings.claim_after + CLAIM_SPREAD * self.rank;
+        let has_waited = self
+            .absent_since
+            .is_some_and(|since| now.saturating_since(since) >= wait);
+        let mut record = self.claim_record(self.highest_fence + 1, None);
+        record.settled = is_first && self.highest_fence == 0;
+        let may_claim = self.is_record_absent && (is_first || has_waited);
+        may_claim.then_some(ElectionStep::Write {
+            record,
+            expected: None,
+        })
+    }
+
+    /// Returns a claim with at least the given fence.
+    ///
+    /// After a restore, the fence is also above the revision that the claim replaces. Each claim
+    /// of an era replaces a later revision, so no two of them have the same fence, even if neither
+    /// claimant has seen the other's.
+    fn claim_record(&self, fence: u64, expected: Option<RecordRevision>) -> LeaderRecord {
+        let replaced = expected.map_or(0, RecordRevision::number);
+        let floor = match self.era.counter_floor() {
+            0 => 0,
+            floor => floor + replaced + 1,
+        };
         LeaderRecord {
-            fence,
+            fence: fence.max(floor),
+            era: self.era,
             ..self.own.clone()
         }
     }
 
+    /// Records the era of the store. Returns whether it rose.
+    ///
+    /// The numbers of earlier revisions can't be compared with those of the new era, so a leader
+    /// reads the record at once, and others read it before they claim.
+    pub fn observe_era(&mut self, era: StoreEra, now: MonotonicTime) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        self.is_record_absent = false;
+        self.absent_since = None;
+        self.has_predecessor_stopped = false;
+        self.is_unbroken = self.held.as_ref().is_some_and(|held| {
+            let bound = self.settings.claim_after - self.settings.promote_margin;
+            held.record.era.next() == era && now.saturating_since(held.renewed_at) < bound
+        });
+        if self.held.is_some() {
+            self.is_stale = true;
+        }
+        true
+    }
+
+    /// Returns the newest era of the store that was observed.
+    #[must_use]
+    pub const fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Records that a read was sent.
     pub fn record_read_sent(&mut self, now: MonotonicTime) {
         self.last_read_at = Some(now);
@@ -210,21 +313,32 @@
         sent_at: MonotonicTime,
         now: MonotonicTime,
     ) {
-        self.is_stale = false;
         let Some((revision, record)) = stored else {
+            self.is_stale = false;
             self.is_record_absent = true;
+            self.absent_since = self.absent_since.or(Some(now));
             self.observed = None;
             return;
         };
+        if revision.era() < self.era {
+            return;
+        }
+        self.observe_era(revision.era(), now);
+        self.is_stale = false;
         self.is_record_absent = false;
+        self.absent_since = None;
+        let is_current = record.era >= revision.era();
         let is_mine =
             record.holder == self.own.holder && record.incarnation == self.own.incarnation;
-        if is_mine && !record.released {
+        if is_mine && is_current && !record.released {
             let written_at = self.write_sent_at(&record).unwrap_or(sent_at).min(sent_at);
             self.acquire(revision, record, written_at);
             return;
         }
-        if self.held.is_some() {
+        // A record from an older copy replaces no leader, unless it is one that this instance
+        // had not seen yet.
+        let is_replaced = |held: &HeldLeadership| is_current || record.fence > held.record.fence;
+        if self.held.as_ref().is_some_and(is_replaced) {
             self.held = None;
         }
         self.highest_fence = self.highest_fence.max(record.fence);
@@ -253,6 +367,11 @@
         record: LeaderRecord,
         sent_at: MonotonicTime,
     ) {
+        if revision.era() != record.era || revision.era() < self.era {
+            // The store was restored before it executed the write, or after it.
+            self.is_stale = true;
+            return;
+        }
         self.is_stale = false;
         if record.released {
             self.held = None;
@@ -268,8 +387,8 @@
 
     fn acquire(&mut self, revision: RecordRevision, record: LeaderRecord, sent_at: MonotonicTime) {
         self.highest_fence = self.highest_fence.max(record.fence);
-        let held = self.held.take();
-        if let Some(mut held) = held.filter(|held| held.record.fence == record.fence) {
+        let mut held = self.held.take();
+        if let Some(mut held) = held.take_if(|held| held.record.fence == record.fence) {
             self.voter_acks.confirm(&record);
             held.record = record;
             held.revision = revision;
@@ -279,6 +398,29 @@
         }
         self.voter_acks.reset(record.fence);
         self.voter_acks.confirm(&record);
+        let is_unbroken = std::mem::take(&mut self.is_unbroken);
+        let is_lost =
+            revision.era() > StoreEra::default() && self.observed.as_ref().is_none_or(is_from_copy);
+        self.held = Some(match held.filter(|_| is_lost && is_unbroken) {
+            Some(held) => HeldLeadership {
+                record,
+                revision,
+                renewed_at: sent_at,
+                ..held
+            },
+            None if is_lost => self.held_after_loss(revision, record, sent_at),
+            None => self.held_after_claim(revision, record, sent_at),
+        });
+        let own = (self.own.holder.clone(), self.own.incarnation);
+        self.voter_moved((&own.0, own.1), sent_at);
+    }
+
+    fn held_after_claim(
+        &self,
+        revision: RecordRevision,
+        record: LeaderRecord,
+        sent_at: MonotonicTime,
+    ) -> HeldLeadership {
         let bound = self.settings.renew_deadline + self.settings.lease;
         let promote_from = match &self.observed {
             None if record.settled => sent_at,
@@ -287,7 +429,7 @@
             Some(observed) => self.predecessor_expiry(observed, sent_at) + self.settings.lease,
         };
         let predecessor = self.observed.as_ref().map(|observed| &observed.record);
-        self.held = Some(HeldLeadership {
+        HeldLeadership {
             record,
             revision,
             renewed_at: sent_at,
@@ -295,9 +437,26 @@
             has_one_predecessor: predecessor.is_none_or(|record| record.settled),
             predecessor_voters: predecessor.map_or_else(Vec::new, |record| record.voters.clone()),
             moved: BTreeSet::new(),
-        });
-        let own = (self.own.holder.clone(), self.own.incarnation);
-        self.voter_moved((&own.0, own.1), sent_at);
+        }
+    }
+
+    /// Returns the leadership after a restore of the store. The last leader is unknown, so neither
+    /// voters nor a stopped predecessor shorten the wait.
+    fn held_after_loss(
+        &self,
+        revision: RecordRevision,
+        record: LeaderRecord,
+        sent_at: MonotonicTime,
+    ) -> HeldLeadership {
+        HeldLeadership {
+            record,
+            revision,
+            renewed_at: sent_at,
+            promote_from: sent_at + self.settings.renew_deadline + self.settings.lease,
+            has_one_predecessor: false,
+            predecessor_voters: Vec::new(),
+            moved: BTreeSet::new(),
+        }
     }
 
     fn predecessor_expiry(
@@ -368,6 +527,7 @@
         if observed.record.fence < self.highest_fence {
             return;
         }
+        self.observe_era(observed.revision.era(), now);
         self.observe_fence(observed.record.fence);
         if self.held.is_some() {
             return;
@@ -402,7 +562,10 @@
     /// Returns the record that releases the leadership, with the expected revision for its write.
     #[must_use]
     pub fn release(&self, now: MonotonicTime) -> Option<(LeaderRecord, RecordRevision)> {
-        let held = self.held.as_ref()?;
+        let held = self
+            .held
+            .as_ref()
+            .filter(|held| held.record.era == self.era)?;
         let mut record = held.record.clone();
         record.released = true;
         record.settled = held.is_settled(now);
@@ -484,3 +647,8 @@
         self.highest_fence
     }
 }
+
+/// Returns whether the record comes from the copy from which the store was restored.
+fn is_from_copy(observed: &ObservedRecord) -> bool {
+    observed.record.era < observed.revision.era()
+}
--- a/crates/mustardhinge-core/src/primary_lease/leader_record.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Voter;
+use super::{StoreEra, Voter};
 use crate::ids::InstanceId;
 
 /// The leadership record in the platform's store: which instance is the leader.
@@ -28,4 +28,8 @@
     /// majority of them to keep granting leases; with an empty list it needs none.
     #[serde(default)]
     pub voters: Vec<Voter>,
+    /// The era of the store for which the record was written. In a later era it comes from an
+    /// older copy and doesn't show who the last leader was.
+    #[serde(default)]
+    pub era: StoreEra,
 }
--- a/crates/mustardhinge-core/src/primary_lease/lease_grant.rs
+++ b/crates/mustardhinge-core/src/primary_lease/lease_grant.rs
@@ -2,6 +2,7 @@
 
 use super::GroupEpoch;
 use crate::ids::{ServiceId, TargetId};
+use crate::units::LeaderTerm;
 
 /// The leader's response about one group's primary: a lease for the requesting instance, or a
 /// notice to stop using the primary.
@@ -15,4 +16,6 @@
     pub primary: TargetId,
     /// Whether the primary may be used; if not, the instance must stop its work on the primary.
     pub usable: bool,
+    /// A lower bound of the primary's term.
+    pub term: LeaderTerm,
 }
--- a/crates/mustardhinge-core/tests/suite/primary_lease/held_leases.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/held_leases.rs
@@ -1,7 +1,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use mustardhinge_core::prelude::ServiceId;
+use mustardhinge_core::prelude::{LeaderTerm, ServiceId};
 use mustardhinge_core::primary_lease::{GroupEpoch, HeldLeases, LeaseGrant};
 
 use super::{at, id};
@@ -14,6 +14,7 @@
         epoch: GroupEpoch::new(epoch),
         primary: id(primary),
         usable,
+        term: LeaderTerm::new(1),
     }
 }
 
@@ -94,6 +95,7 @@
             epoch: GroupEpoch::new(1),
             primary: "server-1".parse().unwrap(),
             usable: true,
+            term: LeaderTerm::new(1),
         };
         leases.accept(&grant, at(0), LEASE, at(1));
     }
@@ -109,6 +111,7 @@
         epoch: GroupEpoch::new(2),
         primary: "server-2".parse().unwrap(),
         usable: true,
+        term: LeaderTerm::new(1),
     };
     leases.accept(&next, at(1_600), LEASE, at(1_601));
     assert_ne!(leases.digest(), digest, "a new epoch does");
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -2,7 +2,7 @@
 
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_core::primary_lease::{
-    ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision,
+    ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision, StoreEra,
 };
 
 use super::{at, id};
@@ -25,7 +25,7 @@
             return None;
         }
         self.revision += 1;
-        let revision = RecordRevision::new(self.revision);
+        let revision = RecordRevision::new(StoreEra::default(), self.revision);
         self.stored = Some((revision, record.clone()));
         Some(revision)
     }
--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -6,6 +6,7 @@
 mod held_leases;
 mod leader_election;
 mod lease_response;
+mod store_restore;
 mod successor_choice;
 mod voters;
 mod wait_decision;
--- a/crates/mustardhinge-core/tests/suite/primary_lease/voters.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/voters.rs
@@ -4,7 +4,7 @@
 
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ZoneId};
 use mustardhinge_core::primary_lease::{
-    ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision, Voter,
+    ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision, StoreEra, Voter,
     VoterCandidate, VoterChoice,
 };
 use rand::rngs::SmallRng;
@@ -209,7 +209,7 @@
             return None;
         }
         self.revision += 1;
-        let revision = RecordRevision::new(self.revision);
+        let revision = RecordRevision::new(StoreEra::default(), self.revision);
         self.store = Some((revision, record));
         Some(revision)
     }
--- a/crates/mustardhinge-resident/src/adapter/platform_client.rs
+++ b/crates/mustardhinge-resident/src/adapter/platform_client.rs
@@ -1,6 +1,6 @@
 use std::future::Future;
 
-use mustardhinge_core::primary_lease::RecordRevision;
+use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 
 use super::{PlatformError, PromotionOutcome, PromotionRequest, WatchResponse, WriteOutcome};
 use crate::plan::{ServingPlan, TargetEntry};
@@ -51,6 +51,14 @@
         expected: Option<RecordRevision>,
     ) -> impl Future<Output = WriteOutcome>;
 
+    /// Returns the newest era of the store that was seen, or `None` before the first response.
+    ///
+    /// A call returns an error if its response is of an earlier era.
+    fn store_era(&self) -> Option<StoreEra>;
+
+    /// Records an era that another instance has seen.
+    fn observe_store_era(&self, era: StoreEra);
+
     /// Requests the promotion of a target to the primary of its group.
     fn promote(&self, request: &PromotionRequest) -> impl Future<Output = PromotionOutcome>;
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -7,7 +7,9 @@
 use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{InstanceRoster, ListFetchBackoff, RosterEntry};
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primary_lease::{GroupLeases, LeaderRecord, RecordRevision};
+use mustardhinge_core::primary_lease::{
+    GroupLeases, LeaderRecord, LeaseGrant, RecordRevision, StoreEra,
+};
 use mustardhinge_core::rate_limit::RateLimiter;
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
@@ -16,6 +18,7 @@
 
 use super::state_relay::ResponseKey;
 use super::{GrantAck, GroupRecord, PeerMessage};
+use crate::adapter::PlatformClient;
 use crate::node::NodeState;
 
 /// Time after which a new leader has received a message from every instance that it can reach.
@@ -89,6 +92,13 @@
     pub is_promoting: Cell<bool>,
     /// Whether the last call to the store succeeded.
     pub is_store_available: Cell<bool>,
+    /// The newest era of the store that was seen; none before the first response.
+    pub store_era: Cell<Option<StoreEra>>,
+    /// Notifies tasks that wait for a rise of the era.
+    pub store_era_changed: Notify,
+    /// The latest epoch of each group that an instance has reported to this leader after a restore
+    /// of the store.
+    pub reported_epochs: RefCell<HashMap<ServiceId, LeaseGrant>>,
     /// When this instance last received a grant.
     pub granted_at: Cell<MonotonicTime>,
     /// When this instance became the leader.
@@ -129,6 +139,9 @@
             relay_changed: Notify::new(),
             is_promoting: Cell::new(false),
             is_store_available: Cell::new(true),
+            store_era: Cell::new(None),
+            store_era_changed: Notify::new(),
+            reported_epochs: RefCell::default(),
             granted_at: Cell::default(),
             leader_since: Cell::default(),
             predecessor: RefCell::new(None),
@@ -238,4 +251,36 @@
             _ => {}
         }
     }
+
+    /// Waits until an era of the store after `era` was seen.
+    pub async fn wait_for_era_after(&self, era: StoreEra) {
+        loop {
+            let changed = self.store_era_changed.notified();
+            if self.store_era.get().is_some_and(|newest| newest > era) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+impl<P: PlatformClient> ControlState<P> {
+    /// Records the newest era of the store, after a call to it or a message that names an era.
+    pub fn update_store_era(&self) {
+        let Some(era) = self.platform.store_era() else {
+            return;
+        };
+        let before = self.store_era.replace(Some(era));
+        if before == Some(era) {
+            return;
+        }
+        let now = self.node.clock.now();
+        self.node.election.borrow_mut().observe_era(era, now);
+        if let Some(before) = before {
+            event::STORE_ERA_RAISED.log(format_args!("era={era} before={before}"));
+            metrics::counter!("resident_store_eras_total").increment(1);
+            self.store_era_changed.notify_waiters();
+            self.wake.notify_one();
+        }
+    }
 }
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -19,6 +19,7 @@
     send_lease_request, send_stop_messages,
 };
 use super::primary_change::run_primary_change;
+use super::record_restore::restore_records;
 use super::schedule::{control_schedule, has_unusable};
 use super::state_relay::fetch_state;
 use crate::adapter::{PlatformClient, ServerRole, SessionCodec, WriteOutcome};
@@ -61,12 +62,14 @@
     loop {
         let now = control.node.clock.now();
         metrics::counter!("resident_control_looks_total").increment(1);
+        control.update_store_era();
         update_leadership(&control, &mut state, now);
         advance_election(&control, &state, now);
         let is_closing = close_epochs(&control, now);
         send_requests(&control, &mut state, now);
         if state.is_leader {
             notify_pending_voters(&control, now);
+            restore_records(&control);
             maintain_gateways(&control, now);
             maintain_groups::<W, P>(&control, &mut state, now);
         }
@@ -192,6 +195,7 @@
         Err(error) => return control.record_store_result(Err(&error)),
     };
     control.record_store_result(Ok(()));
+    control.update_store_era();
     let stored = match stored {
         None => None,
         Some((revision, body)) => match serde_json::from_value::<LeaderRecord>(body) {
@@ -229,6 +233,7 @@
         .platform
         .write_record(LEADER_RECORD, body, expected)
         .await;
+    control.update_store_era();
     let mut election = control.node.election.borrow_mut();
     match response {
         WriteOutcome::Done(revision) => {
--- a/crates/mustardhinge-resident/src/control/group_record.rs
+++ b/crates/mustardhinge-resident/src/control/group_record.rs
@@ -1,5 +1,5 @@
 use mustardhinge_core::prelude::{LeaderTerm, ServiceId, TargetId};
-use mustardhinge_core::primary_lease::GroupEpoch;
+use mustardhinge_core::primary_lease::{GroupEpoch, StoreEra};
 use serde::{Deserialize, Serialize};
 
 /// The record of a group's newest primary in the platform's store.
@@ -20,6 +20,10 @@
     pub is_confirmed: bool,
     /// The fence of the leader that wrote the record.
     pub fence: u64,
+    /// The era of the store for which the record was written. In a later era it comes from an
+    /// older copy, and a later change of the primary may have been lost.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 impl GroupRecord {
--- a/crates/mustardhinge-resident/src/control/group_setup.rs
+++ b/crates/mustardhinge-resident/src/control/group_setup.rs
@@ -2,11 +2,14 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{LeaderTerm, ServiceId, TargetId};
-use mustardhinge_core::primary_lease::{ChangeCause, GroupEpoch, GroupLeases, RecordRevision};
+use mustardhinge_core::primary_lease::{
+    ChangeCause, GroupEpoch, GroupLeases, RecordRevision, StoreEra,
+};
 use mustardhinge_process::event;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::record_restore::{current_era, set_up_restored};
 use super::{ControlState, GroupRecord};
 use crate::adapter::{
     PlatformClient, ProxyStatement, ServerRole, SessionCodec, StatusReport, WriteOutcome,
@@ -50,6 +53,15 @@
     let Ok(stored) = read_group_record(control, service).await else {
         return false;
     };
+    let era = current_era(control);
+    let is_lost = match &stored {
+        Some((_, record)) => record.era < era,
+        None => era > StoreEra::default(),
+    };
+    if is_lost {
+        let copy = stored.map(|(_, record)| record);
+        return set_up_restored::<W, P>(control, group, copy).await;
+    }
     if let Some((revision, record)) = stored {
         let primary = record.primary.clone();
         let leases = if record.is_confirmed {
@@ -178,6 +190,10 @@
     service: &ServiceId,
     new: NewGroupRecord<'_>,
 ) -> bool {
+    let era = current_era(control);
+    if !may_write_records(control, era) {
+        return false;
+    }
     let record = GroupRecord {
         service: service.clone(),
         epoch: new.epoch,
@@ -185,9 +201,12 @@
         term: new.term,
         is_confirmed: new.is_confirmed,
         fence: control.node.election.borrow().highest_fence(),
+        era,
     };
     let known = control.records.borrow().get(service).cloned();
-    let expected = known.map(|(revision, _)| revision);
+    let expected = known
+        .map(|(revision, _)| revision)
+        .filter(|revision| revision.era() == era);
     let name = GroupRecord::name_of(service);
     let body = serde_json::to_value(&record).unwrap_or_default();
     match control.platform.write_record(&name, body, expected).await {
@@ -210,13 +229,25 @@
                         .insert(service.clone(), (revision, stored));
                     is_written
                 }
-                _ => false,
+                Ok(None) => {
+                    control.records.borrow_mut().remove(service);
+                    false
+                }
+                Err(()) => false,
             }
         }
     }
 }
 
-async fn read_group_record<P: PlatformClient>(
+/// Returns whether this instance may write group records: after a restore of the store, only once
+/// its own leadership is recorded there again.
+fn may_write_records<P>(control: &ControlState<P>, era: StoreEra) -> bool {
+    let election = control.node.election.borrow();
+    let held = election.held_record();
+    era == StoreEra::default() || held.is_some_and(|(record, _, _)| record.era == era)
+}
+
+pub(super) async fn read_group_record<P: PlatformClient>(
     control: &ControlState<P>,
     service: &ServiceId,
 ) -> Result<Option<(RecordRevision, GroupRecord)>, ()> {
@@ -228,6 +259,7 @@
             return Err(());
         }
     };
+    control.update_store_era();
     let Some((revision, body)) = stored else {
         return Ok(None);
     };
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{DocumentVersion, MonotonicTime, ServiceId};
-use mustardhinge_core::primary_lease::{GroupEpoch, ObservedRecord};
+use mustardhinge_core::primary_lease::{GroupEpoch, ObservedRecord, StoreEra};
 use mustardhinge_process::event;
 
 use super::{
@@ -23,6 +23,10 @@
     if grant.record.fence < node.election.borrow().highest_fence() {
         return;
     }
+    if grant.revision.era() > StoreEra::default() {
+        control.platform.observe_store_era(grant.revision.era());
+        control.update_store_era();
+    }
     let grant_ack = GrantAck {
         fence: grant.record.fence,
         granted_at: grant.granted_at,
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -9,6 +9,7 @@
 use mustardhinge_core::rate_limit::{AllowanceGrant, UsageReport};
 
 use super::leader_messages::check_plan_version;
+use super::record_restore::record_epochs;
 use super::{
     AllowanceRequest, AllowanceResponse, ControlState, GrantMessage, GrantedGroup, GrantedGroups,
     LeaseRequest,
@@ -23,6 +24,7 @@
     let node = &control.node;
     let now = node.clock.now();
     record_voter(control, request, now);
+    record_epochs(control, &request.known_epochs);
     let lease = node.election.borrow().lease_duration(now)?;
     record_requester(control, request, now);
     let instances = control.count_instances(now);
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod peer_message;
 mod plan_feed;
 mod primary_change;
+mod record_restore;
 mod schedule;
 mod state_relay;
 mod target_feed;
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -10,6 +10,7 @@
     check_plan_version, close_local_lease, handle_allowance_response, handle_grant, handle_stop,
 };
 use super::leader_responses::{handle_allowance_request, handle_lease_request};
+use super::record_restore::epochs_to_report;
 use super::{
     AllowanceRequest, ControlState, GroupReport, LeaderHint, LeaseRequest, PeerMessage, StopMessage,
 };
@@ -283,6 +284,7 @@
             .collect(),
         groups: groups.collect(),
         usage: node.allowances.borrow_mut().reports(now),
+        known_epochs: epochs_to_report(control),
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -13,7 +13,7 @@
 use crate::plan::TargetsDigest;
 
 /// Version of the message format. Instances ignore messages of another version.
-const MESSAGE_FORMAT: u8 = 8;
+const MESSAGE_FORMAT: u8 = 9;
 
 /// A message between instances, sent as one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -104,6 +104,9 @@
     /// The usage that the requester admitted, by customer.
     #[serde(rename = "spending")]
     pub usage: Vec<UsageReport>,
+    /// The epochs that the requester knows, for a leader whose records a restored store may have
+    /// lost.
+    pub known_epochs: Vec<LeaseGrant>,
 }
 
 /// Identifies the grant that an instance applied.
--- a/crates/mustardhinge-resident/src/control/plan_feed.rs
+++ b/crates/mustardhinge-resident/src/control/plan_feed.rs
@@ -28,6 +28,8 @@
 async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
     let (plan, mut revision) = control.platform.read_plan().await?;
     control.record_store_result(Ok(()));
+    control.update_store_era();
+    let era = revision.era();
     if let Some(plan) = plan {
         control.node.adopt_plan(plan, "store");
     }
@@ -35,8 +37,10 @@
         let update = tokio::select! {
             update = control.platform.watch_plan(revision) => update?,
             () = control.wait_until_relayed(true) => return Ok(()),
+            () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
+        control.update_store_era();
         match update {
             WatchResponse::HistoryGone => return Ok(()),
             WatchResponse::Changes {
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -7,7 +7,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use mustardhinge_core::prelude::DocumentVersion;
-use mustardhinge_core::primary_lease::RecordRevision;
+use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -41,13 +41,22 @@
 pub(super) struct RelayQuery {
     /// The version of the requester's configuration.
     pub(super) plan_version: DocumentVersion,
-    /// The revision of the requester's list of targets.
-    pub(super) targets_revision: RecordRevision,
+    /// The number of the revision of the requester's list of targets.
+    pub(super) targets_revision: u64,
     /// The digest of the requester's list of targets.
     pub(super) targets: TargetsDigest,
     /// Whether the response may be compressed.
     #[serde(default, rename = "takes_packed")]
     pub(super) accepts_compressed: bool,
+    /// The era of that revision.
+    #[serde(default)]
+    pub(super) targets_era: StoreEra,
+}
+
+impl RelayQuery {
+    const fn revision(&self) -> RecordRevision {
+        RecordRevision::new(self.targets_era, self.targets_revision)
+    }
 }
 
 /// The configuration and the targets of an instance, as far as they are newer than the
@@ -58,8 +67,11 @@
     pub plan: Option<String>,
     /// The targets.
     pub targets: Option<Vec<TargetEntry>>,
-    /// The revision of the list of targets.
-    pub revision: RecordRevision,
+    /// The number of the revision of the list of targets.
+    pub revision: u64,
+    /// The era of that revision.
+    #[serde(default)]
+    pub era: StoreEra,
 }
 
 /// Serves connections of other instances: responds to queries for this instance's state and
@@ -111,16 +123,22 @@
     let plan = control.node.plan();
     let (targets, revision) = control.node.target_list();
     let has_plan = plan.version() > query.plan_version;
-    let is_current = revision >= query.targets_revision;
+    let is_current = revision >= query.revision();
     let has_targets = is_current && control.node.targets_digest() != query.targets;
     let state = || RelayedState {
         plan: has_plan.then(|| String::from_utf8_lossy(plan.source()).into_owned()),
         targets: has_targets.then_some(targets),
-        revision,
+        revision: revision.number(),
+        era: revision.era(),
     };
     let response = if query.accepts_compressed {
         let digest = control.node.targets_digest();
-        let key = (plan.version(), digest, (has_plan, has_targets));
+        let key = (
+            plan.version(),
+            digest,
+            revision.era(),
+            (has_plan, has_targets),
+        );
         compress_response(control, key, state)?
     } else {
         Rc::new(serde_json::to_vec(&state())?)
@@ -130,7 +148,7 @@
 }
 
 /// Cache key of a compressed response: the versions of the state and the parts that it contains.
-pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, (bool, bool));
+pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, StoreEra, (bool, bool));
 
 /// Returns the compressed response. The last one is cached, since the instances of a starting zone
 /// request the same response dozens of times.
@@ -205,7 +223,8 @@
 fn current_query<P>(control: &ControlState<P>) -> RelayQuery {
     RelayQuery {
         plan_version: control.node.plan().version(),
-        targets_revision: control.node.targets_revision(),
+        targets_revision: control.node.targets_revision().number(),
+        targets_era: control.node.targets_revision().era(),
         targets: control.node.targets_digest(),
         accepts_compressed: true,
     }
@@ -227,7 +246,8 @@
         }
     }
     if let Some(targets) = state.targets {
-        control.node.adopt_targets(targets, state.revision);
+        let revision = RecordRevision::new(state.era, state.revision);
+        control.node.adopt_targets(targets, revision);
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, TargetId};
+use mustardhinge_core::primary_lease::StoreEra;
 use tokio::time::sleep;
 
 use super::ControlState;
@@ -41,16 +42,22 @@
 ) -> Result<(), PlatformError> {
     let (entries, mut revision) = control.platform.list_targets().await?;
     control.record_store_result(Ok(()));
+    control.update_store_era();
+    let era = revision.era();
+    let is_same_era = control.node.targets_revision().era() == era;
     let now = control.node.clock.now();
     let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
     for known in control.node.target_list().0 {
         if !listed.contains(&known.target) {
+            // A list from an older copy doesn't show that a target was removed.
+            if is_same_era {
+                control.node.record_departure(&known.target, era);
+            }
             missing.entry(known.target).or_insert(now);
         }
     }
     for entry in entries {
-        missing.remove(&entry.target);
-        control.node.upsert_target(entry);
+        upsert(control, entry, era, missing);
     }
     control.node.advance_targets_revision(revision);
     loop {
@@ -65,8 +72,10 @@
             update = watch => update?,
             () = sleep_or_pend(max_wait) => continue,
             () = control.wait_until_relayed(true) => return Ok(()),
+            () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
+        control.update_store_era();
         match update {
             WatchResponse::HistoryGone => return Ok(()),
             WatchResponse::Changes {
@@ -75,7 +84,7 @@
             } => {
                 let is_idle = changes.is_empty();
                 let before = control.node.targets_digest();
-                apply_changes(control, changes, missing);
+                apply_changes(control, changes, era, missing);
                 revision = newest;
                 // Most changes of entries don't affect the fields that the digest covers.
                 if control.node.targets_digest() != before {
@@ -100,17 +109,18 @@
 fn apply_changes<P>(
     control: &ControlState<P>,
     changes: Vec<ObjectChange<TargetEntry>>,
+    era: StoreEra,
     missing: &mut HashMap<TargetId, MonotonicTime>,
 ) {
     let now = control.node.clock.now();
     for change in changes {
         match change {
             ObjectChange::Put(entry) => {
-                missing.remove(&entry.target);
-                control.node.upsert_target(entry);
+                upsert(control, entry, era, missing);
             }
             ObjectChange::Removed(name) => {
                 if let Ok(target) = name.parse() {
+                    control.node.record_departure(&target, era);
                     missing.insert(target, now);
                 }
             }
@@ -118,6 +128,19 @@
     }
 }
 
+/// Applies an entry that was found in `era`, unless its target was seen departing later.
+fn upsert<P>(
+    control: &ControlState<P>,
+    entry: TargetEntry,
+    era: StoreEra,
+    missing: &mut HashMap<TargetId, MonotonicTime>,
+) {
+    let target = entry.target.clone();
+    if control.node.upsert_target(entry, era) {
+        missing.remove(&target);
+    }
+}
+
 fn drop_expired<P>(control: &ControlState<P>, missing: &mut HashMap<TargetId, MonotonicTime>) {
     let now = control.node.clock.now();
     missing.retain(|target, since| {
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -8,12 +8,13 @@
 use mustardhinge_core::overload::{OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
-    GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision,
+    GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
 };
 use mustardhinge_core::rate_limit::AllowanceTable;
 use mustardhinge_process::{BootClock, event};
 use tokio::sync::{Notify, watch};
 
+use super::departed_targets::DepartedTargets;
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
@@ -67,6 +68,7 @@
     /// Cached result of [`Self::overload_control`].
     overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
+    departed: RefCell<DepartedTargets>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
     pub(super) instances: Cell<usize>,
@@ -106,6 +108,7 @@
             overload_switch: RefCell::new(overload_switch),
             overload_control: Cell::new(None),
             targets_revision: Cell::default(),
+            departed: RefCell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
             index: Cell::new(None),
@@ -161,14 +164,34 @@
         self.groups.borrow().values().cloned().collect()
     }
 
-    /// Adds a listed target or updates its entry.
-    pub fn upsert_target(&self, entry: TargetEntry) {
+    /// Adds a target listed in `era` or updates its entry. Returns false for an entry that is older
+    /// than the known departure of its target, which is ignored.
+    pub fn upsert_target(&self, entry: TargetEntry, era: StoreEra) -> bool {
+        let now = self.clock.now();
+        let mut departed = self.departed.borrow_mut();
+        if departed.is_older(&entry, era) {
+            return false;
+        }
+        if entry.is_leaving {
+            departed.record(&entry, era, now);
+        } else {
+            departed.remove(&entry.target);
+        }
+        drop(departed);
+        self.apply_entry(entry);
+        true
+    }
+
+    fn apply_entry(&self, entry: TargetEntry) {
         self.remove_from_previous_group(&entry);
         let group = self.group(&entry.service);
         match group.find(&entry.target) {
             Some(handle) => {
                 let known = handle.entry();
-                if *known == entry {
+                if known.has_same_state(&entry) {
+                    if known.sequence != entry.sequence {
+                        handle.refresh(entry);
+                    }
                     return;
                 }
                 self.invalidate_list_caches();
@@ -200,6 +223,17 @@
         }
     }
 
+    /// Records that a target's entry was removed in `era`, so that an older list doesn't bring it
+    /// back.
+    pub fn record_departure(&self, target: &TargetId, era: StoreEra) {
+        let service = self.target_services.borrow().get(target).cloned();
+        let group = service.and_then(|service| self.find_group(&service));
+        if let Some(handle) = group.and_then(|group| group.find(target)) {
+            let now = self.clock.now();
+            self.departed.borrow_mut().record(&handle.entry(), era, now);
+        }
+    }
+
     /// Removes a target that is no longer listed.
     pub fn remove_target(&self, target: &TargetId) {
         let service = self.target_services.borrow_mut().remove(target);
@@ -275,6 +309,9 @@
                     handle.id()
                 ));
                 handle.mark_leaving();
+                let era = self.targets_revision.get().era();
+                let now = self.clock.now();
+                self.departed.borrow_mut().record(&handle.entry(), era, now);
             }
         }
     }
@@ -284,15 +321,19 @@
         if revision < self.targets_revision.get() {
             return;
         }
-        self.targets_revision.set(revision);
+        let era = revision.era();
+        let is_same_era = self.targets_revision.replace(revision).era() == era;
         let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
         for known in self.target_list().0 {
             if !listed.contains(&known.target) {
+                if is_same_era {
+                    self.record_departure(&known.target, era);
+                }
                 self.remove_target(&known.target);
             }
         }
         for entry in entries {
-            self.upsert_target(entry);
+            self.upsert_target(entry, era);
         }
     }
 
--- a/crates/mustardhinge-resident/src/plan/target_entry.rs
+++ b/crates/mustardhinge-resident/src/plan/target_entry.rs
@@ -1,3 +1,4 @@
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 use mustardhinge_core::prelude::{ServiceId, TargetId, ZoneId};
@@ -6,7 +7,7 @@
 use crate::adapter::ServerRole;
 
 /// A target as listed by the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// The target.
     pub target: TargetId,
@@ -25,4 +26,52 @@
     /// Start time of its process in Unix milliseconds. A new process retains nothing of the
     /// previous one.
     pub born_ms: u64,
+    /// The number of times that the server wrote this entry; 0 if the platform doesn't count them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub sequence: u64,
+}
+
+impl TargetEntry {
+    /// Returns whether both entries are the same except for their sequence.
+    #[must_use]
+    pub fn has_same_state(&self, other: &Self) -> bool {
+        let Self {
+            target,
+            service,
+            address,
+            zone,
+            slots,
+            is_leaving,
+            role,
+            born_ms,
+            sequence: _,
+        } = self;
+        (target, service, address, zone)
+            == (&other.target, &other.service, &other.address, &other.zone)
+            && (slots, is_leaving, role, born_ms)
+                == (&other.slots, &other.is_leaving, &other.role, &other.born_ms)
+    }
+}
+
+/// Hashes the state without the sequence, so that an entry that is only written again doesn't
+/// change the digest of the list.
+impl Hash for TargetEntry {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.target.hash(state);
+        self.service.hash(state);
+        self.address.hash(state);
+        self.zone.hash(state);
+        self.slots.hash(state);
+        self.is_leaving.hash(state);
+        self.role.hash(state);
+        self.born_ms.hash(state);
+    }
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Replaces an entry by one that was written again without a change of its state.
+    pub fn refresh(&self, entry: TargetEntry) {
+        self.entry.replace(Rc::new(entry));
+    }
+
     /// Returns whether the target is leaving, according to its entry or to another instance.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
