Report epochs to a leader after a restore until it answers

Cause: an instance that can't reach the store took the era for 0 and reported no epochs, so a new leader could adopt a replaced primary that only this instance knew of.

Change: the fence of the new leader tells that it follows a restore, and the report is repeated until it is answered.

--- a/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
@@ -266,6 +266,13 @@
     assert_eq!(one.held_record().map(|(_, _, at)| at), Some(renewed_at));
     assert!(!one.may_promote(at(7_300)));
     assert_eq!(one.next_step(at(7_300)), ElectionStep::Read);
+    run(&mut two, &mut store, 7_300, 9_000);
+    let (record, _, _) = two.held_record().unwrap();
+    assert_eq!(
+        store.read().map(|(_, record)| record),
+        Some(record.clone()),
+        "the leader whose record was overwritten writes it again"
+    );
 }
 
 /// An instance of the simulation and when it last granted leases.
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -99,6 +99,10 @@
     /// The latest epoch of each group that an instance has reported to this leader after a restore
     /// of the store.
     pub reported_epochs: RefCell<HashMap<ServiceId, LeaseGrant>>,
+    /// The fence and the time of the last request that reported epochs.
+    pub sent_report: Cell<Option<(u64, u64)>>,
+    /// The fence of the leader that answered such a request.
+    pub answered_report: Cell<Option<u64>>,
     /// When this instance last received a grant.
     pub granted_at: Cell<MonotonicTime>,
     /// When this instance became the leader.
@@ -142,6 +146,8 @@
             store_era: Cell::new(None),
             store_era_changed: Notify::new(),
             reported_epochs: RefCell::default(),
+            sent_report: Cell::new(None),
+            answered_report: Cell::new(None),
             granted_at: Cell::default(),
             leader_since: Cell::default(),
             predecessor: RefCell::new(None),
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -9,6 +9,7 @@
 use mustardhinge_core::primary_lease::{GroupEpoch, ObservedRecord, StoreEra};
 use mustardhinge_process::event;
 
+use super::record_restore::record_report_answer;
 use super::{
     AllowanceResponse, ControlState, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
     StopMessage,
@@ -27,6 +28,7 @@
         control.platform.observe_store_era(grant.revision.era());
         control.update_store_era();
     }
+    record_report_answer(control, grant.record.fence, grant.requested_at);
     let grant_ack = GrantAck {
         fence: grant.record.fence,
         granted_at: grant.granted_at,
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -284,7 +284,7 @@
             .collect(),
         groups: groups.collect(),
         usage: node.allowances.borrow_mut().reports(now),
-        known_epochs: epochs_to_report(control),
+        known_epochs: epochs_to_report(control, now),
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -40,20 +40,30 @@
     }
 }
 
-/// Returns the epochs to report in the next request: those that a leader may not know because the
-/// store lost their records. Empty once this instance has a grant of that leader.
-pub(super) fn epochs_to_report<P>(control: &ControlState<P>) -> Vec<LeaseGrant> {
-    if current_era(control) == StoreEra::default() {
-        return Vec::new();
-    }
+/// Returns the epochs to report in a request sent at `now`: those that a leader may not know
+/// because the store lost their records. Empty once a leader has answered such a report.
+///
+/// An instance that can't reach the store recognizes a leader after a restore by its fence.
+pub(super) fn epochs_to_report<P>(
+    control: &ControlState<P>,
+    now: MonotonicTime,
+) -> Vec<LeaseGrant> {
     let fence = control.node.election.borrow().highest_fence();
-    let is_known = |ack: super::GrantAck| ack.fence == fence;
-    if control.grant_ack.get().is_some_and(is_known) {
+    let is_after_restore = fence >= StoreEra::default().next().counter_floor();
+    if !is_after_restore || control.answered_report.get() == Some(fence) {
         return Vec::new();
     }
+    control.sent_report.set(Some((fence, now.as_micros())));
     control.node.leases.borrow().known_epochs()
 }
 
+/// Records a grant, which answers the last report if it answers the same request.
+pub(super) fn record_report_answer<P>(control: &ControlState<P>, fence: u64, requested_at: u64) {
+    if control.sent_report.get() == Some((fence, requested_at)) {
+        control.answered_report.set(Some(fence));
+    }
+}
+
 /// Creates a new leader's state for a group whose record was lost or comes from an older copy.
 /// Returns whether it succeeded.
 ///
