--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -7,6 +7,7 @@
 mod leader_election;
 mod lease_response;
 mod promotion_orders;
+mod store_restore;
 mod successor_choice;
 mod voters;
 mod wait_decision;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -70,4 +70,5 @@
     FORWARD_REFUSED = 6024, Info, "forwarded statement not run";
     OVERLOAD_CONTROL_CHANGED = 6025, Info, "overload control changed";
     TARGET_DISTRUSTED = 6030, Warn, "target fails statements but answers probes";
+    STORE_ERA_RAISED = 6026, Warn, "store restored from an older copy";
 }
