Roll back at the gateway a transaction abandoned while a statement runs

Cause: a running statement of a transaction holds the lease, so a release found nothing to drop, and the lease was stored again when the statement ended. The transaction stayed open until its idle limit and a second more.

Change: the gateway knows the transaction of each running statement. A release or a cancel interrupts a statement within a transaction and closes its connection, at which the target rolls back; the end of the origin's connection does the same. Commits and rollbacks run to their end. The count of running statements at a target is kept by a guard, since an exchange can now be dropped before its end.

--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -85,10 +85,30 @@
     }
 
     /// Runs the statement at the target.
+    ///
+    /// A statement within a transaction is interrupted when the origin cancels it: the origin has
+    /// then abandoned the transaction, and closing the connection rolls it back.
     pub(super) async fn run<W: SessionCodec>(
         &self,
         session: &OriginSession,
         target: &Rc<TargetHandle>,
+    ) -> ForwardedOutcome {
+        if !matches!(self.step, ForwardedStep::Within { .. }) {
+            return self.run_to_end::<W>(session, target).await;
+        }
+        tokio::select! {
+            biased;
+            () = session.wait_until_cancelled(self.number) => {
+                ForwardedOutcome::Lost { is_silent: false }
+            }
+            outcome = self.run_to_end::<W>(session, target) => outcome,
+        }
+    }
+
+    async fn run_to_end<W: SessionCodec>(
+        &self,
+        session: &OriginSession,
+        target: &Rc<TargetHandle>,
     ) -> ForwardedOutcome {
         let node = session.node();
         let started_at = node.clock.now();
@@ -107,7 +127,8 @@
                 if reply.state == TransactionState::Idle {
                     lease.release(now);
                 } else {
-                    session.pin(self.step.pin().unwrap_or(self.number), lease, now);
+                    let pin = self.step.pin().unwrap_or(self.number);
+                    session.pin(pin, self.number, lease, now);
                 }
                 ForwardedOutcome::Replied(reply.into())
             }
--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -6,7 +6,7 @@
 use mustardhinge_core::gateway::DelayEstimator;
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::event;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 
 use super::forwarded_run::ForwardedRun;
@@ -28,8 +28,10 @@
     sender: mpsc::UnboundedSender<GatewayFrame>,
     unsent_frames: Cell<usize>,
     delay_estimator: RefCell<DelayEstimator>,
-    running: RefCell<HashSet<u64>>,
+    /// The running statements, with the transaction that each one belongs to.
+    running: RefCell<HashMap<u64, Option<u64>>>,
     cancelled: RefCell<HashSet<u64>>,
+    became_cancelled: Notify,
     pins: RefCell<HashMap<u64, PinnedLease>>,
     is_closed: Cell<bool>,
 }
@@ -56,6 +58,7 @@
             delay_estimator: RefCell::default(),
             running: RefCell::default(),
             cancelled: RefCell::default(),
+            became_cancelled: Notify::new(),
             pins: RefCell::default(),
             is_closed: Cell::new(false),
         }
@@ -82,10 +85,18 @@
         self.is_closed.get() || self.cancelled.borrow().contains(&number)
     }
 
+    /// Waits until the origin no longer waits for the response to a statement.
+    pub(super) async fn wait_until_cancelled(&self, number: u64) {
+        while !self.is_cancelled(number) {
+            self.became_cancelled.notified().await;
+        }
+    }
+
     /// Closes the session when its connection ends. Returns the numbers of abandoned transactions
     /// and of statements that are still running.
     pub(super) fn close(&self) -> (usize, usize) {
         self.is_closed.set(true);
+        self.became_cancelled.notify_waiters();
         let pinned = self.pins.take().len();
         self.add_forwarded(-(pinned as isize));
         (pinned, self.running.borrow().len())
@@ -107,19 +118,31 @@
     pub(super) fn handle_frame<W: SessionCodec>(self: &Rc<Self>, frame: OriginFrame) {
         match frame {
             OriginFrame::Ping => self.send(GatewayFrame::Pong),
-            OriginFrame::Cancel { number } => {
-                if self.running.borrow().contains(&number) {
-                    self.cancelled.borrow_mut().insert(number);
-                }
-            }
+            OriginFrame::Cancel { number } => self.cancel(number),
             OriginFrame::Release { pin } => self.release(pin),
             OriginFrame::Work(statement) => self.handle_statement::<W>(*statement),
         }
     }
 
+    fn cancel(&self, number: u64) {
+        if self.running.borrow().contains_key(&number) {
+            self.cancelled.borrow_mut().insert(number);
+            self.became_cancelled.notify_waiters();
+        }
+    }
+
+    /// Abandons a transaction, including the statement of it that is running: its lease is not in
+    /// `pins` meanwhile.
     fn release(&self, pin: u64) {
-        if self.running.borrow().contains(&pin) {
-            self.cancelled.borrow_mut().insert(pin);
+        let running: Vec<_> = self
+            .running
+            .borrow()
+            .iter()
+            .filter(|(number, transaction)| **number == pin || **transaction == Some(pin))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in running {
+            self.cancel(number);
         }
         if self.pins.borrow_mut().remove(&pin).is_some() {
             self.add_forwarded(-1);
@@ -137,7 +160,8 @@
             };
             return self.respond(number, None, ForwardedOutcome::NotRun(cause));
         }
-        self.running.borrow_mut().insert(number);
+        let transaction = statement.step.pin();
+        self.running.borrow_mut().insert(number, transaction);
         self.add_forwarded(1);
         let session = Rc::clone(self);
         spawn_local(async move {
@@ -180,8 +204,11 @@
     }
 
     /// Stores the lease of an open transaction until its next statement.
-    pub(super) fn pin(&self, pin: u64, lease: TargetLease, now: MonotonicTime) {
-        if self.is_closed.get() || self.cancelled.borrow_mut().remove(&pin) {
+    ///
+    /// If the origin has cancelled `number`, the statement that just ran, it has abandoned the
+    /// transaction. The connection is then closed, and the target rolls back.
+    pub(super) fn pin(&self, pin: u64, number: u64, lease: TargetLease, now: MonotonicTime) {
+        if self.is_cancelled(number) {
             return;
         }
         let pinned = PinnedLease {
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -4,6 +4,7 @@
 mod connection_pool;
 mod connection_request;
 mod response_timeouts;
+mod running_statement;
 mod target_connection;
 mod target_gateways;
 mod target_handle;
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::BootClock;
 
+use super::running_statement::RunningStatement;
 use super::{ConnectionError, ResponseTimeouts, TargetConnection, TargetHandle, TargetReply};
 use crate::adapter::{SessionCodec, TargetFault, TransactionState};
 use crate::gateway::ForwardedConnection;
@@ -113,7 +114,7 @@
         };
         let target = &self.target;
         let sent_at = clock.now();
-        target.begin_statement();
+        let running = RunningStatement::begin(target);
         if std::mem::take(&mut self.holds_reservation) {
             target.release_reservation();
         }
@@ -145,7 +146,7 @@
                 }
             }
         }
-        target.end_statement(now);
+        drop(running);
         result
     }
 
