Fail only the statements of the gateway connection that ended

Cause: pending statements were not tied to a connection. If a connection was closed while it was still being opened and a newer one was in use, the failed opening reported the newer one's statements as not run, although they had been sent: a write could run twice.

Change: each pending statement has the number of its connection, and the end of a connection affects only its own ones.

The race needs a gateway that is removed from the table within 150 ms of its first statement; it is found by reading and has no test of its own.

--- a/crates/mustardhinge-resident/src/gateway/gateway_peer.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_peer.rs
@@ -19,6 +19,14 @@
 /// Response to a forwarded statement: its outcome and the load of the target, if reported.
 pub(super) type GatewayResponse = (ForwardedOutcome, Option<GatewayLoad>);
 
+/// A statement without a response yet.
+#[derive(Debug)]
+struct PendingStatement {
+    /// Number of the connection on which it was sent.
+    connection_number: u64,
+    response: oneshot::Sender<GatewayResponse>,
+}
+
 /// A gateway that this instance forwards to, over a single connection.
 #[derive(Debug)]
 pub struct GatewayPeer {
@@ -27,7 +35,7 @@
     clock: BootClock,
     health: Cell<GatewayHealth>,
     sender: RefCell<Option<mpsc::UnboundedSender<OriginFrame>>>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<GatewayResponse>>>,
+    pending: RefCell<HashMap<u64, PendingStatement>>,
     next_number: Cell<u64>,
     connection_number: Cell<u64>,
     became_unresponsive: Notify,
@@ -83,19 +91,27 @@
         self.connection_number.get()
     }
 
+    /// Returns the incarnation of this process.
+    pub(super) const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Sends a statement and returns the receiver of its response.
     pub(super) fn send(
         self: &Rc<Self>,
         statement: ForwardedStatement,
     ) -> oneshot::Receiver<GatewayResponse> {
         let (response_sender, response) = oneshot::channel();
-        self.pending
-            .borrow_mut()
-            .insert(statement.number, response_sender);
+        let number = statement.number;
+        self.send_frame(OriginFrame::Work(Box::new(statement)));
+        let pending = PendingStatement {
+            connection_number: self.connection_number.get(),
+            response: response_sender,
+        };
+        self.pending.borrow_mut().insert(number, pending);
         let now = self.clock.now();
         self.update_health(|health| health.record_request(now));
         self.became_pending.notify_waiters();
-        self.send_frame(OriginFrame::Work(Box::new(statement)));
         response
     }
 
@@ -149,7 +165,8 @@
         let _ = sender.send(unsent);
         self.sender.replace(Some(sender));
         self.connection_number.set(self.connection_number.get() + 1);
-        spawn_local(run_connection(Rc::clone(self), self.incarnation, frames));
+        let number = self.connection_number.get();
+        spawn_local(run_connection(Rc::clone(self), number, frames));
     }
 
     fn send_if_connected(&self, frame: OriginFrame) {
@@ -161,9 +178,9 @@
 
     /// Completes a pending statement. The response is dropped if the caller no longer waits.
     pub(super) fn complete(&self, number: u64, outcome: ForwardedOutcome, load: GatewayLoad) {
-        if let Some(waiter) = self.pending.borrow_mut().remove(&number) {
+        if let Some(pending) = self.pending.borrow_mut().remove(&number) {
             // The caller may have stopped waiting in the meantime.
-            let _ = waiter.send((outcome, Some(load)));
+            let _ = pending.response.send((outcome, Some(load)));
         }
     }
 
@@ -194,14 +211,24 @@
         health.should_disconnect(now)
     }
 
-    /// Handles the end of the connection. Pending statements fail as lost, or as not run if the
-    /// connection was never opened.
-    pub(super) fn handle_disconnect(&self, end: &ConnectionEnd) {
+    /// Handles the end of a connection. Its pending statements fail as lost, or as not run if it
+    /// was never opened.
+    ///
+    /// Statements of a newer connection, opened after this one was closed, stay pending: they may
+    /// have been sent, so this one's end must not report them as not run.
+    pub(super) fn handle_disconnect(&self, connection_number: u64, end: &ConnectionEnd) {
         let now = self.clock.now();
-        self.sender.replace(None);
-        self.connection_number.set(self.connection_number.get() + 1);
-        self.update_health(|health| health.record_failure(now));
-        let pending = self.pending.take();
+        if self.connection_number.get() == connection_number {
+            self.sender.replace(None);
+            self.connection_number.set(connection_number + 1);
+            self.update_health(|health| health.record_failure(now));
+        }
+        let pending: Vec<_> = self
+            .pending
+            .borrow_mut()
+            .extract_if(|_, pending| pending.connection_number == connection_number)
+            .map(|(_, pending)| pending.response)
+            .collect();
         event::GATEWAY_LOST.log(format_args!(
             "gateway={} pending={} error={:?}",
             self.address,
@@ -214,9 +241,9 @@
                 ForwardedOutcome::Lost { is_silent: false }
             }
         };
-        for waiter in pending.into_values() {
+        for response in pending {
             // The caller may no longer be waiting.
-            let _ = waiter.send((outcome.clone(), None));
+            let _ = response.send((outcome.clone(), None));
         }
     }
 
--- a/crates/mustardhinge-resident/src/gateway/peer_connection.rs
+++ b/crates/mustardhinge-resident/src/gateway/peer_connection.rs
@@ -32,23 +32,23 @@
     Silent,
 }
 
-/// Connects to a gateway and exchanges frames until the connection ends.
+/// Connects to a gateway and exchanges frames until the connection ends. `number` is that of the
+/// connection.
 pub(super) async fn run_connection(
     peer: Rc<GatewayPeer>,
-    incarnation: u64,
+    number: u64,
     frames: mpsc::UnboundedReceiver<OriginFrame>,
 ) {
     let end = match timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address())).await {
-        Ok(Ok(stream)) => exchange_frames(&peer, incarnation, stream, frames).await,
+        Ok(Ok(stream)) => exchange_frames(&peer, stream, frames).await,
         Ok(Err(error)) => ConnectionEnd::NotOpened(error.to_string()),
         Err(_) => ConnectionEnd::NotOpened("connection timed out".to_owned()),
     };
-    peer.handle_disconnect(&end);
+    peer.handle_disconnect(number, &end);
 }
 
 async fn exchange_frames(
     peer: &Rc<GatewayPeer>,
-    incarnation: u64,
     stream: TcpStream,
     frames: mpsc::UnboundedReceiver<OriginFrame>,
 ) -> ConnectionEnd {
@@ -57,7 +57,7 @@
     }
     let (input, output) = stream.into_split();
     tokio::select! {
-        end = write_frames(incarnation, output, frames) => end,
+        end = write_frames(peer.incarnation(), output, frames) => end,
         end = read_frames(peer, input) => end,
         end = monitor(peer) => end,
     }
