Keep work off the targets of evacuated zones

Cause: under the contract `places` an operator may ask, with an object `evacuations/ZONE`, that nothing be sent to a zone's targets; the proxy did not know the kind.

Change: the adapter reads and watches the kind, only if the settings name `places`. EvacuatedZones and TargetUse in the core decide whether a target is usable, being vacated or evacuated at a time. Reads leave at once, the leader hands primaries over if a target elsewhere can take over, and 3 s after the first knowledge nothing is sent any more: what only such targets can run is refused at once with a retry delay of 1 s, open transactions there end. Relays pass the set on with the age of each evacuation; lease requests and grants announce its version. New fields are last; MESSAGE_FORMAT is left.

--- /dev/null
+++ b/crates/mustardhinge-core/src/evacuation/evacuated_zones.rs
@@ -0,0 +1,167 @@
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::{EvacuationVersion, TargetUse};
+use crate::ids::ZoneId;
+use crate::primary_lease::RecordRevision;
+use crate::units::MonotonicTime;
+
+/// The evacuated zones that an instance knows, each with the time since when.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use mustardhinge_core::evacuation::{EvacuatedZones, TargetUse};
+/// use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
+/// use mustardhinge_core::primary_lease::RecordRevision;
+///
+/// let north: ZoneId = "north".parse().unwrap();
+/// let now = MonotonicTime::default();
+/// let mut zones = EvacuatedZones::default();
+/// assert_eq!(zones.target_use(&north, now), TargetUse::Usable);
+/// zones.adopt([(north.clone(), now)], RecordRevision::new(7));
+/// assert_eq!(zones.target_use(&north, now), TargetUse::Vacating);
+/// let later = now + Duration::from_secs(5);
+/// assert_eq!(zones.target_use(&north, later), TargetUse::Evacuated);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct EvacuatedZones {
+    zones: BTreeMap<ZoneId, MonotonicTime>,
+    revision: RecordRevision,
+}
+
+impl EvacuatedZones {
+    /// Replaces the set unless the given one is older. Returns whether a zone was added or removed.
+    ///
+    /// A zone that stays keeps the earliest time at which any instance knew of it.
+    pub fn adopt(
+        &mut self,
+        zones: impl IntoIterator<Item = (ZoneId, MonotonicTime)>,
+        revision: RecordRevision,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let before = self.version().digest;
+        let known = std::mem::take(&mut self.zones);
+        self.revision = revision;
+        for (zone, since) in zones {
+            let since = known.get(&zone).map_or(since, |known| since.min(*known));
+            self.zones.insert(zone, since);
+        }
+        self.version().digest != before
+    }
+
+    /// Adds a zone. Returns whether it is new.
+    pub fn put(&mut self, zone: ZoneId, now: MonotonicTime) -> bool {
+        let is_new = !self.zones.contains_key(&zone);
+        self.zones.entry(zone).or_insert(now);
+        is_new
+    }
+
+    /// Removes a zone. Returns whether it was in the set.
+    pub fn remove(&mut self, zone: &ZoneId) -> bool {
+        self.zones.remove(zone).is_some()
+    }
+
+    /// Records the revision up to which changes were applied.
+    pub fn advance(&mut self, revision: RecordRevision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Returns the version of the set.
+    #[must_use]
+    pub fn version(&self) -> EvacuationVersion {
+        let mut hasher = DefaultHasher::new();
+        for zone in self.zones.keys() {
+            zone.as_str().hash(&mut hasher);
+        }
+        EvacuationVersion {
+            revision: self.revision,
+            digest: if self.zones.is_empty() {
+                0
+            } else {
+                hasher.finish()
+            },
+        }
+    }
+
+    /// Returns the zones, each with the time since when it is known to be evacuated.
+    pub fn iter(&self) -> impl Iterator<Item = (&ZoneId, MonotonicTime)> {
+        self.zones.iter().map(|(zone, since)| (zone, *since))
+    }
+
+    /// Returns since when a zone is known to be evacuated, or `None` if it isn't.
+    #[must_use]
+    pub fn since(&self, zone: &ZoneId) -> Option<MonotonicTime> {
+        self.zones.get(zone).copied()
+    }
+
+    /// Returns the use of the targets of a zone.
+    #[must_use]
+    pub fn target_use(&self, zone: &ZoneId, now: MonotonicTime) -> TargetUse {
+        TargetUse::at(self.since(zone), now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+
+    fn zone(name: &str) -> ZoneId {
+        name.parse().unwrap()
+    }
+
+    fn at(millis: u64) -> MonotonicTime {
+        MonotonicTime::default() + Duration::from_millis(millis)
+    }
+
+    /// Guards against a later deadline on an instance that hears of an evacuation from another one.
+    #[test]
+    fn the_earliest_knowledge_of_a_zone_counts() {
+        let mut zones = EvacuatedZones::default();
+        assert!(zones.put(zone("north"), at(900)));
+        zones.advance(RecordRevision::new(4));
+        assert!(!zones.adopt([(zone("north"), at(100))], RecordRevision::new(5)));
+        assert_eq!(zones.since(&zone("north")), Some(at(100)));
+        assert!(!zones.put(zone("north"), at(2_000)));
+        assert_eq!(zones.since(&zone("north")), Some(at(100)));
+    }
+
+    /// Guards against an evacuation that comes back with an older list, or is lost with it.
+    #[test]
+    fn an_older_set_changes_nothing() {
+        let mut zones = EvacuatedZones::default();
+        zones.adopt([(zone("north"), at(0))], RecordRevision::new(9));
+        assert!(!zones.adopt([], RecordRevision::new(8)));
+        assert!(zones.since(&zone("north")).is_some());
+        assert!(zones.remove(&zone("north")));
+        zones.advance(RecordRevision::new(10));
+        assert!(!zones.adopt([(zone("north"), at(0))], RecordRevision::new(9)));
+        assert_eq!(
+            zones.target_use(&zone("north"), at(9_000)),
+            TargetUse::Usable
+        );
+    }
+
+    /// Guards against fetches between instances that have the same set at different revisions.
+    #[test]
+    fn versions_of_equal_sets_are_not_newer() {
+        let set = |names: &[&str], revision| {
+            let mut zones = EvacuatedZones::default();
+            let named = names.iter().map(|name| (zone(name), at(0)));
+            zones.adopt(named, RecordRevision::new(revision));
+            zones.version()
+        };
+        assert!(!set(&[], 9).is_newer_than(&set(&[], 3)));
+        assert!(!set(&["north"], 9).is_newer_than(&set(&["north"], 3)));
+        assert!(set(&["north"], 9).is_newer_than(&set(&[], 3)));
+        assert!(set(&[], 9).is_newer_than(&set(&["north"], 3)));
+        assert!(set(&["north", "south"], 9).is_newer_than(&set(&["north"], 3)));
+        assert!(!set(&["south"], 2).is_newer_than(&set(&["north"], 3)));
+    }
+}
--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod document;
 pub mod drain;
+pub mod evacuation;
 pub mod failover;
 pub mod gateway;
 pub mod ids;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -69,4 +69,5 @@
     FORWARDER_LEFT = 6023, Info, "instance that forwards left";
     FORWARD_REFUSED = 6024, Info, "forwarded statement not run";
     OVERLOAD_CONTROL_CHANGED = 6025, Info, "overload control changed";
+    EVACUATIONS_CHANGED = 6027, Warn, "evacuated zones changed";
 }
--- a/crates/mustardhinge-resident/src/adapter/platform_client.rs
+++ b/crates/mustardhinge-resident/src/adapter/platform_client.rs
@@ -1,5 +1,6 @@
 use std::future::Future;
 
+use mustardhinge_core::prelude::ZoneId;
 use mustardhinge_core::primary_lease::RecordRevision;
 
 use super::{PlatformError, PromotionOutcome, PromotionRequest, WatchResponse, WriteOutcome};
@@ -36,6 +37,17 @@
         revision: RecordRevision,
     ) -> impl Future<Output = Result<WatchResponse<TargetEntry>, PlatformError>>;
 
+    /// Lists the zones that are to be evacuated. Called only if the settings allow evacuations.
+    fn list_evacuations(
+        &self,
+    ) -> impl Future<Output = Result<(Vec<ZoneId>, RecordRevision), PlatformError>>;
+
+    /// Waits for changes of evacuations later than `revision`.
+    fn watch_evacuations(
+        &self,
+        revision: RecordRevision,
+    ) -> impl Future<Output = Result<WatchResponse<ZoneId>, PlatformError>>;
+
     /// Reads one of the proxy's own records.
     fn read_record(
         &self,
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -22,6 +22,8 @@
 use super::schedule::{control_schedule, has_unusable};
 use super::state_relay::fetch_state;
 use crate::adapter::{PlatformClient, ServerRole, SessionCodec, WriteOutcome};
+use crate::group::GroupState;
+use crate::target::TargetHandle;
 
 /// Name of the leadership record in the platform's store.
 const LEADER_RECORD: &str = "duty";
@@ -402,6 +404,20 @@
     }
 }
 
+/// Returns whether the primary's zone is evacuated and a target elsewhere can take over.
+///
+/// Without such a target the primary keeps its role: it serves until the time for handing over is
+/// up, and again when the evacuation ends.
+fn is_handover_due(group: &GroupState, primary: &TargetHandle, now: MonotonicTime) -> bool {
+    let may_take_over = |target: &Rc<TargetHandle>| {
+        target.id() != primary.id()
+            && !target.is_leaving()
+            && !target.health().is_failing()
+            && !target.target_use(now).is_restricted()
+    };
+    primary.target_use(now).is_restricted() && group.targets().iter().any(may_take_over)
+}
+
 fn find_change_cause<P>(
     control: &ControlState<P>,
     state: &mut ControlTaskState,
@@ -420,7 +436,7 @@
     let Some(target) = group.find(leases.primary()) else {
         return Some(ChangeCause::Leaving);
     };
-    if target.is_leaving() {
+    if target.is_leaving() || is_handover_due(&group, &target, now) {
         return Some(ChangeCause::Leaving);
     }
     if target.entry().role == ServerRole::Primary {
--- /dev/null
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -0,0 +1,81 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use mustardhinge_core::evacuation::EvacuatedZones;
+use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
+use mustardhinge_core::primary_lease::RecordRevision;
+use tokio::time::sleep;
+
+use super::ControlState;
+use crate::adapter::{ObjectChange, PlatformClient, PlatformError, WatchResponse};
+
+/// Delay after a change, so that several in quick succession need a single call. The changes
+/// themselves are applied before it.
+const COALESCING_DELAY: Duration = Duration::from_millis(500);
+/// Delay after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Watches the store for evacuated zones, except while another instance watches the store for this
+/// one. Returns at once if the settings don't allow evacuations.
+pub async fn follow_evacuations<P: PlatformClient>(control: Rc<ControlState<P>>) {
+    if !control.node.settings.follows_evacuations {
+        return;
+    }
+    control.await_first_grant().await;
+    loop {
+        control.wait_until_relayed(false).await;
+        if let Err(error) = follow_once(&control).await {
+            control.record_store_result(Err(&error));
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
+    let (zones, mut revision) = control.platform.list_evacuations().await?;
+    control.record_store_result(Ok(()));
+    let now = control.node.clock.now();
+    let zones = zones.into_iter().map(|zone| (zone, now)).collect();
+    control.node.adopt_evacuations(zones, revision, "store");
+    loop {
+        let update = tokio::select! {
+            update = control.platform.watch_evacuations(revision) => update?,
+            () = control.wait_until_relayed(true) => return Ok(()),
+        };
+        control.record_store_result(Ok(()));
+        match update {
+            WatchResponse::HistoryGone => return Ok(()),
+            WatchResponse::Changes {
+                changes,
+                revision: newest,
+            } => {
+                let is_idle = changes.is_empty();
+                control
+                    .node
+                    .update_evacuations(|zones, now| apply(zones, changes, newest, now));
+                revision = newest;
+                if !is_idle {
+                    sleep(COALESCING_DELAY).await;
+                }
+            }
+        }
+    }
+}
+
+/// Applies changes up to `revision`. Returns whether a zone was added or removed.
+fn apply(
+    zones: &mut EvacuatedZones,
+    changes: Vec<ObjectChange<ZoneId>>,
+    revision: RecordRevision,
+    now: MonotonicTime,
+) -> bool {
+    let mut has_changed = false;
+    for change in changes {
+        has_changed |= match change {
+            ObjectChange::Put(zone) => zones.put(zone, now),
+            ObjectChange::Removed(name) => name.parse().is_ok_and(|zone| zones.remove(&zone)),
+        };
+    }
+    zones.advance(revision);
+    has_changed
+}
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::evacuation::EvacuationVersion;
 use mustardhinge_core::prelude::{DocumentVersion, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{GroupEpoch, ObservedRecord};
 use mustardhinge_process::event;
@@ -61,6 +62,7 @@
     control.record_grant(grant.relay, now);
     let source = grant.relay.unwrap_or(grant.record.address);
     check_plan_version(control, grant.plan_version, source, now);
+    check_evacuations(control, &grant.evacuations, source, now);
     let known = node.targets_digest();
     let mut backoff = control.list_fetch_backoff.get();
     let watches_store = control.is_store_available.get() && grant.relay.is_none();
@@ -208,3 +210,16 @@
         control.record_newer_state(address, now);
     }
 }
+
+/// Records the address of an instance whose set of evacuated zones is newer than the local one.
+pub(super) fn check_evacuations<P>(
+    control: &ControlState<P>,
+    version: &EvacuationVersion,
+    address: SocketAddr,
+    now: MonotonicTime,
+) {
+    let is_followed = control.node.settings.follows_evacuations;
+    if is_followed && version.is_newer_than(&control.node.evacuation_version()) {
+        control.record_newer_state(address, now);
+    }
+}
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -8,7 +8,7 @@
 use mustardhinge_core::primary_lease::LeaseResponse;
 use mustardhinge_core::rate_limit::{AllowanceGrant, UsageReport};
 
-use super::leader_messages::check_plan_version;
+use super::leader_messages::{check_evacuations, check_plan_version};
 use super::{
     AllowanceRequest, AllowanceResponse, ControlState, GrantMessage, GrantedGroup, GrantedGroups,
     LeaseRequest,
@@ -49,6 +49,7 @@
         plan_version: node.plan().version(),
         targets: node.targets_digest(),
         gateways: control.gateways.borrow().update_since(request.gateways),
+        evacuations: node.evacuation_version(),
     })
 }
 
@@ -130,6 +131,7 @@
     );
     control.node.mark_leaving(&request.leaving);
     check_plan_version(control, request.plan_version, request.address, now);
+    check_evacuations(control, &request.evacuations, request.address, now);
     let mut predecessor = control.predecessor.borrow_mut();
     let Some(previous) = predecessor
         .as_ref()
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -7,6 +7,7 @@
 
 mod control_state;
 mod control_task;
+mod evacuation_feed;
 mod gateway_maintenance;
 mod group_record;
 mod group_setup;
@@ -22,6 +23,7 @@
 
 pub use control_state::ControlState;
 pub use control_task::{release_leadership, run_control};
+pub use evacuation_feed::follow_evacuations;
 pub use group_record::GroupRecord;
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -283,6 +283,7 @@
             .collect(),
         groups: groups.collect(),
         usage: node.allowances.borrow_mut().reports(now),
+        evacuations: node.evacuation_version(),
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use mustardhinge_core::evacuation::EvacuationVersion;
 use mustardhinge_core::gateway::{GatewayUpdate, GatewayVersion};
 use mustardhinge_core::prelude::{
     DocumentVersion, InstanceId, LogPosition, ServiceId, TargetId, ZoneId,
@@ -104,6 +105,8 @@
     /// The usage that the requester admitted, by customer.
     #[serde(rename = "spending")]
     pub usage: Vec<UsageReport>,
+    /// The version of the requester's set of evacuated zones.
+    pub evacuations: EvacuationVersion,
 }
 
 /// Identifies the grant that an instance applied.
@@ -167,6 +170,8 @@
     pub targets: TargetsDigest,
     /// The changes of the table of gateways since the requester's version.
     pub gateways: Option<GatewayUpdate>,
+    /// The version of the leader's set of evacuated zones.
+    pub evacuations: EvacuationVersion,
 }
 
 /// The leases on the groups' primaries for one instance.
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -101,7 +101,8 @@
         return true;
     };
     let statuses = query_targets::<W>(group).await;
-    let server_statuses = to_server_statuses(group, &statuses);
+    let now = control.node.clock.now();
+    let server_statuses = to_server_statuses(group, &statuses, now);
     let may_keep = may_keep_primary(cause, was_failing);
     match SuccessorChoice::choose(&server_statuses, &old, term, may_keep) {
         SuccessorChoice::Adopt(primary, term) => {
@@ -121,13 +122,16 @@
 fn to_server_statuses(
     group: &GroupState,
     statuses: &[(TargetId, StatusReport)],
+    now: MonotonicTime,
 ) -> Vec<ServerStatus> {
     let server_statuses = statuses.iter().map(|(target, report)| ServerStatus {
         target: target.clone(),
         is_primary: report.role == ServerRole::Primary,
         term: report.term,
         received: report.received,
-        is_leaving: group.find(target).is_none_or(|handle| handle.is_leaving()),
+        is_leaving: group
+            .find(target)
+            .is_none_or(|handle| handle.is_leaving() || handle.target_use(now).is_restricted()),
     });
     server_statuses.collect()
 }
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -6,7 +6,8 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use mustardhinge_core::prelude::DocumentVersion;
+use mustardhinge_core::evacuation::EvacuationVersion;
+use mustardhinge_core::prelude::{DocumentVersion, ZoneId};
 use mustardhinge_core::primary_lease::RecordRevision;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,6 +18,7 @@
 use super::ControlState;
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::gateway::{FORWARD_PREFACE, serve_forwards};
+use crate::node::NodeState;
 use crate::plan::{TargetEntry, TargetsDigest};
 
 /// Timeout for the transfer of an instance's state, which takes seconds on the slowest links.
@@ -48,6 +50,9 @@
     /// Whether the response may be compressed.
     #[serde(default, rename = "takes_packed")]
     pub(super) accepts_compressed: bool,
+    /// The version of the requester's set of evacuated zones.
+    #[serde(default)]
+    pub(super) evacuations: EvacuationVersion,
 }
 
 /// The configuration and the targets of an instance, as far as they are newer than the
@@ -60,6 +65,18 @@
     pub targets: Option<Vec<TargetEntry>>,
     /// The revision of the list of targets.
     pub revision: RecordRevision,
+    /// The set of evacuated zones.
+    #[serde(default)]
+    pub evacuations: Option<RelayedEvacuations>,
+}
+
+/// The set of evacuated zones of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedEvacuations {
+    /// The zones, each with the time in milliseconds for which it is known to be evacuated.
+    pub zones: Vec<(ZoneId, u64)>,
+    /// The revision up to which changes are included.
+    pub revision: RecordRevision,
 }
 
 /// Serves connections of other instances: responds to queries for this instance's state and
@@ -113,12 +130,22 @@
     let has_plan = plan.version() > query.plan_version;
     let is_current = revision >= query.targets_revision;
     let has_targets = is_current && control.node.targets_digest() != query.targets;
+    let evacuations = newer_evacuations(&control.node, &query.evacuations);
     let state = || RelayedState {
         plan: has_plan.then(|| String::from_utf8_lossy(plan.source()).into_owned()),
         targets: has_targets.then_some(targets),
         revision,
+        evacuations: evacuations.clone(),
     };
-    let response = if query.accepts_compressed {
+    let response = if evacuations.is_some() {
+        // Not cached, since the ages grow.
+        let bytes = serde_json::to_vec(&state())?;
+        Rc::new(if query.accepts_compressed {
+            compress(&bytes)?
+        } else {
+            bytes
+        })
+    } else if query.accepts_compressed {
         let digest = control.node.targets_digest();
         let key = (plan.version(), digest, (has_plan, has_targets));
         compress_response(control, key, state)?
@@ -129,6 +156,21 @@
     Ok(None)
 }
 
+/// Returns the set of evacuated zones if it is newer than the requester's.
+fn newer_evacuations(node: &NodeState, known: &EvacuationVersion) -> Option<RelayedEvacuations> {
+    let version = node.evacuation_version();
+    let now = node.clock.now();
+    let age_ms = |since| u64::try_from(now.saturating_since(since).as_millis()).unwrap_or(u64::MAX);
+    version.is_newer_than(known).then(|| RelayedEvacuations {
+        zones: node
+            .evacuated_zones()
+            .into_iter()
+            .map(|(zone, since)| (zone, age_ms(since)))
+            .collect(),
+        revision: version.revision,
+    })
+}
+
 /// Cache key of a compressed response: the versions of the state and the parts that it contains.
 pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, (bool, bool));
 
@@ -208,6 +250,7 @@
         targets_revision: control.node.targets_revision(),
         targets: control.node.targets_digest(),
         accepts_compressed: true,
+        evacuations: control.node.evacuation_version(),
     }
 }
 
@@ -229,6 +272,15 @@
     if let Some(targets) = state.targets {
         control.node.adopt_targets(targets, state.revision);
     }
+    if let Some(evacuations) = state.evacuations {
+        let now = control.node.clock.now();
+        let zones = evacuations.zones.into_iter();
+        let zones = zones.map(|(zone, age_ms)| (zone, now - Duration::from_millis(age_ms)));
+        let revision = evacuations.revision;
+        control
+            .node
+            .adopt_evacuations(zones.collect(), revision, "peer");
+    }
 }
 
 async fn fetch(address: SocketAddr, query: RelayQuery) -> anyhow::Result<RelayedState> {
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -135,6 +135,9 @@
             Err(ExecutionError::NotRun(ConnectionError::EpochEnded)) => {
                 ForwardedOutcome::NotRun(NotRunCause::EpochOver)
             }
+            Err(ExecutionError::NotRun(ConnectionError::Evacuated)) => {
+                ForwardedOutcome::NotRun(NotRunCause::Evacuated)
+            }
             Err(ExecutionError::NotRun(_)) => ForwardedOutcome::NotRun(failure_cause(target)),
             Err(ExecutionError::Lost(error)) => ForwardedOutcome::Lost {
                 is_silent: matches!(error, ConnectionError::Silent),
--- a/crates/mustardhinge-resident/src/gateway/not_run_cause.rs
+++ b/crates/mustardhinge-resident/src/gateway/not_run_cause.rs
@@ -26,4 +26,6 @@
     Late,
     /// The gateway was unreachable.
     Unreachable,
+    /// The target's zone is evacuated.
+    Evacuated,
 }
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! State of an instance, shared by its sessions and its control tasks.
 
 mod drain_phase;
+mod node_evacuations;
 mod node_gateways;
 mod node_limits;
 mod node_process;
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -11,8 +11,8 @@
 use super::{DrainPhase, NodeSettings, NodeState};
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::control::{
-    ControlState, follow_plan, follow_targets, release_leadership, run_control, serve_peers,
-    serve_relay,
+    ControlState, follow_evacuations, follow_plan, follow_targets, release_leadership, run_control,
+    serve_peers, serve_relay,
 };
 use crate::session::CallerSession;
 
@@ -84,6 +84,7 @@
         let control = &self.control;
         spawn_local(follow_plan(Rc::clone(control)));
         spawn_local(follow_targets(Rc::clone(control)));
+        spawn_local(follow_evacuations(Rc::clone(control)));
         spawn_local(run_control::<W, P>(Rc::clone(control)));
         spawn_local(serve_peers(Rc::clone(control)));
         if let Some(relay) = self.relay.take() {
--- a/crates/mustardhinge-resident/src/node/node_settings.rs
+++ b/crates/mustardhinge-resident/src/node/node_settings.rs
@@ -26,6 +26,8 @@
     pub cpu_centicores: u16,
     /// Whether the settings request overload control.
     pub requests_overload_control: bool,
+    /// Whether the platform's store may ask for the evacuation of zones.
+    pub follows_evacuations: bool,
     /// All availability zones of the deployment.
     pub zones: Vec<ZoneId>,
     /// Limits that can change at run time.
@@ -56,6 +58,7 @@
                 seed_addresses: Vec::new(),
                 cpu_centicores: DEFAULT_CPU_CENTICORES,
                 requests_overload_control: false,
+                follows_evacuations: false,
                 zones: Vec::new(),
                 limits: NodeLimits::default(),
             },
@@ -80,6 +83,12 @@
         self
     }
 
+    /// Makes the instance read and watch evacuations of zones.
+    pub const fn follow_evacuations(mut self, is_followed: bool) -> Self {
+        self.settings.follows_evacuations = is_followed;
+        self
+    }
+
     /// Sets all availability zones of the deployment.
     pub fn zones(mut self, zones: Vec<ZoneId>) -> Self {
         self.settings.zones = zones;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::connection::ConnectionShare;
+use mustardhinge_core::evacuation::EvacuatedZones;
 use mustardhinge_core::gateway::GatewayView;
 use mustardhinge_core::overload::{OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
@@ -57,6 +58,7 @@
     pub peers: GatewayPeers,
     pub(super) gateways: RefCell<GatewayView>,
     pub(super) gateways_changed: Notify,
+    pub(super) evacuations: RefCell<EvacuatedZones>,
     plan: RefCell<Rc<ServingPlan>>,
     pub(super) groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
     /// Service of each listed target.
@@ -87,6 +89,7 @@
             peers: GatewayPeers::new(settings.peer_address, incarnation),
             gateways: RefCell::default(),
             gateways_changed: Notify::new(),
+            evacuations: RefCell::default(),
             forwarded_work: Cell::new(0),
             limits: Cell::new(settings.limits),
             settings,
@@ -177,13 +180,16 @@
                     entry.target, entry.service, entry.role, entry.is_leaving, entry.address
                 ));
                 handle.update(entry);
+                self.apply_evacuation(&handle);
             }
             None => {
                 event::TARGET_LISTED.log(format_args!(
                     "target={} service={} role={:?} leaving={} address={}",
                     entry.target, entry.service, entry.role, entry.is_leaving, entry.address
                 ));
-                group.add(Rc::new(TargetHandle::new(entry)));
+                let handle = Rc::new(TargetHandle::new(entry));
+                self.apply_evacuation(&handle);
+                group.add(handle);
                 self.invalidate_list_caches();
                 self.update_group_limits(&group);
             }
@@ -394,8 +400,8 @@
         Some((epoch, group.find(primary)?))
     }
 
-    /// Returns the primary of a group and its epoch, if its lease allows new work and it isn't
-    /// known to fail.
+    /// Returns the primary of a group and its epoch, if its lease allows new work, it isn't known
+    /// to fail and its zone isn't evacuated.
     #[must_use]
     pub fn serving_primary(
         &self,
@@ -403,7 +409,9 @@
         now: MonotonicTime,
     ) -> Option<(GroupEpoch, Rc<TargetHandle>)> {
         let found = self.usable_primary(group, now);
-        found.filter(|(_, target)| !target.health().is_failing())
+        found.filter(|(_, target)| {
+            !target.health().is_failing() && !target.target_use(now).is_evacuated()
+        })
     }
 
     /// Returns whether a target is the primary of its group in the latest known epoch.
--- a/crates/mustardhinge-resident/src/session/primary_wait.rs
+++ b/crates/mustardhinge-resident/src/session/primary_wait.rs
@@ -1,10 +1,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::prelude::RefusalReason;
+use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
 use mustardhinge_core::primary_lease::{GroupEpoch, WaitDecision};
 use tokio::time::timeout;
 
+use super::read_path::BUSY_RETRY_AFTER;
 use super::{SessionRequest, StatementResponse};
 use crate::group::GroupState;
 use crate::node::{NodeState, record_wait};
@@ -13,6 +14,27 @@
 /// Interval at which a wait checks the primary without a notification.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Retry delay if the targets that could run a statement are in evacuated zones: an operator or a
+/// returning target ends this, within seconds at best.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the retry delay of a statement for which the group has no target.
+pub(super) fn retry_without_target(group: &GroupState, now: MonotonicTime) -> Duration {
+    let targets = group.targets();
+    let is_evacuated = |target: &Rc<TargetHandle>| target.target_use(now).is_evacuated();
+    if !targets.is_empty() && targets.iter().all(is_evacuated) {
+        EVACUATED_RETRY_AFTER
+    } else {
+        BUSY_RETRY_AFTER
+    }
+}
+
+/// Returns whether the group has a primary that is not used only because its zone is evacuated.
+fn is_evacuated(node: &NodeState, group: &GroupState, now: MonotonicTime) -> bool {
+    let primary = node.usable_primary(group, now);
+    primary.is_some_and(|(_, target)| target.target_use(now).is_evacuated())
+}
+
 /// Waits until the group's primary can be used.
 ///
 /// # Errors
@@ -32,6 +54,12 @@
             }
             return Ok((epoch, target));
         }
+        if is_evacuated(node, group, now) {
+            return Err(StatementResponse::not_run(
+                RefusalReason::NoPrimary,
+                EVACUATED_RETRY_AFTER,
+            ));
+        }
         group.set_usable(false, now);
         let unusable_since = group.unusable_since().unwrap_or(now);
         let changing_since = {
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -6,7 +6,7 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
-use super::primary_wait::await_primary;
+use super::primary_wait::{await_primary, retry_without_target};
 use super::read_floor::await_floor;
 use super::write_path::wait_before_retry;
 use super::{
@@ -80,7 +80,8 @@
 ) -> StatementResponse {
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
-    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, BUSY_RETRY_AFTER);
+    let retry_after = retry_without_target(&group, node.clock.now());
+    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
     let mut was_full = false;
     for attempt in 0..MAX_READ_ATTEMPTS {
         let placement = match place_read::<W>(node, &group, request, last_commit, &tried).await {
@@ -361,7 +362,8 @@
     let primary = node
         .usable_primary(group, now)
         .map(|(_, target)| target.id());
-    let targets: Vec<_> = group.targets();
+    let mut targets = group.targets();
+    targets.retain(|target| !target.target_use(now).is_evacuated());
     let skipped: Vec<usize> = (0..targets.len())
         .filter(|index| tried.contains(&targets[*index].id()))
         .collect();
@@ -376,7 +378,7 @@
             PlacementCandidate {
                 is_primary: primary.as_ref() == Some(&entry.target),
                 is_same_zone: entry.zone == node.settings.zone,
-                is_leaving: target.is_leaving(),
+                is_leaving: target.is_leaving() || target.target_use(now).is_restricted(),
                 is_failing: health.is_failing(),
                 lacks_position: health.lacks_position(now),
                 is_too_stale: !target.meets_max_age(max_staleness, now),
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -85,6 +85,10 @@
     lease: &mut TargetLease,
     execution: StatementExecution<'_>,
 ) -> Result<TargetReply, ExecutionError> {
+    let target_use = lease.target().target_use(node.clock.now());
+    if target_use.is_evacuated() {
+        return Err(ExecutionError::NotRun(ConnectionError::Evacuated));
+    }
     if lease.forwarded_mut().is_some() {
         execute_forwarded(node, lease, execution).await
     } else {
--- a/crates/mustardhinge-resident/src/session/target_probe.rs
+++ b/crates/mustardhinge-resident/src/session/target_probe.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::CustomerId;
-use mustardhinge_process::event;
+use mustardhinge_process::{BootClock, event};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -31,6 +31,9 @@
     target: &TargetHandle,
     statement: &ProxyStatement,
 ) -> Result<(Option<StatusReport>, TargetReply), ConnectionError> {
+    if target.target_use(BootClock.now()).is_evacuated() {
+        return Err(ConnectionError::Evacuated);
+    }
     let Ok(control) = CONTROL_CUSTOMER.parse::<CustomerId>() else {
         return Err(ConnectionError::Closed);
     };
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
+use super::primary_wait::retry_without_target;
 use super::read_path::{
     BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read, record_position,
 };
@@ -181,7 +182,8 @@
 ) -> Result<(TargetLease, Option<GroupEpoch>), StatementResponse> {
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
-    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, BUSY_RETRY_AFTER);
+    let retry_after = retry_without_target(&group, node.clock.now());
+    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
     let at_primary = !read_only || request.route.read_rule == ReadRule::Primary;
     for attempt in 0..MAX_BEGIN_ATTEMPTS {
         let placement = if at_primary {
--- a/crates/mustardhinge-resident/src/target/connection_error.rs
+++ b/crates/mustardhinge-resident/src/target/connection_error.rs
@@ -36,6 +36,9 @@
     /// The gateway reported that the statement has not run.
     #[error("statement not run by the gateway: {0:?}")]
     GatewayRefused(NotRunCause),
+    /// The target's zone is evacuated.
+    #[error("zone of the target is evacuated")]
+    Evacuated,
     /// The target failed or was removed while the session was queued.
     #[error("target failed or was removed while the session was queued")]
     Dissolved,
@@ -49,6 +52,7 @@
             self,
             Self::Full(_)
                 | Self::Dissolved
+                | Self::Evacuated
                 | Self::EpochEnded
                 | Self::TurnedAway(_)
                 | Self::GatewayLost
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::evacuation::TargetUse;
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, TargetId};
@@ -35,6 +36,7 @@
     lag: Cell<ReplicaLag>,
     health: Cell<TargetHealth>,
     is_marked_leaving: Cell<bool>,
+    evacuated_since: Cell<Option<MonotonicTime>>,
     is_removed: Cell<bool>,
     is_probed: Cell<bool>,
     pub(super) forwarded: Cell<usize>,
@@ -54,6 +56,7 @@
             lag: Cell::new(ReplicaLag::default()),
             health: Cell::new(TargetHealth::default()),
             is_marked_leaving: Cell::new(false),
+            evacuated_since: Cell::new(None),
             is_removed: Cell::new(false),
             is_probed: Cell::new(false),
             forwarded: Cell::new(0),
@@ -102,6 +105,17 @@
         self.is_marked_leaving.set(true);
     }
 
+    /// Sets since when the target's zone is evacuated, or `None` if it isn't.
+    pub fn set_evacuated_since(&self, since: Option<MonotonicTime>) {
+        self.evacuated_since.set(since);
+    }
+
+    /// Returns whether statements may be sent to the target, with regard to evacuated zones.
+    #[must_use]
+    pub fn target_use(&self, now: MonotonicTime) -> TargetUse {
+        TargetUse::at(self.evacuated_since.get(), now)
+    }
+
     /// Marks the target as removed. Connections in use are closed when their lease ends.
     pub fn remove(&self, now: MonotonicTime) {
         self.is_removed.set(true);
