--- a/crates/mustardhinge-core/src/evacuation/evacuation_version.rs
+++ b/crates/mustardhinge-core/src/evacuation/evacuation_version.rs
@@ -16,6 +16,12 @@
 }
 
 impl EvacuationVersion {
+    /// Returns whether nothing was read or received yet.
+    #[must_use]
+    pub fn is_initial(&self) -> bool {
+        *self == Self::default()
+    }
+
     /// Returns whether this set is another and newer one than `known`.
     #[must_use]
     pub fn is_newer_than(&self, known: &Self) -> bool {
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -35,8 +35,8 @@
 /// Interval between these queries: the relay's read of the store takes a few round trips.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum size in bytes of a query, not counting its first bytes, which are read separately to
-/// recognize [`FORWARD_PREFACE`].
-const MAX_QUERY_BYTES: u64 = 256;
+/// recognize [`FORWARD_PREFACE`]; about twice the size with the longest numbers.
+const MAX_QUERY_BYTES: u64 = 512;
 
 /// A query for newer state, with the versions that the requester has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,7 +51,7 @@
     #[serde(default, rename = "takes_packed")]
     pub(super) accepts_compressed: bool,
     /// The version of the requester's set of evacuated zones.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "EvacuationVersion::is_initial")]
     pub(super) evacuations: EvacuationVersion,
 }
 
@@ -66,7 +66,7 @@
     /// The revision of the list of targets.
     pub revision: RecordRevision,
     /// The set of evacuated zones.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<RelayedEvacuations>,
 }
 
