--- a/crates/mustardhinge-core/src/primary_lease/record_revision.rs
+++ b/crates/mustardhinge-core/src/primary_lease/record_revision.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use super::StoreEra;
@@ -32,3 +34,9 @@
         self.number
     }
 }
+
+impl fmt::Display for RecordRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/evacuation.rs
@@ -0,0 +1,78 @@
+//! Evacuated availability zones and the use of their targets.
+
+use std::time::Duration;
+
+use mustardhinge_core::evacuation::{EvacuatedZones, TargetUse};
+use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
+use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
+
+fn zone(name: &str) -> ZoneId {
+    name.parse().unwrap()
+}
+
+fn revision(number: u64) -> RecordRevision {
+    RecordRevision::new(StoreEra::default(), number)
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::default() + Duration::from_millis(millis)
+}
+
+/// Guards against a later deadline on an instance that hears of an evacuation from another one.
+#[test]
+fn the_earliest_knowledge_of_a_zone_counts() {
+    let mut zones = EvacuatedZones::default();
+    assert!(zones.put(zone("north"), at(900)));
+    zones.advance(revision(4));
+    assert!(!zones.adopt([(zone("north"), at(100))], revision(5)));
+    assert_eq!(zones.since(&zone("north")), Some(at(100)));
+    assert!(!zones.put(zone("north"), at(2_000)));
+    assert_eq!(zones.since(&zone("north")), Some(at(100)));
+}
+
+/// Guards against an evacuation that comes back with an older list, or is lost with it.
+#[test]
+fn an_older_set_changes_nothing() {
+    let mut zones = EvacuatedZones::default();
+    zones.adopt([(zone("north"), at(0))], revision(9));
+    assert!(!zones.adopt([], revision(8)));
+    assert!(zones.since(&zone("north")).is_some());
+    assert!(zones.remove(&zone("north")));
+    zones.advance(revision(10));
+    assert!(!zones.adopt([(zone("north"), at(0))], revision(9)));
+    assert_eq!(
+        zones.target_use(&zone("north"), at(9_000)),
+        TargetUse::Usable
+    );
+}
+
+/// Guards against fetches between instances that have the same set at different revisions.
+#[test]
+fn versions_of_equal_sets_are_not_newer() {
+    let set = |names: &[&str], number| {
+        let mut zones = EvacuatedZones::default();
+        let named = names.iter().map(|name| (zone(name), at(0)));
+        zones.adopt(named, revision(number));
+        zones.version()
+    };
+    assert!(!set(&[], 9).is_newer_than(&set(&[], 3)));
+    assert!(!set(&["north"], 9).is_newer_than(&set(&["north"], 3)));
+    assert!(set(&["north"], 9).is_newer_than(&set(&[], 3)));
+    assert!(set(&[], 9).is_newer_than(&set(&["north"], 3)));
+    assert!(set(&["north", "south"], 9).is_newer_than(&set(&["north"], 3)));
+    assert!(!set(&["south"], 2).is_newer_than(&set(&["north"], 3)));
+}
+
+/// Guards against a statement at an evacuated target once the time for handing over is up, and
+/// against refusals before that.
+#[test]
+fn a_target_is_vacated_for_a_while_and_then_evacuated() {
+    let since = MonotonicTime::default() + Duration::from_secs(10);
+    let after = |millis| TargetUse::at(Some(since), since + Duration::from_millis(millis));
+    assert_eq!(TargetUse::at(None, since), TargetUse::Usable);
+    assert_eq!(after(0), TargetUse::Vacating);
+    assert_eq!(after(2_999), TargetUse::Vacating);
+    assert_eq!(after(3_000), TargetUse::Evacuated);
+    assert_eq!(after(3_600_000), TargetUse::Evacuated);
+    assert!(after(0).is_restricted() && !after(0).is_evacuated());
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod document;
 mod drain;
+mod evacuation;
 mod failover;
 mod gateway;
 mod group;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -71,4 +71,5 @@
     OVERLOAD_CONTROL_CHANGED = 6025, Info, "overload control changed";
     TARGET_DISTRUSTED = 6030, Warn, "target fails statements but answers probes";
     STORE_ERA_RAISED = 6026, Warn, "store restored from an older copy";
+    EVACUATIONS_CHANGED = 6027, Warn, "evacuated zones changed";
 }
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod departed_targets;
 mod drain_phase;
+mod node_evacuations;
 mod node_gateways;
 mod node_limits;
 mod node_process;
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod leased_work;
 mod queue_metrics;
 mod response_timeouts;
+mod running_statement;
 mod target_connection;
 mod target_gateways;
 mod target_handle;
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -5,6 +5,7 @@
 use mustardhinge_process::BootClock;
 
 use super::leased_work::LeasedWork;
+use super::running_statement::RunningStatement;
 use super::{ConnectionError, ResponseTimeouts, TargetConnection, TargetHandle, TargetReply};
 use crate::adapter::{SessionCodec, TargetFault, TransactionState};
 use crate::gateway::ForwardedConnection;
@@ -123,7 +124,7 @@
         };
         let target = &self.target;
         let sent_at = clock.now();
-        target.begin_statement();
+        let running = RunningStatement::begin(target);
         if std::mem::take(&mut self.holds_reservation) {
             target.release_reservation();
         }
@@ -162,7 +163,7 @@
                 }
             }
         }
-        target.end_statement(now);
+        drop(running);
         result
     }
 
