--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -69,7 +69,7 @@
     FORWARDER_LEFT = 6023, Info, "instance that forwards left";
     FORWARD_REFUSED = 6024, Info, "forwarded statement not run";
     OVERLOAD_CONTROL_CHANGED = 6025, Info, "overload control changed";
-    TARGET_DISTRUSTED = 6030, Warn, "target fails statements but answers probes";
     STORE_ERA_RAISED = 6026, Warn, "store restored from an older copy";
     EVACUATIONS_CHANGED = 6027, Warn, "evacuated zones changed";
+    TARGET_DISTRUSTED = 6028, Warn, "target fails statements but answers probes";
 }
