Mend what the reviews found

- A leader that was replaced while it restored records no longer overwrites a record of its successor, and an era beyond 2^20 is refused.
- A primary with a pending order for itself has no successor until the order ends; a primary that is kept doesn't count as promoted; a target that is never promoted binds its group for 6 s plus the last order at most.
- A primary whose evacuation ended can stay, and a distrusted one is used if nothing can take over.
- Reads by free capacity leave out evacuated targets; the queue of a target that becomes distrusted is emptied.
- A queued begin keeps three quarters of its wait whatever its transaction costs, and operations admitted between a report and its grant count against an isolated share.
- Evacuations are fetched only where the settings follow them, and their watch begins again after a restore.

--- a/crates/mustardhinge-core/src/overload/overload_switch.rs
+++ b/crates/mustardhinge-core/src/overload/overload_switch.rs
@@ -6,8 +6,10 @@
 /// Decides whether overload control applies to a deployment.
 ///
 /// It does if the settings request it, or if demand and targets are uneven: callers arrive in
-/// every availability zone, and no service has ever had targets in all of them. Targets that are
-/// gone for a while still count, so that an outage changes nothing.
+/// every availability zone, and no service has had targets in all of them since the process
+/// started. Targets that are gone for a while still count, so that an outage changes nothing on a
+/// running instance; one that starts while a whole zone has no listed target takes the deployment
+/// for uneven until the zone's targets are listed again.
 ///
 /// # Examples
 ///
--- a/crates/mustardhinge-core/src/primary_lease/promotion_orders.rs
+++ b/crates/mustardhinge-core/src/primary_lease/promotion_orders.rs
@@ -10,6 +10,10 @@
 /// Time after which an order without a response has taken effect or never will. The platform may
 /// execute a call without a response up to six seconds late.
 const UNANSWERED_EFFECT_TIME: Duration = Duration::from_millis(7_000);
+/// Time after the first order of a series from which its target is not ordered again. Each order
+/// binds the group to its target, so a target whose promotion never takes effect would bind it for
+/// good.
+const MAX_SERIES: Duration = Duration::from_millis(6_000);
 
 /// What is known about an order to promote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +49,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PromotionOrders {
     target: Option<TargetId>,
+    first_sent_at: MonotonicTime,
     accepted_until: Option<MonotonicTime>,
     unanswered_until: Vec<MonotonicTime>,
 }
@@ -55,9 +60,10 @@
         if outcome == OrderOutcome::NotExecuted {
             return;
         }
-        if self.target.as_ref() != Some(target) {
+        if self.pending(sent_at) != Some(target) {
             *self = Self::default();
             self.target = Some(target.clone());
+            self.first_sent_at = sent_at;
         }
         self.unanswered_until.retain(|until| sent_at < *until);
         if outcome == OrderOutcome::Accepted {
@@ -87,25 +93,38 @@
         self.target.as_ref().filter(|_| is_pending)
     }
 
-    /// Restricts the choice of a successor to the target of a pending order.
+    /// Restricts the choice of a successor of `old` to the target of a pending order.
     ///
-    /// The current primary of the group is primary in `term` or a later one.
+    /// The current primary of the group is primary in `term` or a later one. If the target is the
+    /// replaced primary itself, no other server takes over until none of its orders can make it
+    /// primary again.
     #[must_use]
     pub fn restrict(
         &self,
         choice: SuccessorChoice,
-        servers: &[ServerStatus],
-        term: LeaderTerm,
+        old: &TargetId,
+        (servers, term): (&[ServerStatus], LeaderTerm),
         now: MonotonicTime,
     ) -> SuccessorChoice {
         let Some(target) = self.pending(now) else {
             return choice;
         };
+        if target == old {
+            let is_kept = matches!(&choice, SuccessorChoice::Adopt(kept, _) if kept == old);
+            return if is_kept {
+                choice
+            } else {
+                SuccessorChoice::Wait
+            };
+        }
+        let is_series_over = now.saturating_since(self.first_sent_at) >= MAX_SERIES;
         match servers.iter().find(|server| server.target == *target) {
             Some(server) if server.is_primary && server.term >= term => {
                 SuccessorChoice::Adopt(target.clone(), server.term)
             }
-            Some(server) if !server.is_primary => SuccessorChoice::Promote(target.clone()),
+            Some(server) if !server.is_primary && !server.is_leaving && !is_series_over => {
+                SuccessorChoice::Promote(target.clone())
+            }
             _ => SuccessorChoice::Wait,
         }
     }
--- a/crates/mustardhinge-core/src/primary_lease/store_era.rs
+++ b/crates/mustardhinge-core/src/primary_lease/store_era.rs
@@ -10,6 +10,9 @@
 const COUNTER_BITS: u32 = 40;
 
 impl StoreEra {
+    /// Highest valid era. Fences and epochs of higher ones would not fit their type.
+    pub const MAX: Self = Self::new(1 << 20);
+
     /// Returns a number that fences and epochs of earlier eras don't reach.
     ///
     /// An instance that was started after a restore has seen none of the lost fences and epochs;
--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -224,9 +224,11 @@
         self.has_response = true;
         for grant in grants {
             if let Some(entry) = self.entries.get_mut(&grant.customer) {
-                entry.allowance.apply_grant(grant, now);
                 let reported = entry.reported.filter(|(at, _)| *at == requested_at);
-                entry.acknowledged = reported.map(|(_, spent)| spent).or(entry.acknowledged);
+                let reported = reported.map(|(_, spent)| spent);
+                let counted = reported.unwrap_or(entry.allowance.spent());
+                entry.allowance.apply_grant(grant, counted, now);
+                entry.acknowledged = reported.or(entry.acknowledged);
             }
         }
     }
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -228,9 +228,12 @@
     }
 
     /// Applies a grant of the leader.
-    pub fn apply_grant(&mut self, grant: &AllowanceGrant, now: MonotonicTime) {
+    ///
+    /// The level in the grant covers the `reported` operations. What was admitted since counts as
+    /// granted.
+    pub fn apply_grant(&mut self, grant: &AllowanceGrant, reported: u64, now: MonotonicTime) {
         self.ceiling = grant.ceiling;
-        self.granted = grant.ceiling.saturating_sub(self.spent);
+        self.granted = grant.ceiling.saturating_sub(reported);
         self.isolated = None;
         self.share = f64::from(grant.share) / 1_000_000.0;
         self.share_until = now + SHARE_VALIDITY;
--- a/crates/mustardhinge-core/tests/suite/primary_lease/promotion_orders.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/promotion_orders.rs
@@ -32,7 +32,7 @@
 fn restrict(orders: &PromotionOrders, servers: &[ServerStatus], now: u64) -> SuccessorChoice {
     let term = LeaderTerm::new(1);
     let choice = SuccessorChoice::choose(servers, &target(0), term, true);
-    orders.restrict(choice, servers, term, at(now))
+    orders.restrict(choice, &target(0), (servers, term), at(now))
 }
 
 /// The order was accepted and takes effect shortly; the old primary responds again just before.
@@ -107,6 +107,42 @@
     assert_eq!(restrict(&orders, &servers, 10_100), next);
 }
 
+/// The promoted server is to be replaced while a repeated order for it may still be executed.
+/// Guards against a successor that the late execution replaces in turn, and against taking the
+/// server that is to be replaced as its own successor.
+#[test]
+fn a_server_with_a_pending_order_has_no_successor_until_the_order_ends() {
+    let mut orders = PromotionOrders::default();
+    orders.record(&target(1), at(1_000), OrderOutcome::Unknown);
+    orders.record(&target(1), at(2_200), OrderOutcome::Accepted);
+    orders.record_promoted(&target(1));
+    let servers = [status(1, true, 2), status(2, false, 2)];
+    let term = LeaderTerm::new(2);
+    let choose = |now| {
+        let choice = SuccessorChoice::choose(&servers, &target(1), term, false);
+        orders.restrict(choice, &target(1), (&servers, term), at(now))
+    };
+    assert_eq!(choose(4_000), SuccessorChoice::Wait);
+    assert_eq!(choose(8_100), SuccessorChoice::Promote(target(2)));
+}
+
+/// A target accepts every order and never becomes primary. Guards against a group that waits for
+/// it forever while another replica could take over.
+#[test]
+fn a_target_that_is_never_promoted_does_not_bind_the_group_for_good() {
+    let mut orders = PromotionOrders::default();
+    let servers = [status(1, false, 1), status(2, false, 1)];
+    let mut now = 1_000;
+    orders.record(&target(1), at(now), OrderOutcome::Accepted);
+    while restrict(&orders, &servers, now) == SuccessorChoice::Promote(target(1)) {
+        assert!(now < 20_000, "still ordered at {now}");
+        orders.record(&target(1), at(now), OrderOutcome::Accepted);
+        now += 1_200;
+    }
+    assert_eq!(restrict(&orders, &servers, now), SuccessorChoice::Wait);
+    assert_eq!(orders.pending(at(now + 4_000)), None);
+}
+
 /// One order of a random history.
 #[derive(Clone, Copy, Debug)]
 struct Order {
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -34,6 +34,8 @@
 async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
     let (zones, mut revision) = control.platform.list_evacuations().await?;
     control.record_store_result(Ok(()));
+    control.update_store_era();
+    let era = revision.era();
     let now = control.node.clock.now();
     let zones = zones.into_iter().map(|zone| (zone, now)).collect();
     control.node.adopt_evacuations(zones, revision, "store");
@@ -41,8 +43,10 @@
         let update = tokio::select! {
             update = control.platform.watch_evacuations(revision) => update?,
             () = control.wait_until_relayed(true) => return Ok(()),
+            () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
+        control.update_store_era();
         match update {
             WatchResponse::HistoryGone => return Ok(()),
             WatchResponse::Changes {
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -18,11 +18,13 @@
 use crate::adapter::PlatformClient;
 use crate::group::GroupState;
 
-/// Applies a grant of the leader. Ignores a grant of a leader that has been replaced.
+/// Applies a grant of the leader. Ignores a grant of a leader that has been replaced, and one with
+/// an invalid era.
 pub(super) fn handle_grant<P: PlatformClient>(control: &Rc<ControlState<P>>, grant: &GrantMessage) {
     let node = &control.node;
     let now = node.clock.now();
-    if grant.record.fence < node.election.borrow().highest_fence() {
+    let is_outdated = grant.record.fence < node.election.borrow().highest_fence();
+    if is_outdated || grant.revision.era() > StoreEra::MAX {
         return;
     }
     if grant.revision.era() > StoreEra::default() {
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -103,12 +103,18 @@
     let statuses = query_targets::<W>(group).await;
     let now = control.node.clock.now();
     let server_statuses = to_server_statuses(group, &statuses, now);
+    let choose = |may_keep| SuccessorChoice::choose(&server_statuses, &old, term, may_keep);
+    let may_keep = may_keep_primary(cause, was_failing)
+        || cause == ChangeCause::Leaving && has_stopped_leaving(group, &old, now);
     let is_distrusted = group
         .find(&old)
         .is_some_and(|target| target.is_distrusted());
-    let may_keep = may_keep_primary(cause, was_failing) && !is_distrusted;
-    let choice = SuccessorChoice::choose(&server_statuses, &old, term, may_keep);
-    match restrict_choice(control, service, choice, &server_statuses, term) {
+    let choice = match choose(may_keep && !is_distrusted) {
+        // Without a successor, only statements can show whether the old primary works again.
+        SuccessorChoice::Wait => choose(may_keep),
+        choice => choice,
+    };
+    match restrict_choice(control, service, choice, (&old, &server_statuses), term) {
         SuccessorChoice::Adopt(primary, term) => {
             adopt_primary(control, group, &primary, term).await
         }
@@ -123,17 +129,25 @@
     }
 }
 
+/// Returns whether a primary that was to hand over is listed and neither leaves nor is evacuated
+/// any more, so that it can stay if no other target has taken over.
+fn has_stopped_leaving(group: &GroupState, primary: &TargetId, now: MonotonicTime) -> bool {
+    group
+        .find(primary)
+        .is_some_and(|target| !target.is_leaving() && !target.target_use(now).is_restricted())
+}
+
 /// Restricts the choice to the target of an order to promote that may still take effect.
 fn restrict_choice<P>(
     control: &ControlState<P>,
     service: &ServiceId,
     choice: SuccessorChoice,
-    server_statuses: &[ServerStatus],
+    (old, server_statuses): (&TargetId, &[ServerStatus]),
     term: LeaderTerm,
 ) -> SuccessorChoice {
     let now = control.node.clock.now();
     match control.promotion_orders.borrow().get(service) {
-        Some(orders) => orders.restrict(choice, server_statuses, term, now),
+        Some(orders) => orders.restrict(choice, old, (server_statuses, term), now),
         None => choice,
     }
 }
@@ -357,15 +371,14 @@
     primary: &TargetId,
     term: LeaderTerm,
 ) {
-    if let Some(orders) = control
-        .promotion_orders
-        .borrow_mut()
-        .get_mut(group.service())
-    {
-        orders.record_promoted(primary);
-    }
     let mut group_leases = control.group_leases.borrow_mut();
     if let Some(leases) = group_leases.get_mut(group.service()) {
+        // A primary that is kept has not been promoted again.
+        let is_promoted = leases.primary() != primary || leases.term() < term;
+        let mut orders = control.promotion_orders.borrow_mut();
+        if let Some(orders) = orders.get_mut(group.service()).filter(|_| is_promoted) {
+            orders.record_promoted(primary);
+        }
         leases.begin_epoch(epoch, primary.clone(), term);
     }
     event::PRIMARY_PROMOTED.log(format_args!(
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -166,6 +166,14 @@
     let Ok(copy) = read_group_record(control, service).await else {
         return false;
     };
+    // A record of this era comes from a later leader, which may have found another primary.
+    let is_restored = copy
+        .as_ref()
+        .is_some_and(|(revision, record)| record.era >= revision.era());
+    let now = control.node.clock.now();
+    if is_restored || !control.node.election.borrow().may_grant(now) {
+        return is_restored;
+    }
     match copy {
         Some(copy) => control.records.borrow_mut().insert(service.clone(), copy),
         None => control.records.borrow_mut().remove(service),
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -292,7 +292,8 @@
         let revision = RecordRevision::new(state.era, state.revision);
         control.node.adopt_targets(targets, revision);
     }
-    if let Some(evacuations) = state.evacuations {
+    let follows_evacuations = control.node.settings.follows_evacuations;
+    if let Some(evacuations) = state.evacuations.filter(|_| follows_evacuations) {
         let now = control.node.clock.now();
         let zones = evacuations.zones.into_iter();
         let zones = zones.map(|(zone, age_ms)| (zone, now - Duration::from_millis(age_ms)));
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -36,7 +36,7 @@
         let target = PlacementCandidate {
             is_primary: primary.is_some_and(|primary| Rc::ptr_eq(primary, target)),
             is_same_zone: entry.zone == node.settings.zone,
-            is_leaving: target.is_leaving(),
+            is_leaving: target.is_leaving() || target.target_use(now).is_restricted(),
             is_failing: health.is_failing(),
             lacks_position: health.lacks_position(now),
             is_too_stale: !target.meets_max_age(self.max_staleness, now),
@@ -65,7 +65,8 @@
     (max_staleness, tried): (Duration, &[TargetId]),
 ) -> Option<Rc<TargetHandle>> {
     let now = node.clock.now();
-    let targets = group.targets();
+    let mut targets = group.targets();
+    targets.retain(|target| !target.target_use(now).is_evacuated());
     let skipped: Vec<usize> = if tried.is_empty() {
         Vec::new()
     } else {
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -214,8 +214,12 @@
             return;
         }
         let mut health = self.health.get();
-        health.mark_failing(sent_at);
+        let is_first = health.mark_failing(sent_at);
         self.health.set(health);
+        if is_first {
+            self.connections.close_idle();
+            self.queue.reject_all(sent_at);
+        }
         if is_new {
             metrics::counter!("resident_distrusted_targets_total").increment(1);
             event::TARGET_DISTRUSTED.log(format_args!("target={}", self.id()));
--- a/crates/mustardhinge-resident/src/target/target_health.rs
+++ b/crates/mustardhinge-resident/src/target/target_health.rs
@@ -44,9 +44,12 @@
         true
     }
 
-    /// Marks the target as failing since `since` at the latest, whatever responses it gave.
-    pub fn mark_failing(&mut self, since: MonotonicTime) {
+    /// Marks the target as failing since `since` at the latest, whatever responses it gave. Returns
+    /// whether it was not failing before.
+    pub fn mark_failing(&mut self, since: MonotonicTime) -> bool {
+        let is_first = self.failing_since.is_none();
         self.failing_since.get_or_insert(since);
+        is_first
     }
 
     /// Records that the target reported a missing log position.
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -256,7 +256,8 @@
             weight,
             priority: request.priority,
             admit_by: now + request.max_expected_wait(),
-            deadline: now + request.wait.saturating_sub(slot_time),
+            // The cost of a transaction covers more statements than the objective does.
+            deadline: now + request.wait.saturating_sub(slot_time.min(request.wait / 4)),
             cost,
             item: WaitingSession {
                 session: request.session,
