--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -1,32 +1,22 @@
-use std::collections::{BTreeSet, VecDeque};
+mod election_steps;
+mod leadership_acquisition;
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::held_leadership::HeldLeadership;
 use super::voter_acks::VoterAcks;
-use super::{
-    ElectionStep, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter,
-};
+use super::{LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
-/// Minimum interval between reads of the record, and between claims, while the leader is
-/// unresponsive.
-const READ_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without a message of the leader after which the record is read: two requests are
-/// unanswered.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// Interval between reads after a write whose outcome is unknown.
-const STALE_READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of writes whose send times are kept. A write that is later found to have succeeded
 /// counts from its send time.
 const MAX_SENT_WRITES: usize = 8;
 /// Allowance for clock drift: a successor waits this much longer by its own clock than the
 /// leader's leases run by the leader's clock.
 const CLOCK_MARGIN: Duration = Duration::from_millis(50);
-/// Delay between the claims of instances of consecutive ranks, so that the first one wins
-/// without a conflict.
-const CLAIM_SPREAD: Duration = Duration::from_millis(15);
 
 /// One instance's state in the election of the leader that replaces primaries.
 ///
@@ -108,152 +98,6 @@
         }
     }
 
-    /// Returns the next action.
-    #[must_use]
-    pub fn next_step(&self, now: MonotonicTime) -> ElectionStep {
-        if self.is_retired {
-            return ElectionStep::Wait;
-        }
-        if self.is_stale {
-            return match self.last_read_at {
-                Some(at) if now.saturating_since(at) < STALE_READ_INTERVAL => ElectionStep::Wait,
-                _ => ElectionStep::Read,
-            };
-        }
-        if let Some(held) = &self.held {
-            return self.renewal_step(held, now);
-        }
-        let is_unresponsive = self.observed.is_none()
-            || now.saturating_since(self.last_heartbeat_at) > LEADER_TIMEOUT;
-        if !is_unresponsive {
-            return ElectionStep::Wait;
-        }
-        if let Some(step) = self.claim_step(now) {
-            return step;
-        }
-        match self.last_read_at {
-            Some(at) if now.saturating_since(at) < READ_INTERVAL => ElectionStep::Wait,
-            _ => ElectionStep::Read,
-        }
-    }
-
-    fn renewal_step(&self, held: &HeldLeadership, now: MonotonicTime) -> ElectionStep {
-        if self.needs_restore(held) {
-            return self.restore_step(held, now);
-        }
-        let last = self
-            .last_write_at
-            .unwrap_or(held.renewed_at)
-            .max(held.renewed_at);
-        if now.saturating_since(last) < self.settings.renew_interval {
-            return ElectionStep::Wait;
-        }
-        let mut record = held.record.clone();
-        record.renewals += 1;
-        record.settled = held.is_settled(now);
-        record.voters.clone_from(&self.next_voters);
-        ElectionStep::Write {
-            record,
-            expected: Some(held.revision),
-        }
-    }
-
-    /// Returns whether the store lost the leader's record, or has it overwritten by a write that was
-    /// sent in an earlier era and whose expected number has been issued again.
-    fn needs_restore(&self, held: &HeldLeadership) -> bool {
-        let is_overwritten = self
-            .observed
-            .as_ref()
-            .is_some_and(|observed| is_from_copy(observed) && observed.revision > held.revision);
-        held.record.era < self.era || is_overwritten
-    }
-
-    /// Returns the step by which a leader writes its record to a restored store, with a new fence.
-    fn restore_step(&self, held: &HeldLeadership, now: MonotonicTime) -> ElectionStep {
-        let is_recent = |at: MonotonicTime| now.saturating_since(at) < STALE_READ_INTERVAL;
-        if self.last_write_at.is_some_and(is_recent) {
-            return ElectionStep::Wait;
-        }
-        let stored = self.observed.as_ref().map(|observed| observed.revision);
-        let expected = stored.filter(|revision| revision.era() == self.era);
-        if expected.is_none() && !self.is_record_absent {
-            return match self.last_read_at {
-                Some(at) if is_recent(at) => ElectionStep::Wait,
-                _ => ElectionStep::Read,
-            };
-        }
-        let mut record = self.claim_record(self.highest_fence + 1, expected);
-        record.settled = self.is_unbroken && held.is_settled(now);
-        ElectionStep::Write { record, expected }
-    }
-
-    fn claim_step(&self, now: MonotonicTime) -> Option<ElectionStep> {
-        if self
-            .last_write_at
-            .is_some_and(|at| now.saturating_since(at) < READ_INTERVAL)
-        {
-            return None;
-        }
-        let Some(observed) = &self.observed else {
-            return self.absent_claim_step(now);
-        };
-        if observed.revision.era() < self.era {
-            return None;
-        }
-        let is_own = observed.record.holder == self.own.holder;
-        let spread = CLAIM_SPREAD * self.rank;
-        let wait = match (is_own, observed.record.released) {
-            _ if is_from_copy(observed) => self.settings.claim_after + spread,
-            (true, _) => Duration::ZERO,
-            (false, true) => spread,
-            (false, false) => self.settings.claim_after + spread,
-        };
-        (now.saturating_since(observed.first_seen) >= wait).then(|| ElectionStep::Write {
-            record: self.claim_record(
-                observed.record.fence.max(self.highest_fence) + 1,
-                Some(observed.revision),
-            ),
-            expected: Some(observed.revision),
-        })
-    }
-
-    /// Returns the claim for a record that the store doesn't have.
-    ///
-    /// A restored store may have lost the record of a leader that still replaces primaries, so the
-    /// claim waits as long as for a record that its leader doesn't renew.
-    fn absent_claim_step(&self, now: MonotonicTime) -> Option<ElectionStep> {
-        let is_first = self.era == StoreEra::default();
-        let wait = self.settings.claim_after + CLAIM_SPREAD * self.rank;
-        let has_waited = self
-            .absent_since
-            .is_some_and(|since| now.saturating_since(since) >= wait);
-        let mut record = self.claim_record(self.highest_fence + 1, None);
-        record.settled = is_first && self.highest_fence == 0;
-        let may_claim = self.is_record_absent && (is_first || has_waited);
-        may_claim.then_some(ElectionStep::Write {
-            record,
-            expected: None,
-        })
-    }
-
-    /// Returns a claim with at least the given fence.
-    ///
-    /// After a restore, the fence is also above the revision that the claim replaces. Each claim
-    /// of an era replaces a later revision, so no two of them have the same fence, even if neither
-    /// claimant has seen the other's.
-    fn claim_record(&self, fence: u64, expected: Option<RecordRevision>) -> LeaderRecord {
-        let replaced = expected.map_or(0, RecordRevision::number);
-        let floor = match self.era.counter_floor() {
-            0 => 0,
-            floor => floor + replaced + 1,
-        };
-        LeaderRecord {
-            fence: fence.max(floor),
-            era: self.era,
-            ..self.own.clone()
-        }
-    }
-
     /// Records the era of the store. Returns whether it rose.
     ///
     /// The numbers of earlier revisions can't be compared with those of the new era, so a leader
@@ -385,94 +229,6 @@
         self.acquire(revision, record, sent_at);
     }
 
-    fn acquire(&mut self, revision: RecordRevision, record: LeaderRecord, sent_at: MonotonicTime) {
-        self.highest_fence = self.highest_fence.max(record.fence);
-        let mut held = self.held.take();
-        if let Some(mut held) = held.take_if(|held| held.record.fence == record.fence) {
-            self.voter_acks.confirm(&record);
-            held.record = record;
-            held.revision = revision;
-            held.renewed_at = sent_at;
-            self.held = Some(held);
-            return;
-        }
-        self.voter_acks.reset(record.fence);
-        self.voter_acks.confirm(&record);
-        let is_unbroken = std::mem::take(&mut self.is_unbroken);
-        let is_lost =
-            revision.era() > StoreEra::default() && self.observed.as_ref().is_none_or(is_from_copy);
-        self.held = Some(match held.filter(|_| is_lost && is_unbroken) {
-            Some(held) => HeldLeadership {
-                record,
-                revision,
-                renewed_at: sent_at,
-                ..held
-            },
-            None if is_lost => self.held_after_loss(revision, record, sent_at),
-            None => self.held_after_claim(revision, record, sent_at),
-        });
-        let own = (self.own.holder.clone(), self.own.incarnation);
-        self.voter_moved((&own.0, own.1), sent_at);
-    }
-
-    fn held_after_claim(
-        &self,
-        revision: RecordRevision,
-        record: LeaderRecord,
-        sent_at: MonotonicTime,
-    ) -> HeldLeadership {
-        let bound = self.settings.renew_deadline + self.settings.lease;
-        let promote_from = match &self.observed {
-            None if record.settled => sent_at,
-            // The store lost the record of a leader that was known here.
-            None => sent_at + bound,
-            Some(observed) => self.predecessor_expiry(observed, sent_at) + self.settings.lease,
-        };
-        let predecessor = self.observed.as_ref().map(|observed| &observed.record);
-        HeldLeadership {
-            record,
-            revision,
-            renewed_at: sent_at,
-            promote_from,
-            has_one_predecessor: predecessor.is_none_or(|record| record.settled),
-            predecessor_voters: predecessor.map_or_else(Vec::new, |record| record.voters.clone()),
-            moved: BTreeSet::new(),
-        }
-    }
-
-    /// Returns the leadership after a restore of the store. The last leader is unknown, so neither
-    /// voters nor a stopped predecessor shorten the wait.
-    fn held_after_loss(
-        &self,
-        revision: RecordRevision,
-        record: LeaderRecord,
-        sent_at: MonotonicTime,
-    ) -> HeldLeadership {
-        HeldLeadership {
-            record,
-            revision,
-            renewed_at: sent_at,
-            promote_from: sent_at + self.settings.renew_deadline + self.settings.lease,
-            has_one_predecessor: false,
-            predecessor_voters: Vec::new(),
-            moved: BTreeSet::new(),
-        }
-    }
-
-    fn predecessor_expiry(
-        &self,
-        observed: &ObservedRecord,
-        claimed_at: MonotonicTime,
-    ) -> MonotonicTime {
-        let ended = observed.record.released
-            || observed.record.holder == self.own.holder
-            || self.has_predecessor_stopped;
-        if ended && observed.record.settled {
-            return claimed_at;
-        }
-        claimed_at.max(observed.first_seen + self.settings.renew_deadline)
-    }
-
     /// Records that the previous leader has stopped or that its process has ended, so that its
     /// rights expire after one lease.
     pub fn predecessor_stopped(&mut self, now: MonotonicTime) {
@@ -647,8 +403,3 @@
         self.highest_fence
     }
 }
-
-/// Returns whether the record comes from the copy from which the store was restored.
-fn is_from_copy(observed: &ObservedRecord) -> bool {
-    observed.record.era < observed.revision.era()
-}
--- /dev/null
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -0,0 +1,106 @@
+//! What an instance holds once its record is in the store, and from when it may replace a primary.
+
+use std::collections::BTreeSet;
+
+use super::LeaderElection;
+use crate::primary_lease::held_leadership::HeldLeadership;
+use crate::primary_lease::{LeaderRecord, ObservedRecord, RecordRevision, StoreEra};
+use crate::units::MonotonicTime;
+
+impl LeaderElection {
+    pub(super) fn acquire(
+        &mut self,
+        revision: RecordRevision,
+        record: LeaderRecord,
+        sent_at: MonotonicTime,
+    ) {
+        self.highest_fence = self.highest_fence.max(record.fence);
+        let mut held = self.held.take();
+        if let Some(mut held) = held.take_if(|held| held.record.fence == record.fence) {
+            self.voter_acks.confirm(&record);
+            held.record = record;
+            held.revision = revision;
+            held.renewed_at = sent_at;
+            self.held = Some(held);
+            return;
+        }
+        self.voter_acks.reset(record.fence);
+        self.voter_acks.confirm(&record);
+        let is_unbroken = std::mem::take(&mut self.is_unbroken);
+        let is_lost = revision.era() > StoreEra::default()
+            && self
+                .observed
+                .as_ref()
+                .is_none_or(ObservedRecord::is_from_copy);
+        self.held = Some(match held.filter(|_| is_lost && is_unbroken) {
+            Some(held) => HeldLeadership {
+                record,
+                revision,
+                renewed_at: sent_at,
+                ..held
+            },
+            None if is_lost => self.held_after_loss(revision, record, sent_at),
+            None => self.held_after_claim(revision, record, sent_at),
+        });
+        let own = (self.own.holder.clone(), self.own.incarnation);
+        self.voter_moved((&own.0, own.1), sent_at);
+    }
+
+    fn held_after_claim(
+        &self,
+        revision: RecordRevision,
+        record: LeaderRecord,
+        sent_at: MonotonicTime,
+    ) -> HeldLeadership {
+        let bound = self.settings.renew_deadline + self.settings.lease;
+        let promote_from = match &self.observed {
+            None if record.settled => sent_at,
+            // The store lost the record of a leader that was known here.
+            None => sent_at + bound,
+            Some(observed) => self.predecessor_expiry(observed, sent_at) + self.settings.lease,
+        };
+        let predecessor = self.observed.as_ref().map(|observed| &observed.record);
+        HeldLeadership {
+            record,
+            revision,
+            renewed_at: sent_at,
+            promote_from,
+            has_one_predecessor: predecessor.is_none_or(|record| record.settled),
+            predecessor_voters: predecessor.map_or_else(Vec::new, |record| record.voters.clone()),
+            moved: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the leadership after a restore of the store. The last leader is unknown, so neither
+    /// voters nor a stopped predecessor shorten the wait.
+    fn held_after_loss(
+        &self,
+        revision: RecordRevision,
+        record: LeaderRecord,
+        sent_at: MonotonicTime,
+    ) -> HeldLeadership {
+        HeldLeadership {
+            record,
+            revision,
+            renewed_at: sent_at,
+            promote_from: sent_at + self.settings.renew_deadline + self.settings.lease,
+            has_one_predecessor: false,
+            predecessor_voters: Vec::new(),
+            moved: BTreeSet::new(),
+        }
+    }
+
+    fn predecessor_expiry(
+        &self,
+        observed: &ObservedRecord,
+        claimed_at: MonotonicTime,
+    ) -> MonotonicTime {
+        let ended = observed.record.released
+            || observed.record.holder == self.own.holder
+            || self.has_predecessor_stopped;
+        if ended && observed.record.settled {
+            return claimed_at;
+        }
+        claimed_at.max(observed.first_seen + self.settings.renew_deadline)
+    }
+}
--- a/crates/mustardhinge-core/src/primary_lease/observed_record.rs
+++ b/crates/mustardhinge-core/src/primary_lease/observed_record.rs
@@ -11,3 +11,11 @@
     /// When this revision was first known to exist.
     pub first_seen: MonotonicTime,
 }
+
+impl ObservedRecord {
+    /// Returns whether the record comes from the copy from which the store was restored.
+    #[must_use]
+    pub(super) fn is_from_copy(&self) -> bool {
+        self.record.era < self.revision.era()
+    }
+}
--- a/crates/mustardhinge-core/src/queue/priority_queue.rs
+++ b/crates/mustardhinge-core/src/queue/priority_queue.rs
@@ -112,13 +112,9 @@
         Some(item)
     }
 
-    /// Records a statement that was sent without waiting, which counts as demand of its priority.
-    pub fn record_immediate(
-        &mut self,
-        priority: RoutePriority,
-        cost: SlotCost,
-        now: MonotonicTime,
-    ) {
+    /// Records a statement that is queued or sent without waiting as demand of its priority. One that
+    /// is refused later counts as well, since its caller retries.
+    pub fn record_demand(&mut self, priority: RoutePriority, cost: SlotCost, now: MonotonicTime) {
         self.demands
             .entry(priority)
             .or_default()
@@ -274,7 +270,7 @@
 
     fn insert(&mut self, arrival: PriorityItem<T>, now: MonotonicTime) -> QueueTicket {
         let expected_wait = self.queued_wait(&arrival, now);
-        self.record_immediate(arrival.priority, arrival.cost, now);
+        self.record_demand(arrival.priority, arrival.cost, now);
         let rank = ItemRank {
             deadline: arrival.deadline,
             sequence: self.next_sequence,
--- a/crates/mustardhinge-core/tests/suite/priority_queue.rs
+++ b/crates/mustardhinge-core/tests/suite/priority_queue.rs
@@ -216,7 +216,7 @@
     // One of the two slots is taken by a higher priority that never waits.
     for now in (0..3_000).step_by(10) {
         let cost = SlotCost::new(millis(COST_MS));
-        queue.record_immediate(RoutePriority::HIGHEST, cost, at(now));
+        queue.record_demand(RoutePriority::HIGHEST, cost, at(now));
     }
     for item in 0..10 {
         queue.push(work("a", 1, item), at(3_000));
--- a/crates/mustardhinge-core/tests/suite/priority_replay.rs
+++ b/crates/mustardhinge-core/tests/suite/priority_replay.rs
@@ -194,7 +194,7 @@
         let priority = RoutePriority::new(stream.priority);
         let cost = self.costs.cost_of(priority, kind_of(stream));
         if self.queue.is_empty() && self.running.len() < SLOTS {
-            self.queue.record_immediate(priority, cost, at(now));
+            self.queue.record_demand(priority, cost, at(now));
             return self.start(operation, now);
         }
         let arrival = PriorityItem {
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -121,7 +121,7 @@
             Some(age) => self.refresh_floor::<W>(node, age, started_at).await,
             None => self.floor,
         };
-        let result = execute::<W>(node, &mut lease, self.link_work(floor)).await;
+        let result = execute::<W>(node, &mut lease, self.execution(floor)).await;
         let now = node.clock.now();
         match result {
             Ok(reply) => {
@@ -146,7 +146,7 @@
         }
     }
 
-    fn link_work(&self, floor: Option<LogPosition>) -> StatementExecution<'_> {
+    fn execution(&self, floor: Option<LogPosition>) -> StatementExecution<'_> {
         StatementExecution {
             request: &self.request,
             values: &self.values,
@@ -182,7 +182,7 @@
             return Err(NotRunCause::Leaving);
         }
         let request = self.request.connection_request(node.clock.now());
-        let request = node.weigh(request);
+        let request = node.with_customer_weight(request);
         let acquired = target.acquire_lease::<W>(&request, &node.clock).await;
         let lease = acquired.map_err(|error| not_run_cause::<W>(node, target, &error))?;
         if session.is_cancelled(self.number) {
--- a/crates/mustardhinge-resident/src/node/node_gateways.rs
+++ b/crates/mustardhinge-resident/src/node/node_gateways.rs
@@ -82,7 +82,7 @@
         need: &ConnectionRequest,
     ) -> Result<TargetLease, ConnectionError> {
         self.wait_for_gateways(target, need).await;
-        let need = self.weigh(need.clone());
+        let need = self.with_customer_weight(need.clone());
         let peer = target
             .gateways()
             .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
@@ -99,7 +99,7 @@
     /// Sets the weight of the request's customer, by its configured rate, if overload control is in
     /// force.
     #[must_use]
-    pub fn weigh(&self, mut request: ConnectionRequest) -> ConnectionRequest {
+    pub fn with_customer_weight(&self, mut request: ConnectionRequest) -> ConnectionRequest {
         request.weight = self.overload_control().is_on().then(|| {
             let plan = self.plan();
             let mut customers = plan.customers().iter();
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -358,7 +358,7 @@
         let immediate = self.queue.is_empty().then(|| self.try_grant(request, now));
         let grant = match immediate.flatten() {
             Some(grant) => {
-                self.queue.record_immediate(request, has_idle, now);
+                self.queue.record_demand(request, has_idle, now);
                 grant
             }
             None => self.wait_for_grant(request, (has_idle, now), clock).await?,
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -164,7 +164,7 @@
     }
 
     /// Records a request that got a slot without waiting.
-    pub(super) fn record_immediate(
+    pub(super) fn record_demand(
         &self,
         request: &ConnectionRequest,
         has_idle: bool,
@@ -173,7 +173,7 @@
         if request.weight.is_some() {
             let cost = self.cost_of(request, has_idle);
             let mut queue = self.by_priority.borrow_mut();
-            queue.record_immediate(request.priority, cost, now);
+            queue.record_demand(request.priority, cost, now);
         }
     }
 
