Pass large states on between instances that start together

Change: a read of the store that has taken 300 ms ends once a relay is known; transfers end for lack of progress instead of by their duration; an instance sends its state to two others at a time and refers further ones to those that have received it (membership::TransferSources, membership::StateSearch).

--- a/crates/mustardhinge-core/src/membership/mod.rs
+++ b/crates/mustardhinge-core/src/membership/mod.rs
@@ -9,6 +9,8 @@
 mod membership_view;
 mod relay_choice;
 mod rendezvous;
+mod state_search;
+mod transfer_sources;
 
 pub use instance_roster::{InstanceRoster, RosterEntry};
 pub use instance_state::InstanceState;
@@ -17,3 +19,5 @@
 pub use membership_view::{MemberEntry, MembershipView};
 pub use relay_choice::{RelayCandidate, RelayChoice};
 pub use rendezvous::choose_ranked;
+pub use state_search::{QueryOutcome, SearchStep, StateSearch};
+pub use transfer_sources::TransferSources;
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -32,4 +32,5 @@
 mod routing;
 mod safety;
 mod spread;
+mod state_transfer;
 mod units;
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayTable;
-use mustardhinge_core::membership::{InstanceRoster, ListFetchBackoff, RosterEntry};
-use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
+use mustardhinge_core::membership::{
+    InstanceRoster, ListFetchBackoff, RosterEntry, TransferSources,
+};
+use mustardhinge_core::prelude::{DocumentVersion, InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
     GroupLeases, LeaderRecord, LeaseGrant, PromotionOrders, RecordRevision, StoreEra,
 };
@@ -14,12 +16,13 @@
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::state_relay::ResponseKey;
 use super::{GrantAck, GroupRecord, PeerMessage};
 use crate::adapter::PlatformClient;
 use crate::node::NodeState;
+use crate::plan::TargetsDigest;
 
 /// Time after which a new leader has received a message from every instance that it can reach.
 const ROSTER_SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -30,10 +33,14 @@
 /// Added to a wait for [`RELAY_TIMEOUT`], so that a single check after the wait is enough.
 const RELAY_TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
 /// Maximum number of state responses that are sent concurrently. Each holds a compressed
-/// configuration and list of targets of up to a megabyte in memory while it is sent.
-const MAX_CONCURRENT_RESPONSES: usize = 8;
+/// configuration and list of targets of up to a megabyte in memory while it is sent. The fewer
+/// there are, the sooner the first ones are complete and become sources for others.
+const MAX_CONCURRENT_RESPONSES: usize = 2;
 /// Time for which a started instance waits for its first grant: many round trips.
 const FIRST_GRANT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which a read of the store counts as slow; reads of short lists take a few
+/// milliseconds.
+const SLOW_READ_TIME: Duration = Duration::from_millis(300);
 /// Interval between checks for the first grant.
 const FIRST_GRANT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -76,6 +83,9 @@
     pub(super) compressed_response: RefCell<Option<(ResponseKey, Rc<Vec<u8>>)>>,
     /// Limits the number of concurrent state responses.
     pub response_permits: Semaphore,
+    /// The instances that have received this instance's state.
+    pub(super) transfer_sources:
+        RefCell<TransferSources<(DocumentVersion, TargetsDigest), SocketAddr>>,
     /// Addresses that requested the leader while it was unknown.
     pub pending_requesters: RefCell<Vec<SocketAddr>>,
     /// Whether [`leader_hint`](Self::leader_hint) names a new leader that has not been sent a
@@ -138,6 +148,7 @@
             is_fetching: Cell::new(false),
             compressed_response: RefCell::default(),
             response_permits: Semaphore::new(MAX_CONCURRENT_RESPONSES),
+            transfer_sources: RefCell::default(),
             pending_requesters: RefCell::default(),
             is_hint_new: Cell::new(false),
             grant_ack: Cell::new(None),
@@ -234,6 +245,16 @@
         }
     }
 
+    /// Waits until a read of the store is slow and another instance watches the store for this one.
+    ///
+    /// Load pattern: hundreds of processes start at once and read a list of thousands of targets.
+    /// Their responses share the store's link, so those that can be had from a relay delay the
+    /// others, including the relay's.
+    pub async fn wait_while_slow(&self) {
+        sleep(SLOW_READ_TIME).await;
+        self.wait_until_relayed(true).await;
+    }
+
     /// Waits briefly after the start for the first grant, which may make calls to the store
     /// unnecessary.
     pub async fn await_first_grant(&self) {
--- a/crates/mustardhinge-resident/src/control/plan_feed.rs
+++ b/crates/mustardhinge-resident/src/control/plan_feed.rs
@@ -26,7 +26,10 @@
 }
 
 async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
-    let (plan, mut revision) = control.platform.read_plan().await?;
+    let (plan, mut revision) = tokio::select! {
+        read = control.platform.read_plan() => read?,
+        () = control.wait_while_slow() => return Ok(()),
+    };
     control.record_store_result(Ok(()));
     control.update_store_era();
     let era = revision.era();
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -7,11 +7,13 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use mustardhinge_core::evacuation::EvacuationVersion;
+use mustardhinge_core::membership::{QueryOutcome, SearchStep, StateSearch};
 use mustardhinge_core::prelude::{DocumentVersion, ZoneId};
 use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::SemaphorePermit;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -21,19 +23,20 @@
 use crate::node::NodeState;
 use crate::plan::{TargetEntry, TargetsDigest};
 
-/// Timeout for the transfer of an instance's state, which takes seconds on the slowest links.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time without progress of a transfer.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum duration of a transfer of an instance's state, which takes seconds on the slowest links.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
+/// Number of bytes that are sent within [`PROGRESS_TIMEOUT`].
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum time for which a query waits while others are served; small states are sent within it.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Delay after a failure to accept a connection, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum size of a relayed state in bytes: a configuration of the maximum size and a list of
 /// thousands of targets.
 const MAX_STATE_BYTES: u64 = 4 * 1024 * 1024;
 
-/// Number of queries to the zone's relay before the leader is queried, whose network link is shared
-/// by all zones.
-const RELAY_ATTEMPTS: usize = 4;
-/// Interval between these queries: the relay's read of the store takes a few round trips.
-const RELAY_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum size in bytes of a query, not counting its first bytes, which are read separately to
 /// recognize [`FORWARD_PREFACE`]; about twice the size with the longest numbers.
 const MAX_QUERY_BYTES: u64 = 512;
@@ -56,6 +59,9 @@
     /// The version of the requester's set of evacuated zones.
     #[serde(default, skip_serializing_if = "EvacuationVersion::is_initial")]
     pub(super) evacuations: EvacuationVersion,
+    /// The address at which the requester relays its state.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) sender: Option<SocketAddr>,
 }
 
 impl RelayQuery {
@@ -66,7 +72,7 @@
 
 /// The configuration and the targets of an instance, as far as they are newer than the
 /// requester's.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedState {
     /// The configuration as the operator wrote it.
     pub plan: Option<String>,
@@ -80,6 +86,9 @@
     /// The set of evacuated zones.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<RelayedEvacuations>,
+    /// Instances that have received the state, if the responder is sending it to others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub busy: Option<Vec<SocketAddr>>,
 }
 
 /// The set of evacuated zones of an instance.
@@ -127,16 +136,19 @@
     mut stream: TcpStream,
 ) -> anyhow::Result<Option<TcpStream>> {
     let mut query_bytes = vec![0; FORWARD_PREFACE.len()];
-    stream.read_exact(&mut query_bytes).await?;
+    timeout(PROGRESS_TIMEOUT, stream.read_exact(&mut query_bytes)).await??;
     if query_bytes == FORWARD_PREFACE {
         return Ok(Some(stream));
     }
-    (&mut stream)
-        .take(MAX_QUERY_BYTES)
-        .read_to_end(&mut query_bytes)
-        .await?;
+    let mut rest = (&mut stream).take(MAX_QUERY_BYTES);
+    timeout(PROGRESS_TIMEOUT, rest.read_to_end(&mut query_bytes)).await??;
     let query: RelayQuery = serde_json::from_slice(&query_bytes)?;
-    let _permit = control.response_permits.acquire().await?;
+    let Some(_permit) = acquire_permit(control, &query).await? else {
+        let response = serde_json::to_vec(&busy_response(control, &query))?;
+        metrics::counter!("resident_state_responses_total", "result" => "busy").increment(1);
+        write_chunks(&mut stream, &response).await?;
+        return Ok(None);
+    };
     let plan = control.node.plan();
     let (targets, revision) = control.node.target_list();
     let has_plan = plan.version() > query.plan_version;
@@ -149,6 +161,7 @@
         revision: revision.number(),
         era: revision.era(),
         evacuations: evacuations.clone(),
+        busy: None,
     };
     let response = if evacuations.is_some() {
         // Not cached, since the ages grow.
@@ -170,10 +183,52 @@
     } else {
         Rc::new(serde_json::to_vec(&state())?)
     };
-    stream.write_all(&response).await?;
+    let sent_state = current_state(control);
+    write_chunks(&mut stream, &response).await?;
+    metrics::counter!("resident_state_responses_total", "result" => "sent").increment(1);
+    if let Some(sender) = query.sender {
+        let mut sources = control.transfer_sources.borrow_mut();
+        sources.record(sent_state, sender);
+    }
     Ok(None)
 }
 
+/// Waits for a permit to send a response. Returns `None` if the requester should query another
+/// instance instead.
+async fn acquire_permit<'a, P>(
+    control: &'a ControlState<P>,
+    query: &RelayQuery,
+) -> anyhow::Result<Option<SemaphorePermit<'a>>> {
+    let permit = control.response_permits.acquire();
+    if query.sender.is_none() {
+        return Ok(Some(permit.await?));
+    }
+    Ok(timeout(PERMIT_TIMEOUT, permit).await.ok().transpose()?)
+}
+
+/// Refers a requester to the instances that have received this instance's state.
+fn busy_response<P>(control: &ControlState<P>, query: &RelayQuery) -> RelayedState {
+    let sources = control.transfer_sources.borrow();
+    let sender = query.sender.unwrap_or(control.node.settings.peer_address);
+    RelayedState {
+        busy: Some(sources.sources_for(&current_state(control), sender)),
+        ..RelayedState::default()
+    }
+}
+
+/// Returns the version of this instance's state.
+fn current_state<P>(control: &ControlState<P>) -> (DocumentVersion, TargetsDigest) {
+    (control.node.plan().version(), control.node.targets_digest())
+}
+
+/// Sends a response, which may take long as long as there is progress.
+async fn write_chunks(stream: &mut TcpStream, response: &[u8]) -> anyhow::Result<()> {
+    for chunk in response.chunks(CHUNK_BYTES) {
+        timeout(PROGRESS_TIMEOUT, stream.write_all(chunk)).await??;
+    }
+    Ok(())
+}
+
 /// Returns the set of evacuated zones if it is newer than the requester's.
 fn newer_evacuations(node: &NodeState, known: &EvacuationVersion) -> Option<RelayedEvacuations> {
     let version = node.evacuation_version();
@@ -244,21 +299,28 @@
 }
 
 async fn fetch_newest<P: PlatformClient>(control: &ControlState<P>, address: SocketAddr) {
-    let before = current_query(control);
-    for _ in 0..RELAY_ATTEMPTS {
-        adopt_from(control, address).await;
-        if current_query(control) != before {
-            return;
-        }
-        if control.relay.get() != Some(address) {
-            break;
+    let is_relay = control.relay.get() == Some(address);
+    let mut search = StateSearch::new(address, is_relay, control.node.clock.now());
+    let mut step = search.first_step();
+    loop {
+        match step {
+            SearchStep::Query(source, delay) => {
+                if !delay.is_zero() {
+                    sleep(delay).await;
+                }
+                let outcome = adopt_from(control, source).await;
+                let now = control.node.clock.now();
+                step = search.next_step(source, outcome, &mut rand::rng(), now);
+            }
+            SearchStep::QueryLeader => {
+                let leader = control.node.election.borrow().known_leader().cloned();
+                if let Some(leader) = leader.filter(|leader| leader.address != address) {
+                    adopt_from(control, leader.address).await;
+                }
+                return;
+            }
+            SearchStep::Done => return,
         }
-        // A relay that was started together with this instance may still be reading the store.
-        sleep(RELAY_RETRY_DELAY).await;
-    }
-    let leader = control.node.election.borrow().known_leader().cloned();
-    if let Some(leader) = leader.filter(|leader| leader.address != address) {
-        adopt_from(control, leader.address).await;
     }
 }
 
@@ -270,16 +332,31 @@
         targets: control.node.targets_digest(),
         accepts_compressed: true,
         evacuations: control.node.evacuation_version(),
+        sender: Some(control.node.settings.peer_address),
     }
 }
 
-async fn adopt_from<P: PlatformClient>(control: &ControlState<P>, address: SocketAddr) {
-    let fetched = timeout(TRANSFER_TIMEOUT, fetch(address, current_query(control))).await;
+/// Queries the instance at `address` and adopts the state that it sends.
+async fn adopt_from<P: PlatformClient>(
+    control: &ControlState<P>,
+    address: SocketAddr,
+) -> QueryOutcome<SocketAddr> {
+    let before = current_query(control);
+    let fetched = timeout(TRANSFER_TIMEOUT, fetch(address, before)).await;
     let state = match fetched {
         Ok(Ok(state)) => state,
-        Ok(Err(error)) => return log::debug!("failed to fetch state from {address}: {error}"),
-        Err(_) => return log::debug!("timed out fetching state from {address}"),
+        Ok(Err(error)) => {
+            log::debug!("failed to fetch state from {address}: {error}");
+            return QueryOutcome::NothingNew;
+        }
+        Err(_) => {
+            log::debug!("timed out fetching state from {address}");
+            return QueryOutcome::NothingNew;
+        }
     };
+    if let Some(sources) = state.busy {
+        return QueryOutcome::Busy(sources);
+    }
     if let Some(plan) = state.plan {
         match control.platform.decode_plan(plan.as_bytes()) {
             Ok(plan) => {
@@ -302,13 +379,19 @@
             .node
             .adopt_evacuations(zones.collect(), revision, "peer");
     }
+    if current_query(control) == before {
+        QueryOutcome::NothingNew
+    } else {
+        QueryOutcome::Adopted
+    }
 }
 
 async fn fetch(address: SocketAddr, query: RelayQuery) -> anyhow::Result<RelayedState> {
-    let mut stream = TcpStream::connect(address).await?;
+    let mut stream = timeout(PROGRESS_TIMEOUT, TcpStream::connect(address)).await??;
     stream.write_all(&serde_json::to_vec(&query)?).await?;
     stream.shutdown().await?;
+    let mut stream = stream.take(MAX_STATE_BYTES);
     let mut bytes = Vec::new();
-    stream.take(MAX_STATE_BYTES).read_to_end(&mut bytes).await?;
+    while timeout(PROGRESS_TIMEOUT, stream.read_buf(&mut bytes)).await?? > 0 {}
     Ok(serde_json::from_slice(&decompress(bytes)?)?)
 }
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -40,7 +40,10 @@
     control: &ControlState<P>,
     missing: &mut HashMap<TargetId, MonotonicTime>,
 ) -> Result<(), PlatformError> {
-    let (entries, mut revision) = control.platform.list_targets().await?;
+    let (entries, mut revision) = tokio::select! {
+        listed = control.platform.list_targets() => listed?,
+        () = control.wait_while_slow() => return Ok(()),
+    };
     control.record_store_result(Ok(()));
     control.update_store_era();
     let era = revision.era();
