Count expired statements as such, and tell callers when the leader answers

Cause: what expired in the queue of a target was counted as displaced. After an exhausted allowance, callers were told to come back when the instance counts as isolated, up to 0.75 s later, although the leader answers within milliseconds. An operation that was admitted from an isolated bucket was returned to the next bucket, which it had not reduced.

Change: DepartureCause labels what leaves the queue. ResponseDelay estimates the time until the leader's next response (at most 100 ms). The source of an isolated operation carries the generation of its bucket. Delays change only with overload control.

Taken out one by one: the label, the estimate, its use and the comparison of generations each make at least one test fail (accurate_refusals, rate_outage). The use of the label at the resident's queue has no test of its own.

--- a/crates/mustardhinge-core/src/queue/mod.rs
+++ b/crates/mustardhinge-core/src/queue/mod.rs
@@ -4,6 +4,7 @@
 mod cost_estimates;
 mod customer_queue;
 mod customer_weight;
+mod departure_cause;
 mod fair_queue;
 mod priority_band;
 mod priority_item;
@@ -27,6 +28,7 @@
 
 pub use cost_estimates::CostEstimates;
 pub use customer_weight::CustomerWeight;
+pub use departure_cause::DepartureCause;
 pub use fair_queue::FairQueue;
 pub use priority_item::PriorityItem;
 pub use priority_queue::PriorityQueue;
--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::customer_allowance::{ISOLATED_AFTER, SHARE_VALIDITY};
+use super::response_delay::ResponseDelay;
 use super::{
     AdmissionContext, AllowanceGrant, AllowanceSource, CustomerAllowance, CustomerRate,
     RateRefusal, UsageReport,
@@ -81,6 +82,7 @@
     overload: OverloadControl,
     started_at: MonotonicTime,
     has_response: bool,
+    response_delay: ResponseDelay,
 }
 
 impl AllowanceTable {
@@ -129,6 +131,12 @@
         isolated_at.saturating_since(now)
     }
 
+    /// Returns the expected time until the leader's next response, as measured and at most 100 ms.
+    #[must_use]
+    pub fn time_until_response(&self, now: MonotonicTime) -> Duration {
+        self.response_delay.until_next(now)
+    }
+
     /// Admits one operation of a customer whose rate is shared by `instances` instances.
     ///
     /// # Errors
@@ -172,6 +180,7 @@
     /// Returns the reports for a request to the leader at `now`: recently active customers whose
     /// count the leader has not acknowledged or whose allowance is exhausted.
     pub fn reports(&mut self, now: MonotonicTime) -> Vec<UsageReport> {
+        self.response_delay.record_request(now);
         let overload = self.overload;
         let is_isolated = overload.is_on() && self.time_until_isolated(now).is_zero();
         let entries = self.entries.iter_mut().filter(|(_, entry)| {
@@ -186,6 +195,7 @@
     /// Returns the reports for an immediate request: customers with an exhausted allowance for
     /// which an operation may be waiting.
     pub fn exhausted_reports(&mut self, now: MonotonicTime) -> Vec<UsageReport> {
+        self.response_delay.record_request(now);
         let entries = self.entries.iter_mut().filter(|(_, entry)| {
             entry.allowance.is_exhausted() && now.saturating_since(entry.used_at) < MAX_WAIT
         });
@@ -222,6 +232,7 @@
         self.newest_request_at = requested_at;
         self.last_response_at = requested_at;
         self.has_response = true;
+        self.response_delay.record_response(requested_at, now);
         for grant in grants {
             if let Some(entry) = self.entries.get_mut(&grant.customer) {
                 let reported = entry.reported.filter(|(at, _)| *at == requested_at);
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use super::isolated_bucket::IsolatedBucket;
-use super::{AdmissionContext, AllowanceGrant, AllowanceSource, CustomerRate, RateRefusal};
+use super::{
+    AdmissionContext, AllowanceGrant, AllowanceSource, BucketGeneration, CustomerRate, RateRefusal,
+};
 use crate::units::MonotonicTime;
 
 /// Time without a response of the leader after which an instance is isolated and admits
@@ -31,6 +33,7 @@
     granted: u64,
     /// What was left to use without a leader since the last grant, under overload control.
     isolated: Option<IsolatedBucket>,
+    generation: BucketGeneration,
 }
 
 impl CustomerAllowance {
@@ -49,6 +52,7 @@
             isolated_refilled_at: now,
             granted: 0,
             isolated: None,
+            generation: BucketGeneration::FIRST,
         }
     }
 
@@ -135,7 +139,8 @@
                     .map_err(RateRefusal::Exhausted),
                 _ => self.admit_isolated(context.last_response_at, context.instances, now),
             };
-            return admitted.map(|()| AllowanceSource::IsolatedShare);
+            let bucket = self.generation;
+            return admitted.map(|()| AllowanceSource::IsolatedShare { bucket });
         }
         if now < self.closed_until {
             return Err(RateRefusal::Exhausted(
@@ -146,11 +151,16 @@
     }
 
     /// Returns an operation that was admitted and never sent to a target, while the count of
-    /// `reported` operations does not include it yet.
+    /// `reported` operations does not include it yet. A bucket that has been replaced since takes
+    /// nothing back, because the operation didn't reduce the new one.
     pub fn release(&mut self, source: AllowanceSource, reported: u64) {
         match (source, &mut self.isolated) {
             (AllowanceSource::Grant, _) if self.spent > reported => self.spent -= 1,
-            (AllowanceSource::IsolatedShare, Some(bucket)) => bucket.put_back(self.limits),
+            (AllowanceSource::IsolatedShare { bucket: used }, Some(bucket))
+                if used == self.generation =>
+            {
+                bucket.put_back(self.limits);
+            }
             _ => {}
         }
     }
@@ -235,6 +245,7 @@
         self.ceiling = grant.ceiling;
         self.granted = grant.ceiling.saturating_sub(reported);
         self.isolated = None;
+        self.generation = self.generation.next();
         self.share = f64::from(grant.share) / 1_000_000.0;
         self.share_until = now + SHARE_VALIDITY;
         self.last_fill = Some(grant.fill);
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic, grouped by feature.
 
+mod accurate_refusals;
 mod budget_entry;
 mod budget_fixtures;
 mod budget_fleet;
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -42,7 +42,13 @@
                 if wait.is_some() {
                     node.allowance_request_due.notify_one();
                 }
-                (wait, until_isolated.max(ALLOWANCE_TIMEOUT))
+                let until_response = node.allowances.borrow().time_until_response(now);
+                let retry_after = if is_on {
+                    until_response
+                } else {
+                    ALLOWANCE_TIMEOUT
+                };
+                (wait, retry_after)
             }
         };
         let Some(wait) = wait else {
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -388,8 +388,8 @@
         record_queue_wait(request, left_at.saturating_since(now));
         match grant {
             Ok(Ok(Ok(grant))) => Ok(grant),
-            Ok(Ok(Err(retry_after))) => {
-                count_refusal(request, "displaced");
+            Ok(Ok(Err((cause, retry_after)))) => {
+                count_refusal(request, cause.label());
                 Err(ConnectionError::Full(retry_after))
             }
             Ok(Err(_)) if self.is_removed() || self.health().is_failing() => {
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -3,8 +3,9 @@
 
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
 use mustardhinge_core::queue::{
-    CostEstimates, CustomerWeight, FairQueue, PopOutcome, PriorityItem, PriorityQueue,
-    PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitingItem,
+    CostEstimates, CustomerWeight, DepartureCause, FairQueue, PopOutcome, PriorityItem,
+    PriorityQueue, PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow,
+    WaitingItem,
 };
 use tokio::sync::oneshot;
 
@@ -40,9 +41,8 @@
     pub grant: oneshot::Sender<GrantResult>,
 }
 
-/// A grant, or the retry delay of a session that was evicted or expired in the queue with
-/// priorities.
-pub(super) type GrantResult = Result<ConnectionGrant, Duration>;
+/// A grant, or why a session left the queue with priorities without one, and its retry delay.
+pub(super) type GrantResult = Result<ConnectionGrant, (DepartureCause, Duration)>;
 
 /// The receiver of a waiting session's grant, with the ticket to cancel it.
 pub(super) type PendingGrant = (WaitTicket, oneshot::Receiver<GrantResult>);
@@ -324,5 +324,5 @@
         .refused
         .item
         .grant
-        .send(Err(refusal.retry_after.get()));
+        .send(Err((refusal.reason.into(), refusal.retry_after.get())));
 }
