Limit internal retries by customer and priority

Cause: a read is tried up to six times, a write until its objective has passed. While targets refuse statements under pressure, this multiplies the load.

Change: RetryTable allows retries for a tenth of the operations of the last 10 s, at least 3, for each customer and priority on an instance. Reads, single writes and begins beyond it get the last response. Only with overload control. Counter resident_retry_refusals_total{priority}.

--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod replication;
 mod retry;
 mod routing;
+mod retry_replay;
 mod safety;
 mod spread;
 mod units;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -12,6 +12,7 @@
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
 };
 use mustardhinge_core::rate_limit::AllowanceTable;
+use mustardhinge_core::retry::RetryTable;
 use mustardhinge_process::{BootClock, event};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,6 +44,8 @@
     pub leases: RefCell<HeldLeases>,
     /// The share of the customers' rates granted to this instance, and its use.
     pub allowances: RefCell<AllowanceTable>,
+    /// The internal retries of each customer and priority, under overload control.
+    pub retries: RefCell<RetryTable>,
     /// Notified when the leader granted more allowance. Wakes the requests that wait for it.
     pub allowances_changed: Notify,
     /// Wakes the control task to request more allowance from the leader.
@@ -103,6 +106,7 @@
             clock: BootClock,
             leases: RefCell::default(),
             allowances: RefCell::new(AllowanceTable::starting_at(BootClock.now())),
+            retries: RefCell::default(),
             allowances_changed: Notify::new(),
             allowance_request_due: Notify::new(),
             leader_request_due: Notify::new(),
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -11,6 +11,7 @@
 mod read_path;
 mod refusal_log;
 mod response_log;
+mod retry_gate;
 mod retry_spread;
 mod session_access;
 mod session_request;
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -9,6 +9,7 @@
 use super::primary_wait::{await_primary, retry_without_target};
 use super::read_candidates::choose_by_capacity;
 use super::read_floor::await_floor;
+use super::retry_gate::{admit_retry, record_operation};
 use super::write_path::wait_before_retry;
 use super::{
     EpochGuard, ExecutionError, SessionRequest, SessionValues, StatementExecution,
@@ -79,6 +80,7 @@
     values: &SessionValues,
     last_commit: LastCommit,
 ) -> StatementResponse {
+    record_operation(node, request);
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
     let retry_after = retry_without_target(&group, node.clock.now());
@@ -103,6 +105,9 @@
                 response,
                 is_transient,
             }) => {
+                if !admit_retry(node, request) {
+                    return response;
+                }
                 metrics::counter!("resident_retries_total", "reason" => response.reason())
                     .increment(1);
                 event::REQUEST_RETRIED.log(format_args!(
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -8,6 +8,7 @@
 use super::read_path::{
     BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read, record_position,
 };
+use super::retry_gate::{admit_retry, record_operation};
 use super::write_path::wait_before_retry;
 use super::{
     EpochGuard, ExecutionError, OpenTransaction, SessionRequest, SessionValues, StatementExecution,
@@ -181,6 +182,7 @@
     read_only: bool,
 ) -> Result<(TargetLease, Option<GroupEpoch>), StatementResponse> {
     request.begins.set(true);
+    record_operation(node, request);
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
     let retry_after = retry_without_target(&group, node.clock.now());
@@ -199,6 +201,7 @@
         match try_begin::<W>(node, request, values, placement, (read_only, at_primary)).await {
             Ok(begun) => return Ok(begun),
             Err(failure) if failure.is_final => return Err(failure.response),
+            Err(failure) if !admit_retry(node, request) => return Err(failure.response),
             Err(failure) => last = failure.response,
         }
         metrics::counter!("resident_retries_total", "reason" => last.reason()).increment(1);
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -7,6 +7,7 @@
 use tokio::time::sleep;
 
 use super::read_path::{LastCommit, Placement, place_at_primary, record_position};
+use super::retry_gate::{admit_retry, record_operation};
 use super::{
     EpochGuard, ExecutionError, SessionRequest, SessionValues, StatementExecution,
     StatementResponse, TransactionStep, execute, probe_if_failing,
@@ -37,6 +38,7 @@
     request: &SessionRequest,
     values: &SessionValues,
 ) -> (StatementResponse, LastCommit) {
+    record_operation(node, request);
     let group = node.group(&request.route.service);
     loop {
         let placement = match place_at_primary::<W>(node, &group, request).await {
@@ -46,7 +48,8 @@
         match try_write::<W>(node, request, values, placement).await {
             WriteCompletion::Done(response, commit) => return (response, commit),
             WriteCompletion::Retry(response) => {
-                if request.wait_left(node.clock.now()).is_zero() {
+                let has_time = !request.wait_left(node.clock.now()).is_zero();
+                if !has_time || !admit_retry(node, request) {
                     return (response, None);
                 }
                 metrics::counter!("resident_retries_total", "reason" => response.reason())
