End idle transactions of customers above their share for waiting statements

Cause: callers that pause inside transactions hold all connections of a target, and statements of other customers are refused.

Change: IdleTransactions decides which transaction is ended: idle for 250 ms or more, of a customer above its share by weight, the oldest one of the customer with the most. The lease of an open transaction stores its connection between two statements, from where it can be closed; one in use can't. The next statement gets the response of a transaction that the proxy ended. Only with overload control, directly and at gateways. While statements wait, the target is checked again when the next transaction may be ended, and when its zone is evacuated. Counter resident_ended_transactions_total{reason}, event 6018 with cause=connection_needed.

Not covered: that expired statements leave the queue before a transaction is ended for them.

--- a/crates/mustardhinge-core/src/evacuation/target_use.rs
+++ b/crates/mustardhinge-core/src/evacuation/target_use.rs
@@ -33,6 +33,13 @@
         }
     }
 
+    /// Returns the time from which nothing is sent to a target whose zone is evacuated `since` a
+    /// time.
+    #[must_use]
+    pub fn evacuated_from(since: MonotonicTime) -> MonotonicTime {
+        since + HANDOVER_TIME
+    }
+
     /// Returns whether new work prefers other targets.
     #[must_use]
     pub const fn is_restricted(self) -> bool {
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod failover;
 mod gateway;
 mod group;
+mod idle_transactions;
 mod key;
 mod membership;
 mod overload;
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -176,7 +176,9 @@
             return Err(NotRunCause::Late);
         }
         if let Some(pin) = self.step.pin() {
-            return session.take_pinned(pin).ok_or(NotRunCause::TransactionGone);
+            let pinned = session.take_pinned(pin);
+            let open = pinned.filter(|lease| !lease.is_ended());
+            return open.ok_or(NotRunCause::TransactionGone);
         }
         if *node.subscribe_drain().borrow() >= DrainPhase::Closing {
             return Err(NotRunCause::Leaving);
@@ -231,6 +233,7 @@
         ConnectionError::TurnedAway(TargetFault::TooManyConnections) => {
             NotRunCause::TooManyConnections
         }
+        ConnectionError::Evacuated => NotRunCause::Evacuated,
         _ => {
             probe_if_failing::<W>(node, target);
             failure_cause(target)
--- a/crates/mustardhinge-resident/src/node/node_evacuations.rs
+++ b/crates/mustardhinge-resident/src/node/node_evacuations.rs
@@ -55,6 +55,7 @@
     pub(super) fn apply_evacuation(&self, target: &TargetHandle) {
         let since = self.evacuations.borrow().since(&target.entry().zone);
         target.set_evacuated_since(since);
+        target.reject_evacuated(self.clock.now());
     }
 
     /// Returns the version of the set of evacuated zones.
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -408,7 +408,8 @@
     fn update_group_limits(&self, group: &GroupState) {
         let gateways = self.gateways.borrow();
         let now = self.clock.now();
-        let connection_limit = self.plan().connection_limit(group.service());
+        let plan = self.plan();
+        let connection_limit = plan.connection_limit(group.service());
         let share = ConnectionShare {
             connection_limit,
             instances: self.instances.get(),
@@ -425,6 +426,7 @@
             };
             target.set_gateways(pair);
             target.set_limit(own_limit, now);
+            target.set_total_weight(plan.total_weight());
         }
     }
 
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -6,6 +6,7 @@
 use mustardhinge_core::key::{KeyDigest, KeyTable};
 use mustardhinge_core::placement::CustomerShare;
 use mustardhinge_core::prelude::{CustomerId, DocumentVersion, ServiceId};
+use mustardhinge_core::queue::CustomerWeight;
 
 use super::{PlanCustomer, PlanRoute};
 
@@ -33,6 +34,7 @@
 pub struct ServingPlan {
     parts: PlanParts,
     customer_shares: HashMap<CustomerId, CustomerShare>,
+    total_weight: u64,
 }
 
 impl ServingPlan {
@@ -48,9 +50,13 @@
                 (limits.customer.clone(), share)
             })
             .collect();
+        let weights = parts.customers.iter();
+        let weights = weights.map(|limits| CustomerWeight::from_rate(limits.limits.rate).get());
+        let total_weight = weights.map(u64::from).sum();
         Self {
             parts,
             customer_shares,
+            total_weight,
         }
     }
 
@@ -78,6 +84,12 @@
         &self.parts.customers
     }
 
+    /// Returns the sum of the weights of all customers.
+    #[must_use]
+    pub const fn total_weight(&self) -> u64 {
+        self.total_weight
+    }
+
     /// Returns a customer's share of the rates of all customers, or 0 for an unknown customer.
     #[must_use]
     pub fn customer_share(&self, customer: &CustomerId) -> CustomerShare {
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -121,6 +121,7 @@
     let sent_at = node.clock.now();
     check_epoch(node, &execution, sent_at)?;
     let connection = lease.connection_mut().ok_or_else(closed)?;
+    connection.last_request = request.id.clone();
     let mut statement_count = 1;
     match execution.step {
         TransactionStep::Single => {
--- a/crates/mustardhinge-resident/src/target/connection_pool.rs
+++ b/crates/mustardhinge-resident/src/target/connection_pool.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Returns the limit if the pool has reached it, all connections are in use and closing one makes
+    /// room for another.
+    pub(super) fn full_limit(&self, now: MonotonicTime) -> Option<usize> {
+        let is_full = self.open.get() == self.current_limit(now) && self.idle.borrow().is_empty();
+        is_full.then(|| self.limit.get())
+    }
+
     /// Returns whether a connection is idle or may be opened.
     pub(super) fn has_capacity(&self, now: MonotonicTime) -> bool {
         let idle = self.idle.borrow().len();
--- a/crates/mustardhinge-resident/src/target/leased_work.rs
+++ b/crates/mustardhinge-resident/src/target/leased_work.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::RoutePriority;
-use mustardhinge_core::queue::WorkKind;
+use mustardhinge_core::queue::{CustomerWeight, WorkKind};
 
 use super::ConnectionRequest;
 
@@ -10,15 +10,17 @@
 pub(super) struct LeasedWork {
     pub(super) priority: RoutePriority,
     pub(super) kind: WorkKind,
+    pub(super) weight: CustomerWeight,
     pub(super) slot_time: Duration,
 }
 
 impl LeasedWork {
     /// Returns the work of a request, or `None` without overload control.
     pub(super) fn of(request: &ConnectionRequest) -> Option<Self> {
-        request.weight.map(|_| Self {
+        request.weight.map(|weight| Self {
             priority: request.priority,
             kind: request.kind,
+            weight,
             slot_time: Duration::ZERO,
         })
     }
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -1,8 +1,10 @@
 //! Connections to targets: pooling, leasing to one session at a time, fair queuing and health.
 
 mod connection_error;
+mod connection_hold;
 mod connection_pool;
 mod connection_request;
+mod idle_connections;
 mod leased_work;
 mod queue_metrics;
 mod response_timeouts;
@@ -13,9 +15,12 @@
 mod target_health;
 mod target_lease;
 mod target_queue;
+mod target_reclaim;
 mod target_reply;
+mod target_waiting;
 mod unanswered_statement;
 mod wait_ticket;
+mod waiting_watch;
 
 pub use connection_error::ConnectionError;
 pub use connection_request::ConnectionRequest;
--- a/crates/mustardhinge-resident/src/target/target_connection.rs
+++ b/crates/mustardhinge-resident/src/target/target_connection.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::connection_hold::ConnectionHold;
 use super::{ConnectionError, ResponseTimeouts, TargetReply};
 use crate::adapter::{SessionCodec, TargetMessage, TransactionState};
 use crate::plan::TargetEntry;
@@ -33,6 +34,9 @@
     pub state: TransactionState,
     /// Time of its last use.
     pub used_at: MonotonicTime,
+    /// Id of the last request that used it.
+    pub last_request: Bytes,
+    pub(super) hold: Option<ConnectionHold>,
 }
 
 impl TargetConnection {
@@ -68,6 +72,8 @@
             prepared: HashMap::new(),
             state: TransactionState::Idle,
             used_at: MonotonicTime::default(),
+            last_request: Bytes::new(),
+            hold: None,
         };
         W::write_start(
             &mut connection.output,
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -13,9 +13,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::connection_pool::ConnectionPool;
+use super::idle_connections::IdleConnections;
 use super::leased_work::LeasedWork;
 use super::queue_metrics::{count_refusal, record_queue_wait};
 use super::target_queue::{ConnectionGrant, TargetQueue};
+use super::waiting_watch::WaitingWatch;
 use super::{ConnectionError, ConnectionRequest, TargetConnection, TargetHealth, TargetLease};
 use crate::adapter::{SessionCodec, TargetFault};
 use crate::gateway::GatewayLoad;
@@ -34,7 +36,9 @@
 #[derive(Debug)]
 pub struct TargetHandle {
     entry: RefCell<Rc<TargetEntry>>,
-    connections: ConnectionPool,
+    pub(super) connections: ConnectionPool,
+    pub(super) idle: IdleConnections,
+    pub(super) waiting_watch: WaitingWatch,
     pub(super) queue: TargetQueue,
     pub(super) latency: Cell<LatencyEstimate>,
     lag: Cell<ReplicaLag>,
@@ -42,7 +46,7 @@
     probe_trust: Cell<ProbeTrust>,
     overload_control: Cell<OverloadControl>,
     is_marked_leaving: Cell<bool>,
-    evacuated_since: Cell<Option<MonotonicTime>>,
+    pub(super) evacuated_since: Cell<Option<MonotonicTime>>,
     is_removed: Cell<bool>,
     is_probed: Cell<bool>,
     pub(super) forwarded: Cell<usize>,
@@ -59,6 +63,8 @@
     pub fn new(entry: TargetEntry) -> Self {
         Self {
             connections: ConnectionPool::new(),
+            idle: IdleConnections::default(),
+            waiting_watch: WaitingWatch::default(),
             queue: TargetQueue::new(entry.slots),
             entry: RefCell::new(Rc::new(entry)),
             latency: Cell::new(LatencyEstimate::default()),
@@ -192,6 +198,11 @@
         self.overload_control.set(overload_control);
     }
 
+    /// Returns whether overload control is in force.
+    pub(super) const fn is_overload_controlled(&self) -> bool {
+        self.overload_control.get().is_on()
+    }
+
     /// Returns whether the target fails statements although it answers probes.
     #[must_use]
     pub fn is_distrusted(&self) -> bool {
@@ -352,6 +363,7 @@
         clock: &BootClock,
     ) -> Result<TargetLease, ConnectionError> {
         let now = clock.now();
+        self.check_use(request, now)?;
         self.connections.record_use(&request.customer, now);
         // Only the cost estimates of overload control need it.
         let has_idle = request.weight.is_some() && self.has_idle(request);
@@ -361,7 +373,10 @@
                 self.queue.record_demand(request, has_idle, now);
                 grant
             }
-            None => self.wait_for_grant(request, (has_idle, now), clock).await?,
+            None => {
+                self.watch_waiting(request, *clock);
+                self.wait_for_grant(request, (has_idle, now), clock).await?
+            }
         };
         let lease = match grant {
             ConnectionGrant::Idle(connection) => TargetLease::new(Rc::clone(self), *connection),
@@ -395,7 +410,10 @@
             Ok(Err(_)) if self.is_removed() || self.health().is_failing() => {
                 Err(ConnectionError::Dissolved)
             }
-            Ok(Err(_)) => Err(ConnectionError::Full(LATE_RETRY_DELAY)),
+            Ok(Err(_)) => {
+                self.check_use(request, left_at)?;
+                Err(ConnectionError::Full(LATE_RETRY_DELAY))
+            }
             Err(_) => {
                 self.queue.cancel(&ticket);
                 count_refusal(request, "deadline_passed");
@@ -421,7 +439,7 @@
             .take_idle(&request.customer, request.session, now);
         let grant = match idle {
             Some(connection) => ConnectionGrant::Idle(Box::new(connection)),
-            None if self.connections.reserve(now) => ConnectionGrant::Open,
+            None if self.reserve_connection(request, now) => ConnectionGrant::Open,
             None => return None,
         };
         self.queue.reserve_slot();
@@ -429,8 +447,8 @@
     }
 
     /// Grants free slots and connections to the waiting sessions.
-    fn grant_waiting(&self, now: MonotonicTime) {
-        while self.queue.has_free_slot() && self.connections.has_capacity(now) {
+    pub(super) fn grant_waiting(&self, now: MonotonicTime) {
+        while self.queue.has_free_slot() && self.has_connection_for_waiting(now) {
             let Some((customer, waiter)) = self.queue.pop(now) else {
                 return;
             };
@@ -465,7 +483,8 @@
         let opened = TargetConnection::open::<W>(&entry, &request.customer, OPEN_TIMEOUT).await;
         let now = clock.now();
         match opened {
-            Ok((connection, reply)) => {
+            Ok((mut connection, reply)) => {
+                connection.hold = Some(self.idle.hold(&request.customer));
                 self.record_response(reply.position, now);
                 metrics::counter!("resident_connections_opened_total").increment(1);
                 self.queue.record_opening(now.saturating_since(since));
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::connection::TransactionNumber;
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::BootClock;
 
@@ -17,7 +18,10 @@
     Direct(Box<TargetConnection>),
     /// Forwarding through the target's gateway.
     Forwarded(ForwardedConnection),
-    /// None, after a failed exchange.
+    /// A connection from this instance whose transaction is idle and may be ended meanwhile, under
+    /// overload control.
+    Idle(TransactionNumber),
+    /// None, after a failed exchange or the end of an idle transaction.
     Closed,
 }
 
@@ -74,9 +78,12 @@
 
     /// Returns the connection, or `None` after a failed exchange and for a forwarded lease.
     pub fn connection_mut(&mut self) -> Option<&mut TargetConnection> {
+        self.unpark();
         match &mut self.connection {
             LeasedConnection::Direct(connection) => Some(connection),
-            LeasedConnection::Forwarded(_) | LeasedConnection::Closed => None,
+            LeasedConnection::Forwarded(_)
+            | LeasedConnection::Idle(_)
+            | LeasedConnection::Closed => None,
         }
     }
 
@@ -84,7 +91,38 @@
     pub const fn forwarded_mut(&mut self) -> Option<&mut ForwardedConnection> {
         match &mut self.connection {
             LeasedConnection::Forwarded(connection) => Some(connection),
-            LeasedConnection::Direct(_) | LeasedConnection::Closed => None,
+            LeasedConnection::Direct(_) | LeasedConnection::Idle(_) | LeasedConnection::Closed => {
+                None
+            }
+        }
+    }
+
+    /// Returns whether the transaction of the lease was ended while it was idle.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        matches!(self.connection, LeasedConnection::Idle(number) if !self.target.idle.contains(number))
+    }
+
+    /// Stores the connection of an open transaction until its next statement, under overload
+    /// control.
+    fn park(&mut self, now: MonotonicTime) {
+        let Some(work) = self.work else {
+            return;
+        };
+        match self.connection.take() {
+            LeasedConnection::Direct(connection) if connection.state != TransactionState::Idle => {
+                let number = self.target.idle.park(connection, work.weight, now);
+                self.connection = LeasedConnection::Idle(number);
+            }
+            other => self.connection = other,
+        }
+    }
+
+    /// Takes the connection of an idle transaction for a statement, unless the transaction was ended.
+    fn unpark(&mut self) {
+        if let LeasedConnection::Idle(number) = self.connection {
+            let connection = self.target.idle.take(number);
+            self.connection = connection.map_or(LeasedConnection::Closed, LeasedConnection::Direct);
         }
     }
 
@@ -119,6 +157,7 @@
         clock: &BootClock,
         ended: impl Future<Output = ()>,
     ) -> Result<Vec<TargetReply>, ConnectionError> {
+        self.unpark();
         let LeasedConnection::Direct(connection) = &mut self.connection else {
             return Err(ConnectionError::Closed);
         };
@@ -164,6 +203,7 @@
             }
         }
         drop(running);
+        self.park(now);
         result
     }
 
@@ -181,6 +221,7 @@
             self.target.release_reservation();
         }
         self.record_work();
+        self.unpark();
         match self.connection.take() {
             LeasedConnection::Direct(mut connection)
                 if connection.state == TransactionState::Idle =>
@@ -190,7 +231,7 @@
             }
             LeasedConnection::Direct(_) => self.target.record_closed(now),
             LeasedConnection::Forwarded(_) => self.target.end_forward(),
-            LeasedConnection::Closed => {}
+            LeasedConnection::Idle(_) | LeasedConnection::Closed => {}
         }
     }
 }
@@ -201,10 +242,11 @@
             self.target.release_reservation();
         }
         self.record_work();
+        self.unpark();
         match self.connection.take() {
             LeasedConnection::Direct(_) => self.target.record_closed(BootClock.now()),
             LeasedConnection::Forwarded(_) => self.target.end_forward(),
-            LeasedConnection::Closed => {}
+            LeasedConnection::Idle(_) | LeasedConnection::Closed => {}
         }
     }
 }
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -311,6 +311,14 @@
         None
     }
 
+    /// Refuses the sessions whose deadline has passed in the queue with priorities.
+    pub(super) fn refuse_expired(&self, now: MonotonicTime) {
+        let mut queue = self.by_priority.borrow_mut();
+        while let Some(refusal) = queue.pop_expired(now) {
+            notify_refused(refusal);
+        }
+    }
+
     /// Rejects all waiting sessions, after the target has failed or was removed.
     pub(super) fn reject_all(&self, now: MonotonicTime) {
         while self.pop(now).is_some() {}
