Let the leader's control loop pause while it waits for its own statements

Cause: while a primary is being replaced, the leader repeats the notification to stop in each iteration of its control loop, also to itself, and each time that woke the loop at once. As long as the leader had statements at that primary (up to the grace period), the loop ran without a pause: 23,980 iterations in 250 ms, during which no timer of the process fired. Seen when a test's 60 ms wait took 250 ms.

Change: the notification wakes the loop only if it is the first one for the epoch. Not limited to overload control, as it is a fault of every change of primary.

--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -192,9 +192,13 @@
     now: MonotonicTime,
 ) {
     let mut leases = control.node.leases.borrow_mut();
+    let known = leases.newest(&stop.service);
+    let was_closing =
+        known.is_some_and(|state| state.epoch == stop.epoch && state.closing_since.is_some());
     leases.close(&stop.service, stop.epoch, now);
     drop(leases);
-    if !is_stopped(control, &stop.service, stop.epoch) {
+    // The leader repeats the notification in each iteration of its own loop.
+    if !was_closing && !is_stopped(control, &stop.service, stop.epoch) {
         control.wake.notify_one();
     }
 }
