--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic, grouped by feature.
 
+mod accurate_refusals;
 mod budget_entry;
 mod budget_fixtures;
 mod budget_fleet;
@@ -14,6 +15,7 @@
 mod failover;
 mod gateway;
 mod group;
+mod idle_transactions;
 mod key;
 mod membership;
 mod overload;
@@ -29,6 +31,7 @@
 mod rate_replay;
 mod replication;
 mod retry;
+mod retry_replay;
 mod routing;
 mod safety;
 mod spread;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -12,6 +12,7 @@
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
 };
 use mustardhinge_core::rate_limit::AllowanceTable;
+use mustardhinge_core::retry::RetryTable;
 use mustardhinge_process::{BootClock, event};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,6 +44,8 @@
     pub leases: RefCell<HeldLeases>,
     /// The share of the customers' rates granted to this instance, and its use.
     pub allowances: RefCell<AllowanceTable>,
+    /// The internal retries of each customer and priority, under overload control.
+    pub retries: RefCell<RetryTable>,
     /// Notified when the leader granted more allowance. Wakes the requests that wait for it.
     pub allowances_changed: Notify,
     /// Wakes the control task to request more allowance from the leader.
@@ -103,6 +106,7 @@
             clock: BootClock,
             leases: RefCell::default(),
             allowances: RefCell::new(AllowanceTable::starting_at(BootClock.now())),
+            retries: RefCell::default(),
             allowances_changed: Notify::new(),
             allowance_request_due: Notify::new(),
             leader_request_due: Notify::new(),
@@ -404,7 +408,8 @@
     fn update_group_limits(&self, group: &GroupState) {
         let gateways = self.gateways.borrow();
         let now = self.clock.now();
-        let connection_limit = self.plan().connection_limit(group.service());
+        let plan = self.plan();
+        let connection_limit = plan.connection_limit(group.service());
         let share = ConnectionShare {
             connection_limit,
             instances: self.instances.get(),
@@ -421,6 +426,7 @@
             };
             target.set_gateways(pair);
             target.set_limit(own_limit, now);
+            target.set_total_weight(plan.total_weight());
         }
     }
 
