--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -8,7 +8,7 @@
 use mustardhinge_core::membership::{
     InstanceRoster, ListFetchBackoff, RosterEntry, TransferSources,
 };
-use mustardhinge_core::prelude::{DocumentVersion, InstanceId, MonotonicTime, ServiceId};
+use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
     GroupLeases, LeaderRecord, LeaseGrant, PromotionOrders, RecordRevision, StoreEra,
 };
@@ -18,11 +18,10 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{sleep, timeout};
 
-use super::state_relay::ResponseKey;
+use super::state_relay::{ResponseKey, StateVersion};
 use super::{GrantAck, GroupRecord, PeerMessage};
 use crate::adapter::PlatformClient;
 use crate::node::NodeState;
-use crate::plan::TargetsDigest;
 
 /// Time after which a new leader has received a message from every instance that it can reach.
 const ROSTER_SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -84,8 +83,7 @@
     /// Limits the number of concurrent state responses.
     pub response_permits: Semaphore,
     /// The instances that have received this instance's state.
-    pub(super) transfer_sources:
-        RefCell<TransferSources<(DocumentVersion, TargetsDigest), SocketAddr>>,
+    pub(super) transfer_sources: RefCell<TransferSources<StateVersion, SocketAddr>>,
     /// Addresses that requested the leader while it was unknown.
     pub pending_requesters: RefCell<Vec<SocketAddr>>,
     /// Whether [`leader_hint`](Self::leader_hint) names a new leader that has not been sent a
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -217,8 +217,13 @@
 }
 
 /// Returns the version of this instance's state.
-fn current_state<P>(control: &ControlState<P>) -> (DocumentVersion, TargetsDigest) {
-    (control.node.plan().version(), control.node.targets_digest())
+fn current_state<P>(control: &ControlState<P>) -> StateVersion {
+    let node = &control.node;
+    (
+        node.plan().version(),
+        node.targets_digest(),
+        node.evacuation_version(),
+    )
 }
 
 /// Sends a response, which may take long as long as there is progress.
@@ -244,6 +249,9 @@
     })
 }
 
+/// Versions of the configuration, the targets and the evacuated zones of an instance.
+pub(super) type StateVersion = (DocumentVersion, TargetsDigest, EvacuationVersion);
+
 /// Cache key of a compressed response: the versions of the state and the parts that it contains.
 pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, StoreEra, (bool, bool));
 
