Explain where an instance would route a request, without any effect

An operator who follows up a complaint sees refusals in the log, but can't ask an instance why it would refuse or where it would send a request now.

Routes of a configuration also keep their name.

--- a/crates/mustardhinge-core/src/gateway/gateway_pair.rs
+++ b/crates/mustardhinge-core/src/gateway/gateway_pair.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::GatewayRank;
+use super::{GatewayRank, GatewayRoute};
 
 /// The gateways of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -25,4 +25,34 @@
             GatewayRank::Other
         }
     }
+
+    /// Returns the route of the instance at `own_address`: the first gateway that is usable.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use mustardhinge_core::gateway::{GatewayPair, GatewayRoute};
+    ///
+    /// let [own, first, second] = [1, 2, 3].map(|port| ([127, 0, 0, 1], port).into());
+    /// let pair = GatewayPair { first, second: Some(second) };
+    /// let route = pair.route(own, |address| address != first);
+    /// assert_eq!(route, GatewayRoute::Forward(second));
+    /// assert_eq!(pair.route(own, |_| false), GatewayRoute::Fallback);
+    /// assert_eq!(pair.route(first, |_| true), GatewayRoute::Own);
+    /// ```
+    pub fn route(
+        &self,
+        own_address: SocketAddr,
+        mut is_usable: impl FnMut(SocketAddr) -> bool,
+    ) -> GatewayRoute {
+        for address in [Some(self.first), self.second].into_iter().flatten() {
+            if address == own_address {
+                return GatewayRoute::Own;
+            }
+            if is_usable(address) {
+                return GatewayRoute::Forward(address);
+            }
+        }
+        GatewayRoute::Fallback
+    }
 }
--- a/crates/mustardhinge-core/src/lib.rs
+++ b/crates/mustardhinge-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod drain;
 pub mod evacuation;
+pub mod explain;
 pub mod failover;
 pub mod gateway;
 pub mod ids;
--- a/crates/mustardhinge-core/src/placement/read_placement.rs
+++ b/crates/mustardhinge-core/src/placement/read_placement.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::PlacementCandidate;
+use super::{PlacementCandidate, PlacementExclusion};
 
 /// Cost of opening a connection in the current deployments.
 const CONNECTION_COST: Duration = Duration::from_millis(12);
@@ -37,7 +37,7 @@
     pub fn choose(candidates: &[PlacementCandidate], tried: &[usize]) -> Option<usize> {
         let has_staying = candidates.iter().any(|candidate| !candidate.is_leaving);
         let eligible = candidates.iter().enumerate().filter(|(index, candidate)| {
-            !tried.contains(index) && Self::is_eligible(candidate, has_staying)
+            !tried.contains(index) && Self::exclusion(candidate, has_staying).is_none()
         });
         eligible
             .min_by_key(|(_, candidate)| Self::expected_cost(candidate))
@@ -53,11 +53,20 @@
         load_time + Self::fixed_cost(candidate)
     }
 
-    /// Returns whether a read may be sent to the candidate; `has_staying` is whether any target of
-    /// the group isn't leaving.
-    pub(super) const fn is_eligible(candidate: &PlacementCandidate, has_staying: bool) -> bool {
-        let is_excluded = has_staying && candidate.is_leaving && !candidate.is_primary;
-        !candidate.is_too_stale && !is_excluded
+    /// Returns why a read may not be sent to the candidate, if so; `has_staying` is whether any
+    /// target of the group isn't leaving.
+    #[must_use]
+    pub const fn exclusion(
+        candidate: &PlacementCandidate,
+        has_staying: bool,
+    ) -> Option<PlacementExclusion> {
+        if candidate.is_too_stale {
+            Some(PlacementExclusion::TooStale)
+        } else if has_staying && candidate.is_leaving && !candidate.is_primary {
+            Some(PlacementExclusion::Leaving)
+        } else {
+            None
+        }
     }
 
     /// Returns the penalties of the candidate, expressed as time. They don't depend on its load.
--- a/crates/mustardhinge-core/src/primary_lease/held_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leases.rs
@@ -22,6 +22,8 @@
     pub epoch: GroupEpoch,
     /// Its primary.
     pub primary: &'a TargetId,
+    /// When the instance's lease on the primary ends, or ended.
+    pub valid_until: MonotonicTime,
     /// When new work was stopped, if it was.
     pub closing_since: Option<MonotonicTime>,
     /// Whether the epoch is stopped, so that results of work in it are no longer valid.
@@ -120,6 +122,7 @@
         Some(EpochState {
             epoch: held.epoch,
             primary: &held.primary,
+            valid_until: held.valid_until,
             closing_since: held.closing_since,
             is_stopped: held.stopped,
         })
--- a/crates/mustardhinge-core/src/queue/fair_queue.rs
+++ b/crates/mustardhinge-core/src/queue/fair_queue.rs
@@ -64,6 +64,29 @@
         }
     }
 
+    /// Returns whether [`push`](Self::push) would queue an item now, and how long it would then be
+    /// expected to wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay if the item would be refused.
+    pub fn preview(
+        &self,
+        arrival: &WaitingItem<T>,
+        now: MonotonicTime,
+    ) -> Result<Duration, RetryDelay> {
+        let late_by = self.expected_lateness(arrival, now);
+        if !late_by.is_zero() {
+            return Err(RetryDelay::new(late_by));
+        }
+        let has_room =
+            self.length < self.limits.get_capacity() || self.evictable(&arrival.customer).is_some();
+        if !has_room {
+            return Err(RetryDelay::new(self.drain_time()));
+        }
+        Ok(self.expected_wait(&arrival.customer, arrival.deadline))
+    }
+
     /// Removes and returns the next item: an expired one if there is any,
     /// otherwise the next by deficit round robin.
     pub fn pop(&mut self, now: MonotonicTime) -> Option<PopOutcome<T>> {
@@ -177,6 +200,14 @@
     /// Evicts the last item of the longest customer queue, if that queue is
     /// longer than the queue of the arriving customer would become.
     fn make_room_for(&mut self, arriving: &CustomerId) -> Option<QueueRefusal<T>> {
+        let (customer, rank) = self.evictable(arriving)?;
+        let retry_after = self.drain_time();
+        let item = self.remove(&customer, rank)?.item;
+        Some(refusal(&customer, item, retry_after))
+    }
+
+    /// Returns the item that can make room for an arrival of this customer.
+    fn evictable(&self, arriving: &CustomerId) -> Option<(CustomerId, ItemRank)> {
         let own_length = self
             .customer_queues
             .get(arriving)
@@ -185,12 +216,9 @@
             .customer_queues
             .iter()
             .max_by_key(|(_, queue)| queue.len());
-        let (customer, rank) = longest
+        longest
             .filter(|(_, queue)| queue.len() > own_length + 1)
-            .and_then(|(customer, queue)| Some((customer.clone(), queue.last_rank()?)))?;
-        let retry_after = self.drain_time();
-        let item = self.remove(&customer, rank)?.item;
-        Some(refusal(&customer, item, retry_after))
+            .and_then(|(customer, queue)| Some((customer.clone(), queue.last_rank()?)))
     }
 
     fn insert(&mut self, arrival: WaitingItem<T>) -> QueueTicket {
--- a/crates/mustardhinge-core/src/queue/priority_band.rs
+++ b/crates/mustardhinge-core/src/queue/priority_band.rs
@@ -135,6 +135,12 @@
         Some(QueuedItem { customer, item })
     }
 
+    /// Returns the number of waiting items of the longest customer queue.
+    pub(crate) fn longest_length(&self) -> usize {
+        let lengths = self.customers.values().map(|known| known.queue.len());
+        lengths.max().unwrap_or(0)
+    }
+
     /// Returns the number of waiting items of a customer.
     pub(crate) fn length_of(&self, customer: &CustomerId) -> usize {
         self.customers
--- a/crates/mustardhinge-core/src/queue/priority_queue.rs
+++ b/crates/mustardhinge-core/src/queue/priority_queue.rs
@@ -50,7 +50,7 @@
 
     /// Adds an item, or refuses it if it is not expected to be sent in time or the queue is full.
     pub fn push(&mut self, arrival: PriorityItem<T>, now: MonotonicTime) -> PushOutcome<T> {
-        if now + self.expected_wait(&arrival, now) > arrival.admit_by {
+        if self.is_late(&arrival, now) {
             return PushOutcome::Refused(self.refuse(arrival, now));
         }
         if self.length < self.limits.get_capacity() {
@@ -69,6 +69,29 @@
         }
     }
 
+    /// Returns whether [`push`](Self::push) would queue an item now, and how long it would then be
+    /// expected to wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay if the item would be refused.
+    pub fn preview(
+        &self,
+        arrival: &PriorityItem<T>,
+        now: MonotonicTime,
+    ) -> Result<Duration, RetryDelay> {
+        let has_room =
+            self.length < self.limits.get_capacity() || self.evictable(arrival).is_some();
+        if self.is_late(arrival, now) || !has_room {
+            return Err(self.drain_time(arrival.priority, now));
+        }
+        Ok(self.expected_wait(arrival, now))
+    }
+
+    fn is_late(&self, arrival: &PriorityItem<T>, now: MonotonicTime) -> bool {
+        now + self.expected_wait(arrival, now) > arrival.admit_by
+    }
+
     /// Removes and returns the next item: an expired one if there is any, otherwise the next in
     /// turn.
     pub fn pop(&mut self, now: MonotonicTime) -> Option<PopOutcome<T>> {
@@ -246,17 +269,9 @@
         arrival: &PriorityItem<T>,
         now: MonotonicTime,
     ) -> Option<QueueRefusal<T>> {
-        let lowest = *self.bands.last_key_value()?.0;
-        if lowest < arrival.priority {
-            return None;
-        }
+        let (lowest, min_length) = self.evictable(arrival)?;
         let retry_after = self.drain_time(lowest, now);
         let band = self.bands.get_mut(&lowest)?;
-        let min_length = if lowest == arrival.priority {
-            band.length_of(&arrival.customer) + 1
-        } else {
-            0
-        };
         let QueuedItem { customer, item } = band.evict(min_length)?;
         self.length -= 1;
         self.drop_if_empty(lowest);
@@ -268,6 +283,21 @@
         })
     }
 
+    /// Returns the priority of which an item can make room for the arrival, and the length that its
+    /// longest customer queue exceeds.
+    fn evictable(&self, arrival: &PriorityItem<T>) -> Option<(RoutePriority, usize)> {
+        let (lowest, band) = self.bands.last_key_value()?;
+        if *lowest < arrival.priority {
+            return None;
+        }
+        let min_length = if *lowest == arrival.priority {
+            band.length_of(&arrival.customer) + 1
+        } else {
+            0
+        };
+        (band.longest_length() > min_length).then_some((*lowest, min_length))
+    }
+
     fn insert(&mut self, arrival: PriorityItem<T>, now: MonotonicTime) -> QueueTicket {
         let expected_wait = self.queued_wait(&arrival, now);
         self.record_demand(arrival.priority, arrival.cost, now);
--- a/crates/mustardhinge-core/src/queue/report_gate.rs
+++ b/crates/mustardhinge-core/src/queue/report_gate.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::PriorityWaits;
+use super::{PriorityWaits, ReportDecision};
 use crate::units::{MonotonicTime, RoutePriority};
 
 /// Maximum age of a report. An older one says little about a queue that drains in as much time.
@@ -49,21 +49,47 @@
         max_wait: Duration,
         now: MonotonicTime,
     ) -> Result<(), Duration> {
+        match self.decide(priority, max_wait, now) {
+            ReportDecision::Forward => Ok(()),
+            ReportDecision::Probe => {
+                self.probed_at = Some(now);
+                Ok(())
+            }
+            ReportDecision::Refuse(wait) => Err(wait),
+        }
+    }
+
+    /// Returns what [`admit`](Self::admit) decides now, without counting a statement that renews the
+    /// report.
+    #[must_use]
+    pub fn decide(
+        &self,
+        priority: RoutePriority,
+        max_wait: Duration,
+        now: MonotonicTime,
+    ) -> ReportDecision {
         let Some((waits, at)) = self.report else {
-            return Ok(());
+            return ReportDecision::Forward;
         };
         let age = now.saturating_since(at);
         let wait = waits.wait_of(priority).saturating_sub(age);
         if age > REPORT_MAX_AGE || wait <= max_wait {
-            return Ok(());
+            return ReportDecision::Forward;
         }
         let is_probe_due = self
             .probed_at
             .is_none_or(|probed_at| now.saturating_since(probed_at) >= PROBE_INTERVAL);
         if is_probe_due {
-            self.probed_at = Some(now);
-            return Ok(());
+            ReportDecision::Probe
+        } else {
+            ReportDecision::Refuse(wait)
         }
-        Err(wait)
+    }
+
+    /// Returns the last report and its age.
+    #[must_use]
+    pub fn report(&self, now: MonotonicTime) -> Option<(PriorityWaits, Duration)> {
+        let (waits, at) = self.report?;
+        Some((waits, now.saturating_since(at)))
     }
 }
--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -3,8 +3,8 @@
 
 use super::customer_allowance::{ISOLATED_AFTER, SHARE_VALIDITY};
 use super::{
-    AdmissionContext, AllowanceGrant, AllowanceSource, CustomerAllowance, CustomerRate,
-    RateRefusal, UsageReport,
+    AdmissionContext, AllowanceGrant, AllowancePreview, AllowanceSource, CustomerAllowance,
+    CustomerRate, RateRefusal, UsageReport,
 };
 use crate::ids::CustomerId;
 use crate::overload::OverloadControl;
@@ -41,6 +41,20 @@
         }
     }
 
+    /// Admits one operation, unless it has to wait `first_grant_left` for the first grant.
+    fn admit(
+        &mut self,
+        first_grant_left: Option<Duration>,
+        context: AdmissionContext,
+        now: MonotonicTime,
+    ) -> Result<AllowanceSource, RateRefusal> {
+        self.used_at = now;
+        match first_grant_left {
+            Some(left) => Err(RateRefusal::AwaitFirstGrant(left)),
+            None => self.allowance.admit(context, now),
+        }
+    }
+
     fn report(
         &mut self,
         customer: &CustomerId,
@@ -140,21 +154,57 @@
         instances: usize,
         now: MonotonicTime,
     ) -> Result<AllowanceSource, RateRefusal> {
+        let context = self.context(self.overload, instances);
+        let first_grant_left = self.first_grant_left(self.overload, now);
         let Some(entry) = self.entries.get_mut(customer) else {
             return Err(RateRefusal::Exhausted(UNKNOWN_RETRY));
         };
-        entry.used_at = now;
-        let waits_until = self.started_at + FIRST_GRANT_WINDOW;
-        if self.overload.is_on() && !self.has_response && now < waits_until {
-            let left = waits_until.saturating_since(now);
-            return Err(RateRefusal::AwaitFirstGrant(left));
+        entry.admit(first_grant_left, context, now)
+    }
+
+    /// Returns what [`admit`](Self::admit) would return now with this setting of overload control,
+    /// and what that depends on. Nothing is used.
+    #[must_use]
+    pub fn preview(
+        &self,
+        customer: &CustomerId,
+        (overload, instances): (OverloadControl, usize),
+        now: MonotonicTime,
+    ) -> AllowancePreview {
+        let context = self.context(overload, instances);
+        let mut copy = self.entries.get(customer).copied();
+        let before = copy.map(|entry| entry.allowance);
+        let first_grant_left = self.first_grant_left(overload, now);
+        let admitted = copy
+            .as_mut()
+            .map_or(Err(RateRefusal::Exhausted(UNKNOWN_RETRY)), |entry| {
+                entry.admit(first_grant_left, context, now)
+            });
+        AllowancePreview {
+            admitted,
+            remaining: before.map(|allowance| allowance.remaining()),
+            share: before.map(|allowance| allowance.current_share(instances, now)),
+            is_isolated: now > self.last_response_at + ISOLATED_AFTER,
+            until_isolated: self.time_until_isolated(now),
+            response_age: self
+                .has_response
+                .then(|| now.saturating_since(self.last_response_at)),
         }
-        let context = AdmissionContext {
-            overload: self.overload,
+    }
+
+    const fn context(&self, overload: OverloadControl, instances: usize) -> AdmissionContext {
+        AdmissionContext {
+            overload,
             last_response_at: self.last_response_at,
             instances,
-        };
-        entry.allowance.admit(context, now)
+        }
+    }
+
+    /// Returns how long operations may still wait for the first grant, if they may.
+    fn first_grant_left(&self, overload: OverloadControl, now: MonotonicTime) -> Option<Duration> {
+        let waits_until = self.started_at + FIRST_GRANT_WINDOW;
+        let may_wait = overload.is_on() && !self.has_response && now < waits_until;
+        may_wait.then(|| waits_until.saturating_since(now))
     }
 
     /// Returns an operation that was admitted out of `source` and never sent to a target.
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -82,6 +82,12 @@
         self.spent >= self.ceiling
     }
 
+    /// Returns the number of operations that the granted allowance still admits.
+    #[must_use]
+    pub const fn remaining(&self) -> u64 {
+        self.ceiling.saturating_sub(self.spent)
+    }
+
     /// Returns the level of the customer's bucket in the last grant, less what was used without
     /// a leader since.
     #[must_use]
@@ -184,7 +190,8 @@
         ));
     }
 
-    fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
+    /// Returns the share of the rate that the instance may use without a leader.
+    pub(super) fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
         if now < self.share_until {
             self.share
         } else {
--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission_context;
 mod allowance_grant;
+mod allowance_preview;
 mod allowance_source;
 mod allowance_table;
 mod customer_allowance;
@@ -21,6 +22,7 @@
 
 pub use admission_context::AdmissionContext;
 pub use allowance_grant::AllowanceGrant;
+pub use allowance_preview::AllowancePreview;
 pub use allowance_source::AllowanceSource;
 pub use allowance_table::AllowanceTable;
 pub use customer_allowance::CustomerAllowance;
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -54,6 +54,7 @@
             statement.prepared,
         );
         let route = PlanRoute {
+            name: None,
             service: statement.service,
             read_rule: ReadRule::Primary,
             statement_timeout: Duration::from_millis(statement.timeout_ms.into()),
--- a/crates/mustardhinge-resident/src/gateway/gateway_peers.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use mustardhinge_core::gateway::{GatewayPair, GatewayRank};
+use mustardhinge_core::gateway::{GatewayPair, GatewayRank, GatewayRoute};
 use mustardhinge_core::prelude::MonotonicTime;
 
 use super::GatewayPeer;
@@ -43,17 +43,31 @@
     /// directly.
     #[must_use]
     pub fn choose(&self, pair: &GatewayPair, now: MonotonicTime) -> Option<Rc<GatewayPeer>> {
-        for address in [Some(pair.first), pair.second].into_iter().flatten() {
-            if address == self.own_address {
-                return None;
-            }
-            let peer = self.peer(address);
-            if peer.is_usable(now) {
-                return Some(peer);
+        let is_usable = |address| self.peer(address).is_usable(now);
+        match pair.route(self.own_address, is_usable) {
+            GatewayRoute::Forward(address) => Some(self.peer(address)),
+            GatewayRoute::Own => None,
+            GatewayRoute::Fallback => {
+                metrics::counter!("resident_gateway_fallbacks_total").increment(1);
+                None
             }
         }
-        metrics::counter!("resident_gateway_fallbacks_total").increment(1);
-        None
+    }
+
+    /// Returns the route that [`choose`](Self::choose) would take now.
+    #[must_use]
+    pub fn route(&self, pair: &GatewayPair, now: MonotonicTime) -> GatewayRoute {
+        pair.route(self.own_address, |address| {
+            self.is_usable(address, now).unwrap_or(true)
+        })
+    }
+
+    /// Returns whether statements may be forwarded to the gateway at `address`, or `None` if this
+    /// instance has not used it yet, in which case they may.
+    #[must_use]
+    pub fn is_usable(&self, address: SocketAddr, now: MonotonicTime) -> Option<bool> {
+        let peers = self.peers.borrow();
+        peers.get(&address).map(|peer| peer.is_usable(now))
     }
 
     fn peer(&self, address: SocketAddr) -> Rc<GatewayPeer> {
--- a/crates/mustardhinge-resident/src/lib.rs
+++ b/crates/mustardhinge-resident/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod adapter;
 pub mod control;
+pub mod explain;
 pub mod gateway;
 pub mod group;
 pub mod node;
--- a/crates/mustardhinge-resident/src/node/node_gateways.rs
+++ b/crates/mustardhinge-resident/src/node/node_gateways.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::{
-    ConnectionPlan, GatewayPair, GatewayRank, GatewayUpdate, GatewayVersion,
+    ConnectionPlan, GatewayPair, GatewayRank, GatewayRoute, GatewayUpdate, GatewayVersion,
 };
+use mustardhinge_core::overload::OverloadControl;
+use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
 use mustardhinge_core::queue::CustomerWeight;
 use mustardhinge_process::event;
 use tokio::time::timeout;
@@ -14,7 +16,9 @@
 use super::NodeState;
 use crate::adapter::SessionCodec;
 use crate::gateway::ForwardedConnection;
-use crate::target::{ConnectionError, ConnectionRequest, TargetHandle, TargetLease};
+use crate::target::{
+    ConnectionError, ConnectionRequest, LinkAdmission, LinkPreview, TargetHandle, TargetLease,
+};
 
 /// How long a statement waits for the first gateway table. A new leader creates it within a few
 /// hundred milliseconds.
@@ -100,25 +104,55 @@
     /// force.
     #[must_use]
     pub fn with_customer_weight(&self, mut request: ConnectionRequest) -> ConnectionRequest {
-        request.weight = self.overload_control().is_on().then(|| {
+        request.weight = self.customer_weight(&request.customer, self.overload_control());
+        request
+    }
+
+    fn customer_weight(
+        &self,
+        customer: &CustomerId,
+        overload: OverloadControl,
+    ) -> Option<CustomerWeight> {
+        overload.is_on().then(|| {
             let plan = self.plan();
             let mut customers = plan.customers().iter();
-            let known = customers.find(|known| known.customer == request.customer);
+            let known = customers.find(|known| known.customer == *customer);
             known.map_or(CustomerWeight::LOWEST, |known| {
                 CustomerWeight::from_rate(known.limits.rate)
             })
-        });
-        request
+        })
     }
 
-    /// Waits for the first gateway table if connections are scarce. Instances that start at the
-    /// same time would otherwise take all connections before the gateways can.
-    async fn wait_for_gateways(&self, target: &TargetHandle, need: &ConnectionRequest) {
+    /// Returns what [`acquire_link`](Self::acquire_link) would do at `now`, without any effect.
+    pub(crate) fn preview_link(
+        &self,
+        target: &TargetHandle,
+        need: &ConnectionRequest,
+        now: MonotonicTime,
+    ) -> LinkPreview {
+        let mut need = need.clone();
+        need.weight = self.customer_weight(&need.customer, self.current_overload_control());
+        let route = target.gateways().map(|pair| self.peers.route(&pair, now));
+        let admission = match route {
+            _ if self.awaits_gateways(target) => LinkAdmission::Wait(need.wait.min(GATEWAYS_WAIT)),
+            Some(GatewayRoute::Forward(_)) => target.preview_report(&need, now),
+            _ => target.preview_lease(&need, now),
+        };
+        LinkPreview { route, admission }
+    }
+
+    fn awaits_gateways(&self, target: &TargetHandle) -> bool {
         let plan = self.plan();
         let connection_limit = plan.connection_limit(&target.entry().service);
         let customers = plan.customers().len();
         let planned = ConnectionPlan::decide(connection_limit, self.instances.get(), customers);
-        if planned == ConnectionPlan::Gateways && self.gateway_version().number == 0 {
+        planned == ConnectionPlan::Gateways && self.gateway_version().number == 0
+    }
+
+    /// Waits for the first gateway table if connections are scarce. Instances that start at the
+    /// same time would otherwise take all connections before the gateways can.
+    async fn wait_for_gateways(&self, target: &TargetHandle, need: &ConnectionRequest) {
+        if self.awaits_gateways(target) {
             let wait = need.wait.min(GATEWAYS_WAIT);
             // After a timeout, this instance connects directly.
             let _ = timeout(wait, self.gateways_changed.notified()).await;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -307,6 +307,21 @@
         current
     }
 
+    /// Returns whether overload control is in force, as [`overload_control`](Self::overload_control)
+    /// does, without applying a change of it.
+    #[must_use]
+    pub fn current_overload_control(&self) -> OverloadControl {
+        if let Some(known) = self.overload_control.get() {
+            return known;
+        }
+        let mut switch = self.overload_switch.borrow().clone();
+        let groups = self.groups.borrow();
+        let handles = groups.values().flat_map(|group| group.targets());
+        let entries: Vec<_> = handles.map(|handle| handle.entry()).collect();
+        switch.record_targets(entries.iter().map(|entry| (&entry.service, &entry.zone)));
+        switch.current()
+    }
+
     fn invalidate_list_caches(&self) {
         self.overload_control.set(None);
         self.targets_digest.set(None);
@@ -531,6 +546,12 @@
         self.drain_phase.send_replace(phase);
     }
 
+    /// Returns the phase of a planned stop.
+    #[must_use]
+    pub fn drain_phase(&self) -> DrainPhase {
+        *self.drain_phase.borrow()
+    }
+
     /// Returns a receiver of the phases of a planned stop.
     #[must_use]
     pub fn subscribe_drain(&self) -> watch::Receiver<DrainPhase> {
--- a/crates/mustardhinge-resident/src/plan/plan_route.rs
+++ b/crates/mustardhinge-resident/src/plan/plan_route.rs
@@ -1,12 +1,14 @@
 use std::time::Duration;
 
-use mustardhinge_core::prelude::{RoutePriority, ServiceId};
+use mustardhinge_core::prelude::{RouteName, RoutePriority, ServiceId};
 
 use super::ReadRule;
 
 /// How requests for one database are served.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlanRoute {
+    /// Its name in the configuration, if it has one.
+    pub name: Option<RouteName>,
     /// The service that serves them.
     pub service: ServiceId,
     /// Which writes the reads must see.
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use mustardhinge_core::key::{KeyDigest, KeyTable};
 use mustardhinge_core::placement::CustomerShare;
-use mustardhinge_core::prelude::{CustomerId, DocumentVersion, ServiceId};
+use mustardhinge_core::prelude::{CustomerId, DocumentVersion, RouteName, ServiceId};
 
 use super::{PlanCustomer, PlanRoute};
 
@@ -66,6 +66,14 @@
         self.parts.routes.get(database)
     }
 
+    /// Returns the route of this name, or else the one of the database of this name.
+    #[must_use]
+    pub fn find_route(&self, name: &RouteName) -> Option<&Rc<PlanRoute>> {
+        let mut routes = self.parts.routes.values();
+        let named = routes.find(|route| route.name.as_ref() == Some(name));
+        named.or_else(|| self.route(name.as_str().as_bytes()))
+    }
+
     /// Returns the customer whose key has this digest.
     #[must_use]
     pub fn find_customer(&self, digest: &KeyDigest) -> Option<&CustomerId> {
--- a/crates/mustardhinge-resident/src/session/primary_wait.rs
+++ b/crates/mustardhinge-resident/src/session/primary_wait.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::read_path::BUSY_RETRY_AFTER;
-use super::{SessionRequest, StatementResponse};
+use super::{PrimaryDecision, SessionRequest, StatementResponse};
 use crate::group::GroupState;
 use crate::node::{NodeState, record_wait};
 use crate::target::TargetHandle;
@@ -16,10 +16,10 @@
 
 /// Retry delay if the targets that could run a statement are in evacuated zones: an operator or a
 /// returning target ends this, within seconds at best.
-const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Returns the retry delay of a statement for which the group has no target.
-pub(super) fn retry_without_target(group: &GroupState, now: MonotonicTime) -> Duration {
+pub(crate) fn retry_without_target(group: &GroupState, now: MonotonicTime) -> Duration {
     let targets = group.targets();
     let is_evacuated = |target: &Rc<TargetHandle>| target.target_use(now).is_evacuated();
     if !targets.is_empty() && targets.iter().all(is_evacuated) {
@@ -35,6 +35,36 @@
     primary.is_some_and(|(_, target)| target.target_use(now).is_evacuated())
 }
 
+/// Decides whether a statement that needs the primary can use it at `now`.
+pub(crate) fn decide_primary(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> PrimaryDecision {
+    if let Some((epoch, target)) = node.serving_primary(group, now) {
+        return PrimaryDecision::Serve(epoch, target);
+    }
+    if is_evacuated(node, group, now) {
+        return PrimaryDecision::Evacuated;
+    }
+    let unusable_since = group.unusable_since().unwrap_or(now);
+    let changing_since = {
+        let leases = node.leases.borrow();
+        leases
+            .newest(group.service())
+            .and_then(|state| state.closing_since)
+    };
+    let waited = now.saturating_since(request.received_at);
+    let time = (waited, request.route.statement_timeout);
+    PrimaryDecision::Unusable(WaitDecision::decide(
+        unusable_since,
+        changing_since,
+        time,
+        now,
+    ))
+}
+
 /// Waits until the group's primary can be used.
 ///
 /// # Errors
@@ -48,29 +78,23 @@
     let started_at = node.clock.now();
     loop {
         let now = node.clock.now();
-        if let Some((epoch, target)) = node.serving_primary(group, now) {
-            if now > started_at {
-                record_wait("primary", started_at, &node.clock);
+        let decision = match decide_primary(node, group, request, now) {
+            PrimaryDecision::Serve(epoch, target) => {
+                if now > started_at {
+                    record_wait("primary", started_at, &node.clock);
+                }
+                return Ok((epoch, target));
             }
-            return Ok((epoch, target));
-        }
-        if is_evacuated(node, group, now) {
-            return Err(StatementResponse::not_run(
-                RefusalReason::NoPrimary,
-                EVACUATED_RETRY_AFTER,
-            ));
-        }
-        group.set_usable(false, now);
-        let unusable_since = group.unusable_since().unwrap_or(now);
-        let changing_since = {
-            let leases = node.leases.borrow();
-            leases
-                .newest(group.service())
-                .and_then(|state| state.closing_since)
+            PrimaryDecision::Evacuated => {
+                return Err(StatementResponse::not_run(
+                    RefusalReason::NoPrimary,
+                    EVACUATED_RETRY_AFTER,
+                ));
+            }
+            PrimaryDecision::Unusable(decision) => decision,
         };
-        let waited = now.saturating_since(request.received_at);
-        let time = (waited, request.route.statement_timeout);
-        match WaitDecision::decide(unusable_since, changing_since, time, now) {
+        group.set_usable(false, now);
+        match decision {
             WaitDecision::Refuse(retry_after) => {
                 return Err(StatementResponse::not_run(
                     RefusalReason::NoPrimary,
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use mustardhinge_core::overload::OverloadControl;
 use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
 use mustardhinge_core::rate_limit::{AllowanceSource, RateRefusal};
 use tokio::time::timeout;
@@ -30,19 +31,13 @@
         let (admitted, until_isolated) = try_admit(node, request, now);
         let (wait, retry_after) = match admitted {
             Ok(source) => return Ok(Some(source)),
-            Err(RateRefusal::Exhausted(retry_after)) => (None, retry_after),
-            Err(RateRefusal::AwaitFirstGrant(left)) => (first_grant_wait(request, left, now), left),
-            Err(RateRefusal::RequestMore) => {
-                // The wait for the first grant doesn't count.
-                let is_on = node.overload_control().is_on();
-                let since = if is_on { now } else { request.received_at };
-                let waited = now.saturating_since(*waiting_since.get_or_insert(since));
-                let wait = allowance_wait(waited)
-                    .or_else(|| isolation_wait(node, request, until_isolated, now));
-                if wait.is_some() {
+            Err(refusal) => {
+                let conditions = (node.overload_control(), until_isolated);
+                let decided = decide_wait(request, refusal, conditions, &mut waiting_since, now);
+                if refusal == RateRefusal::RequestMore && decided.0.is_some() {
                     node.allowance_request_due.notify_one();
                 }
-                (wait, until_isolated.max(ALLOWANCE_TIMEOUT))
+                decided
             }
         };
         let Some(wait) = wait else {
@@ -56,6 +51,35 @@
     }
 }
 
+/// Decides how long an operation waits that was not admitted, if it waits, and the retry delay if it
+/// doesn't.
+///
+/// `until_isolated` is zero unless overload control is in force, and `waiting_since` is set to the
+/// start of the wait for a larger allowance.
+pub(crate) fn decide_wait(
+    request: &SessionRequest,
+    refusal: RateRefusal,
+    (overload, until_isolated): (OverloadControl, Duration),
+    waiting_since: &mut Option<MonotonicTime>,
+    now: MonotonicTime,
+) -> (Option<Duration>, Duration) {
+    match refusal {
+        RateRefusal::Exhausted(retry_after) => (None, retry_after),
+        RateRefusal::AwaitFirstGrant(left) => (first_grant_wait(request, left, now), left),
+        RateRefusal::RequestMore => {
+            // The wait for the first grant doesn't count.
+            let is_on = overload.is_on();
+            let since = if is_on { now } else { request.received_at };
+            let waited = now.saturating_since(*waiting_since.get_or_insert(since));
+            let wait = allowance_wait(waited).or_else(|| {
+                let wait = isolation_wait(request, until_isolated, now);
+                wait.filter(|_| is_on)
+            });
+            (wait, until_isolated.max(ALLOWANCE_TIMEOUT))
+        }
+    }
+}
+
 /// Returns an operation to its customer's rate if it was refused before it was sent anywhere.
 pub(super) fn release_unsent(
     node: &NodeState,
@@ -118,7 +142,6 @@
 /// Returns how long an operation waits until the instance counts as isolated, if it can still
 /// meet its objective then.
 fn isolation_wait(
-    node: &NodeState,
     request: &SessionRequest,
     until_isolated: Duration,
     now: MonotonicTime,
@@ -128,5 +151,5 @@
     let fits = until_isolated + waited < max_wait;
     // The instance is isolated only after the end of the interval.
     let wait = until_isolated + Duration::from_millis(1);
-    (node.overload_control().is_on() && fits).then_some(wait)
+    fits.then_some(wait)
 }
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -1,4 +1,4 @@
-//! The choice of a read's target by expected free capacity, with overload control.
+//! The candidates for a read, and the choice of its target by expected free capacity.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,41 +57,98 @@
     }
 }
 
-/// Returns the target for a read, or `None` if no target outside `tried` can be used.
-pub(super) fn choose_by_capacity(
-    node: &NodeState,
-    group: &GroupState,
-    request: &SessionRequest,
-    (max_staleness, tried): (Duration, &[TargetId]),
-) -> Option<Rc<TargetHandle>> {
-    let now = node.clock.now();
+/// Returns the targets of a group whose zones aren't evacuated.
+pub(crate) fn usable_targets(group: &GroupState, now: MonotonicTime) -> Vec<Rc<TargetHandle>> {
     let mut targets = group.targets();
     targets.retain(|target| !target.target_use(now).is_evacuated());
-    let skipped: Vec<usize> = if tried.is_empty() {
-        Vec::new()
-    } else {
-        let indices = 0..targets.len();
-        indices
-            .filter(|index| tried.contains(&targets[*index].id()))
-            .collect()
-    };
+    targets
+}
+
+/// Returns the indices of the targets that were tried.
+pub(super) fn indices_of(tried: &[TargetId], targets: &[Rc<TargetHandle>]) -> Vec<usize> {
+    if tried.is_empty() {
+        return Vec::new();
+    }
+    let indices = 0..targets.len();
+    indices
+        .filter(|index| tried.contains(&targets[*index].id()))
+        .collect()
+}
+
+/// Returns the candidates for a read without overload control.
+pub(crate) fn plain_candidates(
+    node: &NodeState,
+    (group, targets): (&GroupState, &[Rc<TargetHandle>]),
+    request: &SessionRequest,
+    (max_staleness, now): (Duration, MonotonicTime),
+) -> Vec<PlacementCandidate> {
+    let connection_request = request.connection_request(now);
+    let primary = node
+        .usable_primary(group, now)
+        .map(|(_, target)| target.id());
+    let ids: Vec<_> = targets.iter().map(|target| target.id()).collect();
+    let preferred = TargetAffinity::prefer(&request.customer, &ids);
+    let candidates = targets.iter().enumerate().map(|(index, target)| {
+        let entry = target.entry();
+        let health = target.health();
+        PlacementCandidate {
+            is_primary: primary.as_ref() == Some(&entry.target),
+            is_same_zone: entry.zone == node.settings.zone,
+            is_leaving: target.is_leaving() || target.target_use(now).is_restricted(),
+            is_failing: health.is_failing(),
+            lacks_position: health.lacks_position(now),
+            is_too_stale: !target.meets_max_age(max_staleness, now),
+            in_flight: target.estimated_load(now),
+            slots: entry.slots,
+            typical_latency: target.typical_latency(now),
+            // The open connections of a gateway are not known to this instance.
+            has_connection: match target.gateways() {
+                Some(_) => preferred == Some(index),
+                None => target.has_idle(&connection_request),
+            },
+        }
+    });
+    candidates.collect()
+}
+
+/// Returns the candidates for a read and the limits of the choice, with overload control.
+pub(crate) fn spread_candidates(
+    node: &NodeState,
+    (group, targets): (&GroupState, &[Rc<TargetHandle>]),
+    request: &SessionRequest,
+    (max_staleness, now): (Duration, MonotonicTime),
+) -> (Vec<SpreadCandidate>, SpreadLimits) {
     let context = ReadContext {
         node,
         request,
         primary: node.usable_primary(group, now).map(|(_, target)| target),
-        preferred: preferred_targets(node, group, request, &targets),
+        preferred: preferred_targets(node, group, request, targets),
         max_staleness,
         now,
     };
-    let candidates: Vec<SpreadCandidate> = targets
+    let candidates = targets
         .iter()
         .enumerate()
-        .map(|(index, target)| context.candidate(index, target))
-        .collect();
+        .map(|(index, target)| context.candidate(index, target));
     let limits = SpreadLimits {
         max_wait: request.wait_left(now),
         senders: node.instances(),
     };
+    (candidates.collect(), limits)
+}
+
+/// Returns the target for a read, or `None` if no target outside `tried` can be used.
+pub(super) fn choose_by_capacity(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    (max_staleness, tried): (Duration, &[TargetId]),
+) -> Option<Rc<TargetHandle>> {
+    let now = node.clock.now();
+    let targets = usable_targets(group, now);
+    let skipped = indices_of(tried, &targets);
+    let (candidates, limits) =
+        spread_candidates(node, (group, &targets), request, (max_staleness, now));
     let mut rng = node.placement_rng.borrow_mut();
     let choice = SpreadPlacement::choose(&candidates, limits, &skipped, &mut *rng)?;
     let is_same_zone = candidates.get(choice.index)?.target.is_same_zone;
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -1,13 +1,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::placement::{PlacementCandidate, ReadPlacement, TargetAffinity};
+use mustardhinge_core::placement::ReadPlacement;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RefusalReason, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
 use super::primary_wait::{await_primary, retry_without_target};
-use super::read_candidates::choose_by_capacity;
+use super::read_candidates::{choose_by_capacity, indices_of, plain_candidates, usable_targets};
 use super::read_floor::await_floor;
 use super::write_path::wait_before_retry;
 use super::{
@@ -22,14 +22,14 @@
 
 /// Part of the allowed staleness that is reserved for the transmission of the statement and
 /// for timers that fire late.
-const STALENESS_MARGIN: Duration = Duration::from_millis(150);
+pub(crate) const STALENESS_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of attempts for one read: two at each target of a typical group of three.
 const MAX_READ_ATTEMPTS: usize = 6;
 /// Retry delay that is suggested to the caller if no target has applied the position that the
 /// read requires.
-const FLOOR_RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(crate) const FLOOR_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Retry delay that is suggested to the caller if all targets are full or unusable.
-pub(super) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
+pub(crate) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Position of a session's last commit, with the epoch in which it was made.
 pub(super) type LastCommit = Option<(GroupEpoch, LogPosition)>;
@@ -362,41 +362,9 @@
         return choose_by_capacity(node, group, request, (max_staleness, tried));
     }
     let now = node.clock.now();
-    let connection_request = request.connection_request(now);
-    let primary = node
-        .usable_primary(group, now)
-        .map(|(_, target)| target.id());
-    let mut targets = group.targets();
-    targets.retain(|target| !target.target_use(now).is_evacuated());
-    let skipped: Vec<usize> = (0..targets.len())
-        .filter(|index| tried.contains(&targets[*index].id()))
-        .collect();
-    let ids: Vec<_> = targets.iter().map(|target| target.id()).collect();
-    let preferred = TargetAffinity::prefer(&request.customer, &ids);
-    let candidates: Vec<PlacementCandidate> = targets
-        .iter()
-        .enumerate()
-        .map(|(index, target)| {
-            let entry = target.entry();
-            let health = target.health();
-            PlacementCandidate {
-                is_primary: primary.as_ref() == Some(&entry.target),
-                is_same_zone: entry.zone == node.settings.zone,
-                is_leaving: target.is_leaving() || target.target_use(now).is_restricted(),
-                is_failing: health.is_failing(),
-                lacks_position: health.lacks_position(now),
-                is_too_stale: !target.meets_max_age(max_staleness, now),
-                in_flight: target.estimated_load(now),
-                slots: entry.slots,
-                typical_latency: target.typical_latency(now),
-                // The open connections of a gateway are not known to this instance.
-                has_connection: match target.gateways() {
-                    Some(_) => preferred == Some(index),
-                    None => target.has_idle(&connection_request),
-                },
-            }
-        })
-        .collect();
+    let targets = usable_targets(group, now);
+    let skipped = indices_of(tried, &targets);
+    let candidates = plain_candidates(node, (group, &targets), request, (max_staleness, now));
     let index = ReadPlacement::choose(&candidates, &skipped)?;
     targets.get(index).cloned()
 }
--- a/crates/mustardhinge-resident/src/target/connection_pool.rs
+++ b/crates/mustardhinge-resident/src/target/connection_pool.rs
@@ -77,6 +77,18 @@
         idle > 0 || used < self.current_limit(now)
     }
 
+    /// Returns whether the customer has an idle connection, or one may be opened for it, if need be
+    /// in place of an idle one of another customer.
+    pub(super) fn can_lease(&self, customer: &CustomerId, now: MonotonicTime) -> bool {
+        let idle = self.idle.borrow();
+        let used = self.open.get() - idle.len();
+        let has_own = idle.iter().any(|connection| {
+            connection.customer == *customer
+                && now.saturating_since(connection.used_at) < IDLE_TIMEOUT
+        });
+        has_own || used < self.current_limit(now)
+    }
+
     /// Records that a customer used the target.
     pub(super) fn record_use(&self, customer: &CustomerId, now: MonotonicTime) {
         let mut uses = self.uses.borrow_mut();
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct TargetHandle {
     entry: RefCell<Rc<TargetEntry>>,
-    connections: ConnectionPool,
+    pub(super) connections: ConnectionPool,
     pub(super) queue: TargetQueue,
     pub(super) latency: Cell<LatencyEstimate>,
     lag: Cell<ReplicaLag>,
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -1,7 +1,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
+use mustardhinge_core::prelude::{CustomerId, MonotonicTime, RetryDelay};
 use mustardhinge_core::queue::{
     CostEstimates, CustomerWeight, FairQueue, PopOutcome, PriorityItem, PriorityQueue,
     PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitingItem,
@@ -225,16 +225,7 @@
         request: &ConnectionRequest,
         now: MonotonicTime,
     ) -> Result<PendingGrant, Duration> {
-        let (grant, granted) = oneshot::channel();
-        let item = WaitingItem {
-            customer: request.customer.clone(),
-            deadline: now + request.max_expected_wait(),
-            cost: STATEMENT_COST,
-            item: WaitingSession {
-                session: request.session,
-                grant,
-            },
-        };
+        let (item, granted) = fair_item(request, now);
         // Displaced and expired sessions are notified by their dropped sender.
         match self.waiting.borrow_mut().push(item, now) {
             PushOutcome::Queued { ticket, .. } => Ok((WaitTicket::Fair(ticket), granted)),
@@ -248,6 +239,24 @@
         has_idle: bool,
         now: MonotonicTime,
     ) -> Result<PendingGrant, Duration> {
+        let (item, granted) = self.priority_item((request, weight), has_idle, now);
+        match self.by_priority.borrow_mut().push(item, now) {
+            PushOutcome::Queued { ticket, displaced } => {
+                if let Some(refusal) = displaced {
+                    notify_refused(refusal);
+                }
+                Ok((WaitTicket::Priority(request.priority, ticket), granted))
+            }
+            PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
+        }
+    }
+
+    fn priority_item(
+        &self,
+        (request, weight): (&ConnectionRequest, CustomerWeight),
+        has_idle: bool,
+        now: MonotonicTime,
+    ) -> (PriorityItem<WaitingSession>, oneshot::Receiver<GrantResult>) {
         let (grant, granted) = oneshot::channel();
         let cost = self.cost_of(request, has_idle);
         let slot_time = Duration::from_micros(cost.as_micros().into());
@@ -264,15 +273,31 @@
                 grant,
             },
         };
-        match self.by_priority.borrow_mut().push(item, now) {
-            PushOutcome::Queued { ticket, displaced } => {
-                if let Some(refusal) = displaced {
-                    notify_refused(refusal);
-                }
-                Ok((WaitTicket::Priority(request.priority, ticket), granted))
+        (item, granted)
+    }
+
+    /// Returns how long a session would be expected to wait if it were queued now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay if the session would be refused.
+    pub(super) fn preview(
+        &self,
+        request: &ConnectionRequest,
+        has_idle: bool,
+        now: MonotonicTime,
+    ) -> Result<Duration, Duration> {
+        let preview = match request.weight {
+            Some(weight) => {
+                let (item, _) = self.priority_item((request, weight), has_idle, now);
+                self.by_priority.borrow().preview(&item, now)
             }
-            PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
-        }
+            None => {
+                let (item, _) = fair_item(request, now);
+                self.waiting.borrow().preview(&item, now)
+            }
+        };
+        preview.map_err(RetryDelay::get)
     }
 
     /// Removes a session that no longer waits.
@@ -317,6 +342,23 @@
     }
 }
 
+fn fair_item(
+    request: &ConnectionRequest,
+    now: MonotonicTime,
+) -> (WaitingItem<WaitingSession>, oneshot::Receiver<GrantResult>) {
+    let (grant, granted) = oneshot::channel();
+    let item = WaitingItem {
+        customer: request.customer.clone(),
+        deadline: now + request.max_expected_wait(),
+        cost: STATEMENT_COST,
+        item: WaitingSession {
+            session: request.session,
+            grant,
+        },
+    };
+    (item, granted)
+}
+
 /// Sends the retry delay to a session that was evicted or expired.
 fn notify_refused(refusal: QueueRefusal<WaitingSession>) {
     // The session may have stopped waiting.
