Add mustardhinge-ctl explain

Cause: section 3.7 of OVERLOAD.md; the endpoint needs a command for operators.

Exit code 2 for an unknown service, route or customer, 1 if the instance isn't reached. The check of the help text against COMMAND-LINE.md counts 11 commands instead of 10.

--- a/crates/mustardhinge-ctl/src/args/ctl_command.rs
+++ b/crates/mustardhinge-ctl/src/args/ctl_command.rs
@@ -1,5 +1,7 @@
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use mustardhinge_core::explain::ExplainQuery;
 use mustardhinge_core::key::KeyDigest;
 use mustardhinge_core::prelude::*;
 
@@ -60,6 +62,13 @@
         /// The target to promote; none for the one that is furthest on.
         to: Option<TargetId>,
     },
+    /// Print where an instance would route a request.
+    Explain {
+        /// The explain address of the instance.
+        instance: SocketAddr,
+        /// The request.
+        query: ExplainQuery,
+    },
     /// Print the digest of a key.
     KeyDigest,
 }
--- a/crates/mustardhinge-ctl/src/args/ctl_invocation.rs
+++ b/crates/mustardhinge-ctl/src/args/ctl_invocation.rs
@@ -1,5 +1,7 @@
 use std::ffi::OsString;
 
+use mustardhinge_core::explain::{ExplainQuery, RequestKind};
+
 use super::argument_reader::ArgumentReader;
 use super::{CtlArgs, CtlCommand};
 use crate::error::CtlError;
@@ -92,11 +94,34 @@
             let group = reader.positional("GROUP")?;
             Ok(CtlCommand::Switchover { group, to })
         }
+        "explain" => parse_explain(reader),
         "key-digest" => Ok(CtlCommand::KeyDigest),
         other => Err(CtlError::usage(format!("unknown command {other:?}"))),
     }
 }
 
+fn parse_explain(reader: &mut ArgumentReader) -> Result<CtlCommand, CtlError> {
+    let instance = reader.required_option("--instance")?;
+    let kind = match (
+        reader.flag(["-w", "--write"]),
+        reader.flag(["-b", "--begin"]),
+    ) {
+        (false, false) => RequestKind::Read,
+        (true, false) => RequestKind::Write,
+        (false, true) => RequestKind::Begin,
+        (true, true) => {
+            return Err(CtlError::usage("--write and --begin exclude each other"));
+        }
+    };
+    let query = ExplainQuery {
+        service: reader.positional("SERVICE")?,
+        route: reader.positional("ROUTE")?,
+        customer: reader.positional("CUSTOMER")?,
+        kind,
+    };
+    Ok(CtlCommand::Explain { instance, query })
+}
+
 fn parse_drain(reader: &mut ArgumentReader) -> Result<CtlCommand, CtlError> {
     let draining = !reader.flag(["-u", "--undo"]);
     match reader.optional_positional("SERVICE")? {
--- a/crates/mustardhinge-ctl/src/args/help_text.rs
+++ b/crates/mustardhinge-ctl/src/args/help_text.rs
@@ -16,6 +16,9 @@
   drain SERVICE TARGET [--undo]     give a target no new work
   drain [--undo]                    make the agent's own instance leave
   switchover GROUP [--to TARGET]    change the primary of a group as planned
+  explain --instance IP:PORT        print where an instance of the resident process
+       SERVICE ROUTE CUSTOMER       would route a read now, or a write, or the begin
+       [--write | --begin]          of a transaction, and why; nothing is sent
   key-digest                        print the digest of the key read from
                                     standard input
 
--- a/crates/mustardhinge-ctl/src/client/operator_client.rs
+++ b/crates/mustardhinge-ctl/src/client/operator_client.rs
@@ -145,7 +145,8 @@
     Err(CallFailure::Answered(error))
 }
 
-fn root_cause(error: &dyn std::error::Error) -> String {
+/// Returns the text of the innermost cause of an error.
+pub(super) fn root_cause(error: &dyn std::error::Error) -> String {
     let mut cause = error;
     while let Some(source) = cause.source() {
         cause = source;
--- a/crates/mustardhinge-ctl/src/command/command_runner.rs
+++ b/crates/mustardhinge-ctl/src/command/command_runner.rs
@@ -4,11 +4,11 @@
 use mustardhinge_core::prelude::OperationId;
 
 use super::{
-    apply_document, check_document, diff_document, drain_work, key_input, show_document,
-    show_status, switch_primary, withdraw_key,
+    apply_document, check_document, diff_document, drain_work, explain_route, key_input,
+    show_document, show_status, switch_primary, withdraw_key,
 };
 use crate::args::{CtlArgs, CtlCommand};
-use crate::client::OperatorClient;
+use crate::client::{ExplainClient, OperatorClient};
 use crate::error::CtlError;
 use crate::report::CommandReport;
 
@@ -23,6 +23,9 @@
     match args.command {
         CtlCommand::Check { file } => check_document::run(&file),
         CtlCommand::KeyDigest => key_input::report_digest(input),
+        CtlCommand::Explain { instance, query } => {
+            explain_route::run(&ExplainClient::new(instance)?, &query).await
+        }
         CtlCommand::Apply {
             file,
             expected_version,
--- a/crates/mustardhinge-ctl/src/command/mod.rs
+++ b/crates/mustardhinge-ctl/src/command/mod.rs
@@ -6,6 +6,8 @@
 mod diff_document;
 mod document_file;
 mod drain_work;
+mod explain_route;
+mod explain_tables;
 mod key_input;
 mod show_document;
 mod show_status;
--- a/crates/mustardhinge-ctl/tests/suite/command_line.rs
+++ b/crates/mustardhinge-ctl/tests/suite/command_line.rs
@@ -45,6 +45,14 @@
         ("drain haulage-1", "TARGET"),
         ("status --agent localhost", "--agent"),
         ("withdraw-key s c --digest 12", "--digest"),
+        ("explain s r c", "--instance"),
+        ("explain s r c --instance nowhere", "--instance"),
+        ("explain s r --instance 127.0.0.1:1", "CUSTOMER"),
+        (
+            "explain s r c --instance 127.0.0.1:1 --write --begin",
+            "--begin",
+        ),
+        ("explain s r c --instance 127.0.0.1:1 --drop", "--drop"),
     ] {
         let error = parse(line).unwrap_err();
         assert!(error.contains(part), "{line:?}: {error}");
@@ -99,5 +107,5 @@
         assert!(page.contains(&format!("| `{name}")), "{name}");
         count += 1;
     }
-    assert_eq!(count, 10);
+    assert_eq!(count, 11);
 }
--- a/crates/mustardhinge-ctl/tests/suite/main.rs
+++ b/crates/mustardhinge-ctl/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod documents;
+mod explain;
 mod keys;
 mod lost_answers;
 mod operations;
