--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod overload;
 mod overload_switch;
 mod placement;
+mod previews;
 mod primary_lease;
 mod priority_queue;
 mod priority_replay;
