--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission_context;
 mod allowance_grant;
+mod allowance_preview;
 mod allowance_source;
 mod allowance_table;
 mod bucket_generation;
@@ -14,6 +15,7 @@
 mod decaying_rate;
 mod fill_recovery;
 mod isolated_bucket;
+mod leader_delays;
 mod rate_limiter;
 mod rate_refusal;
 mod response_delay;
@@ -23,11 +25,13 @@
 
 pub use admission_context::AdmissionContext;
 pub use allowance_grant::AllowanceGrant;
+pub use allowance_preview::AllowancePreview;
 pub use allowance_source::AllowanceSource;
 pub use allowance_table::AllowanceTable;
 pub use bucket_generation::BucketGeneration;
 pub use customer_allowance::CustomerAllowance;
 pub use customer_rate::CustomerRate;
+pub use leader_delays::LeaderDelays;
 pub use rate_limiter::RateLimiter;
 pub use rate_refusal::RateRefusal;
 pub use usage_report::UsageReport;
--- a/crates/mustardhinge-core/src/rate_limit/response_delay.rs
+++ b/crates/mustardhinge-core/src/rate_limit/response_delay.rs
@@ -5,6 +5,8 @@
 /// Maximum delay that is reported; several round trips between zones, and the delay until the
 /// first measurement.
 const MAX_DELAY: Duration = Duration::from_millis(100);
+/// Minimum delay that is reported. A delay of 0 ms would bring the caller back at once.
+const MIN_DELAY: Duration = Duration::from_millis(2);
 /// Part of a new measurement in the moving average, as a divisor.
 const SMOOTHING_DIVISOR: u32 = 4;
 
@@ -40,7 +42,7 @@
         if left.is_zero() {
             MAX_DELAY
         } else {
-            left.min(MAX_DELAY)
+            left.clamp(MIN_DELAY, MAX_DELAY)
         }
     }
 }
