Give routes of service documents a priority in the entry's queues

On the PostgreSQL path all statements of a customer waited for a target in one order, whatever their route.

Change: a route has `priority` (0 to 7, 0 the highest and the default), checked, compared and left out of the serialized document at 0. If the routes of a service differ in it, the entry's pools use PriorityQueue, CostEstimates and RetryJitter of the core; otherwise FairQueue, as before. The times by which a waiting statement has to be sent were in the resident process and are now WaitLimits in the core, with the same values. The expected wait is held against the statement deadline, since a document has no objective for a route.

Not measured yet.

--- a/crates/mustardhinge-config/src/document/difference/document_difference.rs
+++ b/crates/mustardhinge-config/src/document/difference/document_difference.rs
@@ -103,6 +103,8 @@
     note_change(&format!("{path}.open"), &old.open, &new.open, found);
     let repeatable_path = format!("{path}.repeatable");
     note_change(&repeatable_path, &old.repeatable, &new.repeatable, found);
+    let priority_path = format!("{path}.priority");
+    note_change(&priority_path, &old.priority, &new.priority, found);
 }
 
 fn compare_limits(old: &LimitEntry, new: &LimitEntry, found: &mut Vec<DocumentDifference>) {
--- a/crates/mustardhinge-config/src/document/service_document.rs
+++ b/crates/mustardhinge-config/src/document/service_document.rs
@@ -50,6 +50,15 @@
         ReadContext::read_text(None, text, Self::read)
     }
 
+    /// Returns whether the routes have different priorities, so that these decide which statement
+    /// waits for a target.
+    #[must_use]
+    pub fn has_route_priorities(&self) -> bool {
+        let mut priorities = self.routes.iter().map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     fn read(reader: &mut TableReader<'_>) -> Option<Self> {
         let service = reader.text("service", "give the name that callers use as database");
         let group = reader.required_table("group", GroupEntry::read);
--- a/crates/mustardhinge-config/tests/suite/document.rs
+++ b/crates/mustardhinge-config/tests/suite/document.rs
@@ -1,4 +1,5 @@
 use mustardhinge_config::document::{MAX_DOCUMENT_BYTES, ServiceDocument};
+use mustardhinge_core::prelude::RoutePriority;
 use proptest::prelude::*;
 
 const DOCUMENT: &str = include_str!("../../../../examples/muscat/haulage-1.toml");
@@ -131,3 +132,43 @@
     let twice = problems(&DOCUMENT.replacen(&second, &first, 1));
     assert!(!twice.contains(&first), "{twice}");
 }
+
+/// Guards against a priority that no queue knows, and a finding without its place.
+#[test]
+fn priorities_outside_their_range_are_found() {
+    let route = "name = \"confirm\"";
+    for (value, expected) in [("8", "8 is out of range"), ("-1", "-1 is out of range")] {
+        let text = format!("{route}\npriority = {value}");
+        assert_finding(route, &text, expected);
+        assert_finding(route, &text, "route[2].priority");
+        assert_finding(route, &text, "line 95");
+        assert_finding(route, &text, "give a whole number from 0 to 7");
+    }
+    assert_finding(
+        route,
+        &format!("{route}\npriority = \"high\""),
+        "route[2].priority",
+    );
+}
+
+/// Guards against priorities that take effect where all routes have the same one, and against a
+/// serialized document that an earlier version can't read although it uses no priority.
+#[test]
+fn absent_and_equal_priorities_change_nothing() {
+    let with_priorities = |priorities: [u8; 4]| {
+        let mut document = ServiceDocument::parse(DOCUMENT).unwrap();
+        for (route, priority) in document.routes.iter_mut().zip(priorities) {
+            route.priority = RoutePriority::new(priority);
+        }
+        document
+    };
+    let absent = ServiceDocument::parse(DOCUMENT).unwrap();
+    assert_eq!(absent, with_priorities([0; 4]));
+    assert!(!toml::to_string(&absent).unwrap().contains("priority"));
+    assert!(!absent.has_route_priorities());
+    assert!(!with_priorities([7; 4]).has_route_priorities());
+    let different = with_priorities([0, 0, 0, 7]);
+    assert!(different.has_route_priorities());
+    let read_back = ServiceDocument::parse(&toml::to_string(&different).unwrap()).unwrap();
+    assert_eq!(read_back, different);
+}
--- a/crates/mustardhinge-config/tests/suite/edit.rs
+++ b/crates/mustardhinge-config/tests/suite/edit.rs
@@ -47,13 +47,15 @@
         .replacen("\"40/s\"", "\"41/s\"", 1)
         .replacen("\"muttrah\"", "\"matrah\"", 1)
         .replacen("slots_per_target = 5", "slots_per_target = 4", 1)
-        .replacen("max_age_ms = 5000", "max_age_ms = 1", 1);
+        .replacen("max_age_ms = 5000", "max_age_ms = 1", 1)
+        .replacen("\"confirm\"", "\"confirm\"\npriority = 3", 1);
     let expected = [
         "limits.slots_per_target changed",
         "customer[seeb].rate changed",
         "customer[muttrah] removed",
         "customer[matrah] added",
         "route[route-overview].max_age_ms changed",
+        "route[confirm].priority changed",
     ];
     assert_eq!(difference_paths(&text), expected);
 }
--- a/crates/mustardhinge-entry/src/control/mod.rs
+++ b/crates/mustardhinge-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod agent_client;
 mod control_link;
 mod control_snapshot;
+mod customer_weights;
 mod entry_context;
 mod lazy_group;
 mod service_runtime;
@@ -12,6 +13,7 @@
 pub use agent_client::AgentClient;
 pub use control_link::ControlLink;
 pub use control_snapshot::ControlSnapshot;
+pub use customer_weights::CustomerWeights;
 pub use entry_context::EntryContext;
 pub use service_runtime::ServiceRuntime;
 pub use write_hold::WriteHold;
--- a/crates/mustardhinge-entry/src/control/service_runtime.rs
+++ b/crates/mustardhinge-entry/src/control/service_runtime.rs
@@ -8,8 +8,8 @@
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::routing::{ReadRouter, RouterSettings, TargetState};
 
-use super::EntryContext;
 use super::lazy_group::LazyGroup;
+use super::{CustomerWeights, EntryContext};
 use crate::group::{GroupHandle, GroupSnapshot};
 use crate::target::TargetPool;
 
@@ -21,6 +21,7 @@
     keys: KeyTable,
     zones: Vec<ZoneId>,
     routes: BTreeMap<RouteName, RouteEntry>,
+    weights: CustomerWeights,
     router: ReadRouter,
     group: Arc<LazyGroup>,
 }
@@ -64,6 +65,7 @@
             routes: routes
                 .map(|route| (route.name.clone(), route.clone()))
                 .collect(),
+            weights: CustomerWeights::of(&document),
             router: ReadRouter::new(
                 context.zone.clone(),
                 RouterSettings::new().replica_wait(replica_wait),
@@ -119,6 +121,12 @@
         self.routes.get(name)
     }
 
+    /// Returns the weights of the customers in queues with priorities.
+    #[must_use]
+    pub fn weights(&self) -> &CustomerWeights {
+        &self.weights
+    }
+
     /// Returns the read router.
     #[must_use]
     pub fn router(&self) -> &ReadRouter {
--- a/crates/mustardhinge-entry/src/serve/admission.rs
+++ b/crates/mustardhinge-entry/src/serve/admission.rs
@@ -71,6 +71,7 @@
             deadline: self.shared.now() + service.statement_timeout(),
             customer,
             max_age: max_age.map(|ms| Duration::from_millis(ms.into())),
+            priority: route.map(|route| route.priority).unwrap_or_default(),
             is_repeatable,
             service,
         }
--- a/crates/mustardhinge-entry/src/serve/read_path.rs
+++ b/crates/mustardhinge-entry/src/serve/read_path.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
+use mustardhinge_core::queue::WorkKind;
 use mustardhinge_core::replication::AckOutcome;
 use mustardhinge_core::routing::{ReadQuery, ReadRoute};
 use mustardhinge_core::session::ReadRequirement;
@@ -147,7 +148,7 @@
         let Some(pool) = context.service.pool(&choice.target) else {
             return ReadAttempt::TargetFailed { is_sent: false };
         };
-        let mut lease = match pool.acquire(&context.customer, context.deadline).await {
+        let mut lease = match pool.acquire(&context.slot_request(WorkKind::Read)).await {
             Ok(lease) => lease,
             Err(PoolRefusal::Connection(_)) => {
                 return ReadAttempt::TargetFailed { is_sent: false };
--- a/crates/mustardhinge-entry/src/serve/recorded_path.rs
+++ b/crates/mustardhinge-entry/src/serve/recorded_path.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
+use mustardhinge_core::queue::WorkKind;
 
 use super::read_path::{FIRST_ATTEMPT_TIMEOUT, count_retry};
 use super::recorded_resolve::{error_of, target_error};
@@ -33,7 +34,9 @@
         let mut replaced = None;
         let mut was_sent = false;
         loop {
-            let found = self.acquire_primary(context, replaced).await;
+            let found = self
+                .acquire_primary(context, WorkKind::Write, replaced)
+                .await;
             let (lease, term) = match found {
                 Ok(found) => found,
                 Err(_) if was_sent => return RequestEnd::unknown("the primary was lost"),
--- a/crates/mustardhinge-entry/src/serve/transaction_path.rs
+++ b/crates/mustardhinge-entry/src/serve/transaction_path.rs
@@ -1,4 +1,5 @@
 use mustardhinge_core::prelude::*;
+use mustardhinge_core::queue::WorkKind;
 use mustardhinge_core::session::ReadRequirement;
 use pgwire::messages::response::TransactionStatus;
 
@@ -28,7 +29,7 @@
         request: &CallerRequest,
         context: &RunContext,
     ) -> RequestEnd {
-        let (mut lease, _term) = match self.acquire_primary(context, None).await {
+        let (mut lease, _term) = match self.acquire_primary(context, WorkKind::Begin, None).await {
             Ok(found) => found,
             Err(refused) => return refused,
         };
--- a/crates/mustardhinge-entry/src/serve/write_path.rs
+++ b/crates/mustardhinge-entry/src/serve/write_path.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::*;
+use mustardhinge_core::queue::WorkKind;
 use mustardhinge_core::request::{NotRunProof, SentRequest, UnsentRequest};
 
 use super::read_path::{count_retry, refused_by_pool};
@@ -41,7 +42,9 @@
         let mut unsent = UnsentRequest::new();
         let mut replaced = None;
         loop {
-            let found = self.acquire_primary(context, replaced).await;
+            let found = self
+                .acquire_primary(context, WorkKind::Write, replaced)
+                .await;
             let (lease, term) = match found {
                 Ok(found) => found,
                 Err(refused) => return refused,
@@ -66,6 +69,7 @@
     pub(super) async fn acquire_primary(
         &self,
         context: &RunContext,
+        kind: WorkKind,
         replaced: Option<LeaderTerm>,
     ) -> Result<(TargetLease, LeaderTerm), RequestEnd> {
         let group = context.service.group();
@@ -80,7 +84,7 @@
             };
             let (target, term) = self.wait_for_write_hold(context, target, term).await;
             let pool = context.service.pool(&target).ok_or_else(no_primary)?;
-            match pool.acquire(&context.customer, context.deadline).await {
+            match pool.acquire(&context.slot_request(kind)).await {
                 Ok(lease) => return Ok((lease, term)),
                 Err(PoolRefusal::Connection(_)) => {
                     count_retry("primary_not_reached");
--- a/crates/mustardhinge-entry/src/target/target_lease.rs
+++ b/crates/mustardhinge-entry/src/target/target_lease.rs
@@ -2,7 +2,7 @@
 
 use mustardhinge_core::prelude::*;
 
-use super::{TargetConnection, TargetPool};
+use super::{LeasedWork, TargetConnection, TargetPool};
 
 /// Exclusive lease of a connection and of one of the target's slots.
 ///
@@ -13,6 +13,7 @@
     pool: Arc<TargetPool>,
     connection: Option<TargetConnection>,
     acquired_at: MonotonicTime,
+    work: Option<LeasedWork>,
 }
 
 impl TargetLease {
@@ -23,6 +24,7 @@
             pool,
             connection: None,
             acquired_at,
+            work: None,
         }
     }
 
@@ -31,6 +33,11 @@
         self.connection = Some(connection);
     }
 
+    /// Sets the work that the connection is used for, to measure its slot time.
+    pub(super) fn set_work(&mut self, work: Option<LeasedWork>) {
+        self.work = work;
+    }
+
     /// Returns the connection.
     ///
     /// # Panics
@@ -70,6 +77,6 @@
 impl Drop for TargetLease {
     fn drop(&mut self) {
         self.connection = None;
-        self.pool.release_slot(self.acquired_at);
+        self.pool.release_slot(self.acquired_at, self.work);
     }
 }
--- a/crates/mustardhinge-entry/src/target/target_pool.rs
+++ b/crates/mustardhinge-entry/src/target/target_pool.rs
@@ -2,32 +2,31 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use mustardhinge_core::prelude::*;
-use mustardhinge_core::queue::{
-    FairQueue, PopOutcome, PushOutcome, QueueLimits, QueueRefusal, QueueTicket, SlotLimiter,
-    WaitingItem,
-};
+use mustardhinge_core::queue::{PopOutcome, QueueLimits, QueueRefusal, RetryJitter, SlotLimiter};
 use mustardhinge_process::ProcessClock;
+use rand::RngExt;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::{PoolRefusal, PoolSettings, TargetConnection, TargetLease};
+use super::queue_metrics::{record_queue_wait, record_refusal};
+use super::{
+    LeasedWork, PoolRefusal, PoolSettings, QueuePlace, RequestQueue, SlotRequest, TargetConnection,
+    TargetLease,
+};
 
 /// Query that validates an idle connection.
 const VALIDATION_QUERY: &str = "SELECT 1";
 
-/// Cost of a statement in the fair queue.
-const STATEMENT_COST: u32 = 1;
-
 /// Result for a waiting request: a slot, or the refusal.
 type SlotResult = Result<(), (RefusalReason, RetryDelay)>;
 
 /// Sends the result to a waiting request.
 type SlotSender = oneshot::Sender<SlotResult>;
 
-/// Queue ticket of a waiting request and the receiver of its result.
-type QueuedRequest = (QueueTicket, oneshot::Receiver<SlotResult>);
+/// Place of a waiting request and the receiver of its result.
+type QueuedRequest = (QueuePlace, oneshot::Receiver<SlotResult>);
 
-/// Connection pool of one target, with a fair queue of the waiting requests.
+/// Connection pool of one target, with a queue of the waiting requests.
 #[derive(Debug)]
 pub struct TargetPool {
     target: TargetId,
@@ -39,7 +38,7 @@
 
 #[derive(Debug)]
 struct PoolState {
-    queue: FairQueue<SlotSender>,
+    queue: RequestQueue<SlotSender>,
     slot_limiter: SlotLimiter,
     idle: Vec<TargetConnection>,
 }
@@ -55,7 +54,7 @@
     ) -> Arc<Self> {
         let limits = QueueLimits::new().slots(settings.get_connections());
         let state = PoolState {
-            queue: FairQueue::new(limits),
+            queue: RequestQueue::new(limits),
             slot_limiter: SlotLimiter::new(settings.get_connections()),
             idle: Vec::new(),
         };
@@ -94,7 +93,7 @@
         self.settings.get_connections()
     }
 
-    /// Acquires a connection, waiting in the fair queue for a free slot.
+    /// Acquires a connection, waiting in the queue for a free slot.
     ///
     /// # Errors
     ///
@@ -102,77 +101,72 @@
     /// opened. In both cases nothing was sent.
     pub async fn acquire(
         self: &Arc<Self>,
-        customer: &CustomerId,
-        deadline: MonotonicTime,
+        request: &SlotRequest,
     ) -> Result<TargetLease, PoolRefusal> {
-        self.wait_for_slot(customer, deadline).await?;
-        let mut lease = TargetLease::new(Arc::clone(self), self.clock.now());
+        let arrived_at = self.clock.now();
+        if let Err((reason, retry_after)) = self.wait_for_slot(request).await {
+            let retry_after = spread_retry(request, retry_after);
+            record_refusal(&self.target, request, (reason, retry_after));
+            return Err(PoolRefusal::Queue {
+                reason,
+                retry_after,
+            });
+        }
+        let now = self.clock.now();
+        record_queue_wait(request, now.saturating_since(arrived_at));
+        let mut lease = TargetLease::new(Arc::clone(self), now);
         let connection = self.connect().await?;
         lease.set_connection(connection);
+        lease.set_work(LeasedWork::of(request, self.clock.now()));
         Ok(lease)
     }
 
-    async fn wait_for_slot(
-        self: &Arc<Self>,
-        customer: &CustomerId,
-        deadline: MonotonicTime,
-    ) -> Result<(), PoolRefusal> {
-        let Some((ticket, slot)) = self.enter_queue(customer, deadline)? else {
+    async fn wait_for_slot(self: &Arc<Self>, request: &SlotRequest) -> SlotResult {
+        let Some((place, slot)) = self.enter_queue(request)? else {
             return Ok(());
         };
+        let max_wait = place.wait_until.saturating_since(self.clock.now());
         let mut waiting = QueueGuard {
             pool: self,
-            ticket: Some(ticket),
+            place: Some(place),
             slot,
         };
-        let max_wait = deadline.saturating_since(self.clock.now());
         match timeout(max_wait, &mut waiting.slot).await {
             Ok(Ok(granted)) => {
-                waiting.ticket = None;
-                granted.map_err(|(reason, retry_after)| PoolRefusal::Queue {
-                    reason,
-                    retry_after,
-                })
+                waiting.place = None;
+                granted
             }
-            Ok(Err(_)) | Err(_) => Err(self.deadline_refusal()),
+            Ok(Err(_)) | Err(_) => Err(self.deadline_refusal(request)),
         }
     }
 
     /// Acquires a slot at once and returns `None`, or joins the queue.
     fn enter_queue(
         &self,
-        customer: &CustomerId,
-        deadline: MonotonicTime,
-    ) -> Result<Option<QueuedRequest>, PoolRefusal> {
+        request: &SlotRequest,
+    ) -> Result<Option<QueuedRequest>, (RefusalReason, RetryDelay)> {
         let now = self.clock.now();
         let mut state = self.lock();
         if state.queue.is_empty() && state.slot_limiter.try_acquire() {
+            let has_idle = !state.idle.is_empty();
+            state.queue.record_direct(request, has_idle, now);
             return Ok(None);
         }
         let (reply, slot) = oneshot::channel();
-        let arrival = WaitingItem {
-            customer: customer.clone(),
-            deadline,
-            cost: STATEMENT_COST,
-            item: reply,
-        };
-        match state.queue.push(arrival, now) {
-            PushOutcome::Queued { ticket, displaced } => {
+        match state.queue.push(request, reply, now) {
+            Ok((place, displaced)) => {
                 displaced.into_iter().for_each(refuse_waiting);
-                Ok(Some((ticket, slot)))
+                Ok(Some((place, slot)))
             }
-            PushOutcome::Refused(refusal) => Err(PoolRefusal::Queue {
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            }),
+            Err(refusal) => Err((refusal.reason, refusal.retry_after)),
         }
     }
 
-    fn deadline_refusal(&self) -> PoolRefusal {
-        PoolRefusal::Queue {
-            reason: RefusalReason::DeadlinePassed,
-            retry_after: RetryDelay::new(self.settings.get_connect_timeout()),
-        }
+    fn deadline_refusal(&self, request: &SlotRequest) -> (RefusalReason, RetryDelay) {
+        let by_priority = self.lock().queue.retry_delay(request, self.clock.now());
+        let fallback = || RetryDelay::new(self.settings.get_connect_timeout());
+        let retry_after = by_priority.unwrap_or_else(fallback);
+        (RefusalReason::DeadlinePassed, retry_after)
     }
 
     async fn connect(&self) -> Result<TargetConnection, PoolRefusal> {
@@ -184,7 +178,10 @@
         let database = self.settings.get_database();
         let max_wait = self.settings.get_connect_timeout();
         let now = self.clock.now();
-        Ok(TargetConnection::open(self.address, database, max_wait, now).await?)
+        let connection = TargetConnection::open(self.address, database, max_wait, now).await?;
+        let elapsed = self.clock.now().saturating_since(now);
+        self.lock().queue.record_opening(elapsed);
+        Ok(connection)
     }
 
     async fn is_usable(&self, connection: &mut TargetConnection) -> bool {
@@ -231,12 +228,14 @@
         self.lock().idle.push(connection);
     }
 
-    pub(super) fn release_slot(&self, acquired_at: MonotonicTime) {
+    pub(super) fn release_slot(&self, acquired_at: MonotonicTime, work: Option<LeasedWork>) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state
-            .queue
-            .record_service(STATEMENT_COST, now.saturating_since(acquired_at));
+        let elapsed = now.saturating_since(acquired_at);
+        state.queue.record_service(elapsed);
+        if let Some(work) = work {
+            state.queue.record_work(work, now);
+        }
         state.slot_limiter.release();
         state.admit_waiting(now);
     }
@@ -276,16 +275,16 @@
 /// Queue entry of a waiting request; cancelled when it is dropped.
 struct QueueGuard<'a> {
     pool: &'a Arc<TargetPool>,
-    ticket: Option<QueueTicket>,
+    place: Option<QueuePlace>,
     slot: oneshot::Receiver<SlotResult>,
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket.take() else {
+        let Some(place) = self.place.take() else {
             return;
         };
-        let was_waiting = self.pool.lock().queue.cancel(&ticket).is_some();
+        let was_waiting = self.pool.lock().queue.cancel(&place).is_some();
         let was_granted = !was_waiting && matches!(self.slot.try_recv(), Ok(Ok(())));
         if was_granted {
             drop(TargetLease::new(
@@ -300,3 +299,12 @@
     let result = Err((refusal.reason, refusal.retry_after));
     let _ = refusal.refused.item.send(result);
 }
+
+/// Spreads the retry delay over callers where routes have different priorities, so that they don't
+/// all return at the same moment.
+fn spread_retry(request: &SlotRequest, retry_after: RetryDelay) -> RetryDelay {
+    match request.weight {
+        Some(_) => RetryJitter::spread(retry_after, request.priority, rand::rng().random()),
+        None => retry_after,
+    }
+}
--- a/crates/mustardhinge-entry/tests/suite/main.rs
+++ b/crates/mustardhinge-entry/tests/suite/main.rs
@@ -5,6 +5,8 @@
 mod encryption;
 mod faults;
 mod keys;
+mod priorities;
+mod request_queue;
 mod sessions;
 mod statements;
 mod transactions;
--- a/crates/mustardhinge-resident/src/target/connection_request.rs
+++ b/crates/mustardhinge-resident/src/target/connection_request.rs
@@ -1,11 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{CustomerId, RoutePriority};
-use mustardhinge_core::queue::{CustomerWeight, WorkKind};
-
-/// Maximum expected wait of a queued statement, in quarters of its allowed wait. The expected wait
-/// is a mean, and about half of the statements wait longer.
-const EXPECTED_WAIT_QUARTERS: u32 = 3;
+use mustardhinge_core::queue::{CustomerWeight, WaitLimits, WorkKind};
 
 /// A session's request for a lease of a target connection.
 #[derive(Clone, Debug)]
@@ -29,6 +25,6 @@
     /// Returns the longest expected wait with which the request is queued.
     #[must_use]
     pub fn max_expected_wait(&self) -> Duration {
-        self.wait * EXPECTED_WAIT_QUARTERS / 4
+        WaitLimits::max_expected_wait(self.wait)
     }
 }
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -4,7 +4,8 @@
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
 use mustardhinge_core::queue::{
     CostEstimates, CustomerWeight, FairQueue, PopOutcome, PriorityItem, PriorityQueue,
-    PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitingItem,
+    PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitLimits,
+    WaitingItem,
 };
 use tokio::sync::oneshot;
 
@@ -250,14 +251,13 @@
     ) -> Result<PendingGrant, Duration> {
         let (grant, granted) = oneshot::channel();
         let cost = self.cost_of(request, has_idle);
-        let slot_time = Duration::from_micros(cost.as_micros().into());
+        let limits = WaitLimits::new(request.wait, cost, now);
         let item = PriorityItem {
             customer: request.customer.clone(),
             weight,
             priority: request.priority,
-            admit_by: now + request.max_expected_wait(),
-            // The cost of a transaction covers more statements than the objective does.
-            deadline: now + request.wait.saturating_sub(slot_time.min(request.wait / 4)),
+            admit_by: limits.admit_by,
+            deadline: limits.deadline,
             cost,
             item: WaitingSession {
                 session: request.session,
