Compare the entry's queues with and without priorities in the bench

`policies` runs the entry's RequestQueue without and with priorities in front of one target of five slots: a burst of 2.6 times over 3 s, one customer at 7.5 times, and 8, 24 and 40 ms at 1.5 times the capacity. The pool's tests now cover measured costs, opening times, counters and retry delays.

Changed tests: plans of `whole_run` name the new field, with the former behaviour.

--- a/crates/mustardhinge-bench/src/cli/bench_command.rs
+++ b/crates/mustardhinge-bench/src/cli/bench_command.rs
@@ -13,7 +13,8 @@
 
 Usage:
   mustardhinge-bench run --deployment muscat|taiwan-north [--seed N] [--duration 20s]
-                         [--fault NAME[,NAME]] [--baseline NAME] [--json] [--history FILE]
+                         [--fault NAME[,NAME]] [--baseline NAME] [--priorities] [--json]
+                         [--history FILE]
   mustardhinge-bench replay TRACE --expect FILE
   mustardhinge-bench record TRACE --out FILE
   mustardhinge-bench compare A.jsonl B.jsonl
--- a/crates/mustardhinge-bench/src/cli/run_options.rs
+++ b/crates/mustardhinge-bench/src/cli/run_options.rs
@@ -41,6 +41,7 @@
             duration: duration.unwrap_or(DEFAULT_DURATION),
             faults: faults.unwrap_or_default(),
             baseline: arguments.opt_value_from_str("--baseline")?,
+            priorities: arguments.contains("--priorities"),
         };
         Ok(Self {
             plan,
--- a/crates/mustardhinge-bench/src/load/deployment_profile.rs
+++ b/crates/mustardhinge-bench/src/load/deployment_profile.rs
@@ -41,6 +41,8 @@
     pub max_age: Duration,
     /// How long a read waits for a replica that is nearly current.
     pub replica_wait_ms: u32,
+    /// Whether writes have a higher priority than reads of the newest rows, and these than others.
+    pub has_priorities: bool,
     /// The customers of each service.
     pub customers: Vec<CustomerProfile>,
     /// What they do.
@@ -63,6 +65,7 @@
             targets_per_group: 3,
             slots,
             replica_wait_ms,
+            has_priorities: false,
             connections: 30,
             connect_delay: Duration::from_millis(10),
             zone_delay: Duration::from_micros(zone_micros),
--- a/crates/mustardhinge-bench/src/main.rs
+++ b/crates/mustardhinge-bench/src/main.rs
@@ -9,7 +9,8 @@
 use mustardhinge_bench::cli::{BenchCommand, HELP, RunOptions};
 use mustardhinge_bench::history::RunHistory;
 use mustardhinge_bench::model::{
-    FIGURES_HEAD, LoadPattern, PLACEMENT_HEAD, PlacementCase, run_all, run_placement,
+    FIGURES_HEAD, LoadPattern, PLACEMENT_HEAD, PlacementCase, QUEUE_HEAD, QueueCase, run_all,
+    run_placement, run_queues,
 };
 use mustardhinge_bench::plot::{plot_history, plot_policies};
 use mustardhinge_bench::report::{FigureComparison, read_reports};
@@ -91,6 +92,12 @@
             println!("{figures}");
         }
     }
+    println!("\n{QUEUE_HEAD}");
+    for case in QueueCase::ALL {
+        for figures in run_queues(case, seed) {
+            println!("{figures}");
+        }
+    }
     Ok(())
 }
 
--- a/crates/mustardhinge-bench/src/model/mod.rs
+++ b/crates/mustardhinge-bench/src/model/mod.rs
@@ -5,7 +5,8 @@
 //! another, a queue at each server, connections that belong to a customer and cost a slot's time
 //! to open, and replicas that are behind. Answers travel in no time, and nothing fails.
 //!
-//! A second model compares how reads are placed from reports of the targets' load that are outdated.
+//! A second model compares how reads are placed from reports of the targets' load that are outdated,
+//! a third one the entry's queues with and without priorities in front of one target.
 
 mod even_slots_line;
 mod fair_line;
@@ -19,6 +20,10 @@
 mod placement_policy;
 mod placement_run;
 mod policy_figures;
+mod queue_case;
+mod queue_figures;
+mod queue_policy;
+mod queue_run;
 mod waiting_statement;
 
 pub use even_slots_line::EvenSlotsLine;
@@ -33,4 +38,8 @@
 pub use placement_policy::PlacementPolicy;
 pub use placement_run::run_placement;
 pub use policy_figures::{FIGURES_HEAD, FigureStep, PolicyFigures};
+pub use queue_case::QueueCase;
+pub use queue_figures::{QUEUE_HEAD, QueueCount, QueueFigures};
+pub use queue_policy::QueuePolicy;
+pub use queue_run::run_queues;
 pub use waiting_statement::WaitingStatement;
--- a/crates/mustardhinge-bench/src/model/model_run.rs
+++ b/crates/mustardhinge-bench/src/model/model_run.rs
@@ -13,7 +13,7 @@
 /// Customers; the first two send most.
 pub(super) const CUSTOMERS: usize = 8;
 /// What each customer sends, of all.
-const WEIGHTS: [f64; CUSTOMERS] = [0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05];
+pub(super) const WEIGHTS: [f64; CUSTOMERS] = [0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05];
 /// Connections of an instance to a server.
 pub(super) const CONNECTIONS: usize = 4;
 /// The time in which an answer is worth something.
--- a/crates/mustardhinge-bench/src/run/bench_run.rs
+++ b/crates/mustardhinge-bench/src/run/bench_run.rs
@@ -63,7 +63,8 @@
         if self.plan.baseline == Some(BaselineName::FirstCome) {
             bail!("the baseline first-come can't be run yet");
         }
-        let profile = DeploymentProfile::of(self.plan.deployment);
+        let mut profile = DeploymentProfile::of(self.plan.deployment);
+        profile.has_priorities = self.plan.priorities;
         let plans = LoadPlanner::new(&profile, self.plan.seed, self.plan.duration).plan();
         let rows = group_rows(&plans);
         let fleet = Fleet::start(profile, self.plan.baseline, &rows).await?;
--- a/crates/mustardhinge-bench/src/run/run_plan.rs
+++ b/crates/mustardhinge-bench/src/run/run_plan.rs
@@ -16,6 +16,8 @@
     pub faults: Vec<FaultName>,
     /// The baseline to run in place of the product's policy.
     pub baseline: Option<BaselineName>,
+    /// Whether the routes have different priorities.
+    pub priorities: bool,
 }
 
 impl RunPlan {
--- a/crates/mustardhinge-bench/src/run/service_text.rs
+++ b/crates/mustardhinge-bench/src/run/service_text.rs
@@ -110,15 +110,22 @@
         let age_ms = self.profile.max_age.as_millis() + self.extra_age_ms;
         let age = format!("max_age_ms = {age_ms}");
         let routes = [
-            (CONFIRM_ROUTE, String::from("repeatable = true")),
-            (ORDER_ROUTE, String::new()),
-            (REASSIGN_ROUTE, String::new()),
-            (NEWEST_ROUTE, String::from("repeatable = true")),
-            (AGED_ROUTE, format!("repeatable = true\n{age}")),
-            (OPEN_ROUTE, format!("repeatable = true\nopen = true\n{age}")),
+            (CONFIRM_ROUTE, 0, String::from("repeatable = true")),
+            (ORDER_ROUTE, 0, String::new()),
+            (REASSIGN_ROUTE, 0, String::new()),
+            (NEWEST_ROUTE, 1, String::from("repeatable = true")),
+            (AGED_ROUTE, 2, format!("repeatable = true\n{age}")),
+            (
+                OPEN_ROUTE,
+                2,
+                format!("repeatable = true\nopen = true\n{age}"),
+            ),
         ];
-        for (name, flags) in routes {
+        for (name, priority, flags) in routes {
             writeln!(text, "[[route]]\nname = \"{name}\"\n{flags}")?;
+            if self.profile.has_priorities {
+                writeln!(text, "priority = {priority}")?;
+            }
         }
         Ok(())
     }
--- a/crates/mustardhinge-bench/tests/suite/policies.rs
+++ b/crates/mustardhinge-bench/tests/suite/policies.rs
@@ -2,7 +2,7 @@
 
 use mustardhinge_bench::model::{
     FairLine, FirstComeLine, LoadPattern, PlacementCase, PlacementFigures, PlacementPolicy,
-    run_all, run_placement, run_policy,
+    QueueCase, run_all, run_placement, run_policy, run_queues,
 };
 
 #[test]
@@ -109,3 +109,23 @@
         assert!(other_zone <= 0.3, "{free}");
     }
 }
+
+/// Guards against a highest priority that waits behind cheap floods or costly reads, a lowest one
+/// that starves, and customers within their rate that pay for others.
+#[test]
+fn the_priority_queue_serves_by_priority_and_starves_nobody() {
+    for case in QueueCase::ALL {
+        for seed in 0..5 {
+            let [fair, by_priority] = &run_queues(case, seed)[..] else {
+                panic!("two queues");
+            };
+            let shown = format!("seed {seed}\n{fair}\n{by_priority}");
+            assert_eq!(fair.offered(), by_priority.offered(), "{shown}");
+            assert!(by_priority.in_time(0) >= 0.98, "{shown}");
+            assert!(by_priority.in_time(0) >= fair.in_time(0), "{shown}");
+            assert!(by_priority.in_time(2) >= 1.0 / 16.0, "{shown}");
+            assert!(by_priority.late < fair.late, "{shown}");
+            assert!(by_priority.refused_late * 4 <= fair.refused_late, "{shown}");
+        }
+    }
+}
--- a/crates/mustardhinge-bench/tests/suite/whole_run.rs
+++ b/crates/mustardhinge-bench/tests/suite/whole_run.rs
@@ -13,6 +13,7 @@
         duration: Duration::from_secs(2),
         faults: Vec::new(),
         baseline: None,
+        priorities: false,
     };
     let outcome = BenchRun::new(plan).run().await.unwrap();
     assert_eq!(outcome.report.violations, []);
@@ -29,6 +30,7 @@
         duration: Duration::from_secs(8),
         faults: vec![FaultName::TargetLeaving],
         baseline: None,
+        priorities: false,
     };
     let outcome = BenchRun::new(plan).run().await.unwrap();
     assert_eq!(outcome.report.violations, []);
--- a/crates/mustardhinge-entry/tests/suite/priorities.rs
+++ b/crates/mustardhinge-entry/tests/suite/priorities.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusBuilder;
 use mustardhinge_config::document::ServiceDocument;
 use mustardhinge_core::prelude::*;
 use mustardhinge_core::queue::{CustomerWeight, WorkKind};
 use mustardhinge_entry::target::{PoolRefusal, PoolSettings, SlotRequest, TargetPool};
 use mustardhinge_fleet::SmallFleet;
 use mustardhinge_process::ProcessClock;
-use mustardhinge_standins::target::TargetServer;
+use mustardhinge_standins::target::{TargetHandle, TargetServer};
 use tokio::task::JoinSet;
 use tokio_postgres::Client;
 
-use super::cluster::{caller, connect, haulage, start};
+use super::cluster::{TEST_BOUND, caller, connect, haulage, start};
 
 /// Time of a statement at a target.
 const STATEMENT_TIME: Duration = Duration::from_millis(20);
@@ -119,37 +120,120 @@
     }
 }
 
-/// Guards against an opening time or a slot time that isn't measured: a second request of the lower
-/// priority is not expected to be sent in time while the higher one opens a slow connection.
+/// Starts a target, and a pool of one connection to it.
+async fn pool_of_one(opening: Duration, clock: ProcessClock) -> (TargetHandle, Arc<TargetPool>) {
+    let server = TargetServer::builder("t1").connection_delay(opening);
+    let server = server.start().await.unwrap();
+    let settings = PoolSettings::new("haulage").connect_timeout(TEST_BOUND);
+    let pool = TargetPool::new("t1".parse().unwrap(), server.address(), settings, clock);
+    (server, pool)
+}
+
+fn reason_of(refusal: PoolRefusal) -> (RefusalReason, Duration) {
+    match refusal {
+        PoolRefusal::Queue {
+            reason,
+            retry_after,
+        } => (reason, retry_after.get()),
+        other => panic!("{other}"),
+    }
+}
+
+/// Waits in the queue of a pool whose connection is in use, and returns what a second request comes
+/// to whose objective allows an expected wait of 300 ms.
+async fn second_in_queue(pool: &Arc<TargetPool>, clock: ProcessClock) -> RefusalReason {
+    let waiting = {
+        let pool = Arc::clone(pool);
+        let request = request(("seeb", 1), 20_000, clock);
+        tokio::spawn(async move { pool.acquire(&request).await.map(drop) })
+    };
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let refusal = pool.acquire(&request(("nizwa", 1), 400, clock)).await;
+    waiting.abort();
+    reason_of(refusal.unwrap_err()).0
+}
+
+/// Guards against an opening time that isn't measured or not counted as demand: little is left for
+/// lower priorities while a higher one opens slow connections.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_pool_measures_how_long_opening_a_connection_takes() {
-    let delay = Duration::from_millis(1_500);
-    let server = TargetServer::builder("t1")
-        .connection_delay(delay)
-        .start()
-        .await
-        .unwrap();
     let clock = ProcessClock::start();
-    let settings = PoolSettings::new("haulage").connect_timeout(delay * 4);
-    let pool = TargetPool::new("t1".parse().unwrap(), server.address(), settings, clock);
-    drop(
-        pool.acquire(&request(("seeb", 0), 20_000, clock))
-            .await
-            .unwrap(),
-    );
-    let mut opening = JoinSet::new();
-    for priority in [0, 1] {
+    let (_server, pool) = pool_of_one(Duration::from_millis(1_500), clock).await;
+    drop(pool.acquire(&request(("seeb", 0), 20_000, clock)).await);
+    let opening = {
         let pool = Arc::clone(&pool);
-        let request = request(("seeb", priority), 20_000, clock);
-        opening.spawn(async move { pool.acquire(&request).await.map(drop) });
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        let request = request(("seeb", 0), 20_000, clock);
+        tokio::spawn(async move { pool.acquire(&request).await.map(drop) })
+    };
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(
+        second_in_queue(&pool, clock).await,
+        RefusalReason::QueueFull
+    );
+    opening.abort();
+}
+
+/// Guards against costs that are not learned from the leases of a pool.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_pool_measures_how_long_work_takes() {
+    let clock = ProcessClock::start();
+    let (_server, pool) = pool_of_one(Duration::ZERO, clock).await;
+    for _ in 0..2 {
+        let lease = pool.acquire(&request(("seeb", 1), 20_000, clock)).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        lease.unwrap().release(clock.now());
     }
-    let refusal = pool
-        .acquire(&request(("nizwa", 1), 400, clock))
-        .await
-        .unwrap_err();
-    let PoolRefusal::Queue { reason, .. } = refusal else {
-        panic!("{refusal}");
+    let _lease = pool.acquire(&request(("seeb", 1), 20_000, clock)).await;
+    assert_eq!(
+        second_in_queue(&pool, clock).await,
+        RefusalReason::QueueFull
+    );
+}
+
+/// Guards against refusals and waits that operators can't see, also where priorities are the same,
+/// and against a retry delay that has nothing to do with the queue.
+#[tokio::test]
+async fn refusals_and_waits_are_counted_by_priority() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let clock = ProcessClock::start();
+    let (_server, pool) = pool_of_one(Duration::ZERO, clock).await;
+    let _lease = pool.acquire(&request(("seeb", 0), 20_000, clock)).await;
+    let (reason, retry_after) = {
+        let refused = pool.acquire(&request(("seeb", 1), 100, clock)).await;
+        reason_of(refused.unwrap_err())
     };
-    assert_eq!(reason, RefusalReason::QueueFull);
+    assert_eq!(reason, RefusalReason::DeadlinePassed);
+    assert!(retry_after < TEST_BOUND / 2, "{retry_after:?}");
+    let same = SlotRequest {
+        weight: None,
+        ..request(("seeb", 2), 100, clock)
+    };
+    reason_of(pool.acquire(&same).await.unwrap_err());
+    let text = recorder.handle().render();
+    let refusal = r#"mustardhinge_queue_refusals_total{priority="1",reason="deadline_passed"} 1"#;
+    assert!(text.contains(refusal), "{text}");
+    let wait = r#"mustardhinge_queue_wait_seconds_count{priority="0"} 1"#;
+    assert!(text.contains(wait), "{text}");
+    assert!(!text.contains(r#"priority="2""#), "{text}");
+}
+
+/// Guards against transactions whose length counts as the slot time of single writes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_transactions_leave_the_cost_of_writes_alone() {
+    let mut document = document(0, 1);
+    document.limits.statement_deadline_ms = 2_000;
+    let fleet = start_one(document).await;
+    let holder = connect(&caller(fleet.instances[0].address)).await.unwrap();
+    let begin = "/*route='reassign'*/ BEGIN";
+    holder.simple_query(begin).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    holder.simple_query("COMMIT").await.unwrap();
+    holder.simple_query(begin).await.unwrap();
+    let mut running = flood(&fleet, 3).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    holder.simple_query("COMMIT").await.unwrap();
+    while let Some(ended) = running.join_next().await {
+        ended.unwrap().unwrap();
+    }
 }
