--- a/crates/mustardhinge-core/src/queue/wait_limits.rs
+++ b/crates/mustardhinge-core/src/queue/wait_limits.rs
@@ -20,6 +20,10 @@
 /// let limits = WaitLimits::new(Duration::from_millis(400), cost, MonotonicTime::from_millis(0));
 /// assert_eq!(limits.admit_by, MonotonicTime::from_millis(300));
 /// assert_eq!(limits.deadline, MonotonicTime::from_millis(360));
+///
+/// let transaction = SlotCost::new(Duration::from_millis(900));
+/// let limits = WaitLimits::new(Duration::from_millis(400), transaction, limits.admit_by);
+/// assert_eq!(limits.deadline, MonotonicTime::from_millis(600));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitLimits {
--- a/crates/mustardhinge-entry/tests/suite/priorities.rs
+++ b/crates/mustardhinge-entry/tests/suite/priorities.rs
@@ -173,7 +173,8 @@
     opening.abort();
 }
 
-/// Guards against costs that are not learned from the leases of a pool.
+/// Guards against costs that are not learned from the leases of a pool, and against requests that
+/// wait until nothing of their deadline is left for their work.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_pool_measures_how_long_work_takes() {
     let clock = ProcessClock::start();
@@ -184,6 +185,10 @@
         lease.unwrap().release(clock.now());
     }
     let _lease = pool.acquire(&request(("seeb", 1), 20_000, clock)).await;
+    let single = request(("seeb", 1), 2_000, clock);
+    let refusal = pool.acquire(&single).await.unwrap_err();
+    assert_eq!(reason_of(refusal).0, RefusalReason::DeadlinePassed);
+    assert!(clock.now() < single.deadline);
     assert_eq!(
         second_in_queue(&pool, clock).await,
         RefusalReason::QueueFull
