--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -5,7 +5,7 @@
 use mustardhinge_core::queue::{
     CostEstimates, CustomerWeight, DepartureCause, FairQueue, PopOutcome, PriorityItem,
     PriorityQueue, PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow,
-    WaitingItem,
+    WaitLimits, WaitingItem,
 };
 use tokio::sync::oneshot;
 
@@ -259,14 +259,13 @@
     ) -> (PriorityItem<WaitingSession>, oneshot::Receiver<GrantResult>) {
         let (grant, granted) = oneshot::channel();
         let cost = self.cost_of(request, has_idle);
-        let slot_time = Duration::from_micros(cost.as_micros().into());
+        let limits = WaitLimits::new(request.wait, cost, now);
         let item = PriorityItem {
             customer: request.customer.clone(),
             weight,
             priority: request.priority,
-            admit_by: now + request.max_expected_wait(),
-            // The cost of a transaction covers more statements than the objective does.
-            deadline: now + request.wait.saturating_sub(slot_time.min(request.wait / 4)),
+            admit_by: limits.admit_by,
+            deadline: limits.deadline,
             cost,
             item: WaitingSession {
                 session: request.session,
