Pool shares of a customer's rate within a zone while there is no leader

Cause: without a leader, each instance admits its own share of a customer's rate.

Change: an isolated instance lends what it can't use to the pool of its zone, which the zone's relay keeps, and borrows whole operations from it (rate_limit::SharePool, ShareExchange; control::share_pooling). A new leader weights reported levels by the reporter's share. MESSAGE_FORMAT rises to 10: ShareDeposit, ShareLoan and two new fields of UsageReport.

--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -3,8 +3,8 @@
 
 use super::customer_allowance::{ISOLATED_AFTER, SHARE_VALIDITY};
 use super::{
-    AdmissionContext, AllowanceGrant, AllowanceSource, CustomerAllowance, CustomerRate,
-    RateRefusal, UsageReport,
+    AdmissionContext, AllowanceGrant, AllowanceSource, CustomerAllowance, CustomerDeposit,
+    CustomerRate, RateRefusal, ShareAmount, UsageReport,
 };
 use crate::ids::CustomerId;
 use crate::overload::OverloadControl;
@@ -18,6 +18,12 @@
 /// Time after the start of the process for which operations may wait for the first grant; a
 /// started instance usually finds the leader within half a second.
 const FIRST_GRANT_WINDOW: Duration = Duration::from_millis(1_500);
+/// Time without a response of the leader after which it is overdue: the interval between two
+/// requests and many round trips.
+const LEADER_OVERDUE_AFTER: Duration = Duration::from_millis(550);
+/// Time after a customer's last operation for which the instance keeps whole operations of it
+/// instead of lending them.
+const IDLE_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay for a customer that is not in the configuration.
 const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
 
@@ -53,6 +59,8 @@
             customer: customer.clone(),
             spent,
             last_fill: self.allowance.reported_fill(is_isolated),
+            granted_fill: self.allowance.granted_fill(),
+            share: self.allowance.reported_share(),
         }
     }
 
@@ -169,6 +177,73 @@
         }
     }
 
+    /// Returns whether this instance admits operations within its own share of the rates, under
+    /// overload control.
+    #[must_use]
+    pub fn uses_shares(&self, now: MonotonicTime) -> bool {
+        let has_waited = self.has_response || now >= self.started_at + FIRST_GRANT_WINDOW;
+        self.overload.is_on() && has_waited && now > self.last_response_at + ISOLATED_AFTER
+    }
+
+    /// Returns whether a response of the leader is overdue, so that this instance may keep the
+    /// share pool of its zone. Other instances may count as isolated a little earlier.
+    #[must_use]
+    pub fn is_leader_overdue(&self, now: MonotonicTime) -> bool {
+        self.overload.is_on() && now > self.last_response_at + LEADER_OVERDUE_AFTER
+    }
+
+    /// Takes what this instance can't use out of the buckets of all customers, to be lent to other
+    /// instances. Nothing is taken where it is less than `least`.
+    ///
+    /// The result is empty unless the instance [uses its shares](Self::uses_shares).
+    pub fn withdraw(
+        &mut self,
+        instances: usize,
+        least: ShareAmount,
+        now: MonotonicTime,
+    ) -> Vec<CustomerDeposit> {
+        if !self.uses_shares(now) {
+            return Vec::new();
+        }
+        let context = AdmissionContext {
+            overload: self.overload,
+            last_response_at: self.last_response_at,
+            instances,
+        };
+        let entries = self.entries.iter_mut();
+        let deposits = entries.filter_map(|(customer, entry)| {
+            let is_idle = now.saturating_since(entry.used_at) >= IDLE_AFTER;
+            let (amount, room) = entry.allowance.withdraw(context, (is_idle, least), now)?;
+            Some(CustomerDeposit {
+                customer: customer.clone(),
+                amount,
+                room,
+            })
+        });
+        deposits.collect()
+    }
+
+    /// Records how much of the deposits for these customers the share pool has accepted.
+    pub fn record_accepted<'a>(
+        &mut self,
+        accepted: impl IntoIterator<Item = (&'a CustomerId, ShareAmount)>,
+    ) {
+        for (customer, amount) in accepted {
+            if let Some(entry) = self.entries.get_mut(customer) {
+                entry.allowance.record_accepted(amount);
+            }
+        }
+    }
+
+    /// Adds operations borrowed from the share pool.
+    pub fn add_loans(&mut self, loans: &[(CustomerId, u32)]) {
+        for (customer, operations) in loans {
+            if let Some(entry) = self.entries.get_mut(customer) {
+                entry.allowance.add_loan(*operations);
+            }
+        }
+    }
+
     /// Returns the reports for a request to the leader at `now`: recently active customers whose
     /// count the leader has not acknowledged or whose allowance is exhausted.
     pub fn reports(&mut self, now: MonotonicTime) -> Vec<UsageReport> {
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use super::isolated_bucket::IsolatedBucket;
-use super::{AdmissionContext, AllowanceGrant, AllowanceSource, CustomerRate, RateRefusal};
+use super::{
+    AdmissionContext, AllowanceGrant, AllowanceSource, CustomerRate, RateRefusal, ShareAmount,
+};
 use crate::units::MonotonicTime;
 
 /// Time without a response of the leader after which an instance is isolated and admits
@@ -91,7 +93,7 @@
         };
         let unused = self.ceiling.saturating_sub(self.spent);
         // The value is small.
-        let used = bucket.used_by_all(unused, self.limits).ceil() as i64;
+        let used = bucket.used_by_all(unused).ceil() as i64;
         self.last_fill.map(|fill| fill - used)
     }
 
@@ -103,6 +105,24 @@
         self.last_fill().filter(|_| !is_unknown)
     }
 
+    /// Returns the level of the customer's bucket in the last grant.
+    #[must_use]
+    pub const fn granted_fill(&self) -> Option<i64> {
+        self.last_fill
+    }
+
+    /// Returns the share of the rate that [`last_fill`](Self::last_fill) was extrapolated from, in
+    /// millionths.
+    #[must_use]
+    pub fn reported_share(&self) -> u32 {
+        let share = self
+            .isolated
+            .as_ref()
+            .map_or(self.share, IsolatedBucket::share);
+        // The share is at most one.
+        (share * 1_000_000.0) as u32
+    }
+
     /// Expires the share of the rate, which an earlier leader granted.
     pub const fn expire_share(&mut self, now: MonotonicTime) {
         self.share_until = now;
@@ -164,24 +184,58 @@
         instances: usize,
         isolated_at: MonotonicTime,
         now: MonotonicTime,
-    ) {
+    ) -> &mut IsolatedBucket {
         let is_valid = now < self.share_until;
         let share = self.current_share(instances, now);
-        if let Some(bucket) = &mut self.isolated {
-            bucket.set_share(share);
-            return;
-        }
         // Buckets hold far less than the exact range of the type.
         let level = self.last_fill.filter(|_| is_valid).map(|fill| fill as f64);
         let usable = level.map_or(0.0, |level| self.limits.usable(level));
         // A process without a grant refills from its start.
         let refilled_at = isolated_at.max(self.isolated_refilled_at);
-        self.isolated = Some(IsolatedBucket::new(
-            share,
-            usable,
-            self.granted,
-            refilled_at,
-        ));
+        let granted = self.granted;
+        let bucket = self
+            .isolated
+            .get_or_insert_with(|| IsolatedBucket::new(share, usable, granted, refilled_at));
+        bucket.set_share(share);
+        bucket
+    }
+
+    /// Takes what the instance can't use out of the bucket of an isolated instance, and returns it
+    /// with how much the share pool may hold for this bucket. `is_idle` says that the customer has
+    /// no operations here. Takes nothing if that is less than `least`.
+    pub(super) fn withdraw(
+        &mut self,
+        context: AdmissionContext,
+        (is_idle, least): (bool, ShareAmount),
+        now: MonotonicTime,
+    ) -> Option<(ShareAmount, ShareAmount)> {
+        let isolated_at = context.last_response_at + ISOLATED_AFTER;
+        let limits = self.limits;
+        let unused = self.ceiling.saturating_sub(self.spent);
+        let bucket = self.begin_isolation(context.instances, isolated_at, now);
+        if is_idle {
+            bucket.add_unused(unused);
+        }
+        let amount = bucket.withdraw(limits, (is_idle, least), isolated_at, now);
+        let room = bucket.room(limits);
+        if is_idle {
+            self.spent += unused;
+        }
+        Some((amount?, room))
+    }
+
+    /// Records how much of a deposit the share pool has accepted.
+    pub(super) const fn record_accepted(&mut self, amount: ShareAmount) {
+        if let Some(bucket) = &mut self.isolated {
+            bucket.record_accepted(amount);
+        }
+    }
+
+    /// Adds operations borrowed from the share pool.
+    pub(super) fn add_loan(&mut self, operations: u32) {
+        if let Some(bucket) = &mut self.isolated {
+            bucket.add_loan(operations);
+        }
     }
 
     fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
--- a/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
+++ b/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
@@ -122,7 +122,7 @@
         let rate = limits.rate * bucket.reachable_share(unreachable, instances, now);
         bucket.refill(rate, limits.burst, now);
         if overload.is_on() {
-            bucket.add_reported_fill(instance, report.last_fill, limits, now);
+            bucket.add_reported_fill(instance, report, limits, now);
         } else {
             bucket.recover_fill(instance, report.last_fill, now);
         }
@@ -186,15 +186,17 @@
     fn add_reported_fill(
         &mut self,
         instance: &InstanceId,
-        last_fill: Option<i64>,
+        report: &UsageReport,
         limits: CustomerRate,
         now: MonotonicTime,
     ) {
         let is_new = !self.usage.contains_key(instance);
         let is_recovering = now.saturating_since(self.created_at) < RECOVERY_TIME;
-        if let Some(fill) = last_fill.filter(|_| is_new && is_recovering) {
+        if let Some(fill) = report.last_fill.filter(|_| is_new && is_recovering) {
+            let share = f64::from(report.share) / 1_000_000.0;
             // Buckets hold far less than the exact range of the type.
-            self.fill += self.recovery.add(fill as f64, limits);
+            let fills = (fill as f64, report.granted_fill.unwrap_or(fill) as f64);
+            self.fill += self.recovery.add(fills, share, limits);
         }
     }
 
--- a/crates/mustardhinge-core/src/rate_limit/usage_report.rs
+++ b/crates/mustardhinge-core/src/rate_limit/usage_report.rs
@@ -15,4 +15,9 @@
     /// The level of the customer's bucket in the last grant; a new leader continues from it.
     #[serde(rename = "told_fill")]
     pub last_fill: Option<i64>,
+    /// The same level without what was used since the instance is isolated.
+    pub granted_fill: Option<i64>,
+    /// The share of the rate that the instance may use while it is isolated, in millionths; the
+    /// weight of its level.
+    pub share: u32,
 }
--- a/crates/mustardhinge-core/tests/suite/rate_limit.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_limit.rs
@@ -268,6 +268,8 @@
         customer: customer(),
         spent,
         last_fill: None,
+        granted_fill: None,
+        share: 0,
     };
     limiter.grant((&id, 1), &report(0), LARGE, at(0));
     let grant = limiter.grant((&id, 1), &report(200), LARGE, at(0));
@@ -285,6 +287,8 @@
         customer: customer(),
         spent: 50_000,
         last_fill: None,
+        granted_fill: None,
+        share: 0,
     };
     let grant = limiter.grant((&id, 1), &report, LARGE, at(0));
     assert!(grant.ceiling > 50_000);
@@ -410,6 +414,8 @@
         customer: customer(),
         spent,
         last_fill: None,
+        granted_fill: None,
+        share: 0,
     };
     for (index, id) in (0..).zip(&ids) {
         limiter.record_request(id, ids.len(), at(index % 500));
@@ -447,6 +453,8 @@
         customer: customer(),
         spent,
         last_fill: None,
+        granted_fill: None,
+        share: 0,
     };
     let mut spent = 0;
     for step in 0..20 {
@@ -539,6 +547,8 @@
                 customer: customer.clone(),
                 spent: round,
                 last_fill: None,
+                granted_fill: None,
+                share: 0,
             };
             limiter.grant((&requester, 1), &report, limits, now);
         }
--- a/crates/mustardhinge-core/tests/suite/rate_replay/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/mod.rs
@@ -3,6 +3,7 @@
 
 mod replay_customer;
 mod replay_fleet;
+mod replay_zone;
 
 use mustardhinge_core::overload::OverloadControl;
 use mustardhinge_core::prelude::MonotonicTime;
--- a/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::replay_customer::ReplayCustomer;
+use super::replay_zone::{ReplayZones, WaitingOperation};
 use super::{INSTANCES, STEP, at};
 
 /// Interval between regular requests, in milliseconds.
@@ -31,8 +32,8 @@
     first_answer_at: u64,
     /// The leader that this process knows.
     fence: Option<u64>,
-    /// The customers of the operations that wait for a grant, and when they arrived.
-    waiting: Vec<(usize, u64)>,
+    /// The operations that wait for a grant or a loan.
+    waiting: Vec<WaitingOperation>,
 }
 
 /// The fleet.
@@ -45,6 +46,8 @@
     leader_from: u64,
     /// Part of the messages that are lost.
     pub(super) loss: f64,
+    /// The share pools of the zones.
+    pub(super) zones: ReplayZones,
     pub(super) random: SmallRng,
     overload: OverloadControl,
     pub(super) now: u64,
@@ -78,6 +81,7 @@
             fence: 1,
             leader_from: 0,
             loss: 0.0,
+            zones: ReplayZones::new(seed),
             random,
             overload,
             now: 0,
@@ -106,11 +110,16 @@
         instance.first_answer_at = starts_at + first_answer;
         instance.fence = None;
         instance.waiting.clear();
+        self.zones.restart(index, instance.incarnation);
     }
 
     /// Runs until `to`. Customer `c` sends `times(c)` times its usual demand.
     pub(super) fn run(&mut self, to: u64, times: impl Fn(usize) -> f64) {
         while self.now < to {
+            self.exchange_shares(ReplayZones::deliver);
+            for index in self.zones.take_requesters() {
+                self.request(index);
+            }
             for index in 0..INSTANCES {
                 self.request_if_due(index);
                 self.serve_waiting(index);
@@ -121,6 +130,7 @@
                     self.arrive(customer);
                 }
             }
+            self.exchange_shares(ReplayZones::exchange);
             self.now += STEP;
         }
     }
@@ -135,11 +145,16 @@
             }
         }
         let index = self.customers[customer].callers[caller];
-        self.operate(index, customer, self.now);
+        self.operate(index, WaitingOperation::new(customer, self.now));
     }
 
-    fn operate(&mut self, index: usize, customer: usize, arrived_at: u64) {
+    fn operate(&mut self, index: usize, operation: WaitingOperation) {
         let now = self.now;
+        let WaitingOperation {
+            customer,
+            arrived_at,
+            ..
+        } = operation;
         for attempt in 0..2 {
             let id = &self.customers[customer].id;
             let admitted = self.instances[index]
@@ -148,12 +163,13 @@
             match admitted {
                 Ok(_) => return self.customers[customer].admitted.push(now),
                 Err(RateRefusal::AwaitFirstGrant(_)) if now < arrived_at + FIRST_GRANT_WAIT => {
-                    return self.instances[index].waiting.push((customer, arrived_at));
+                    return self.instances[index].waiting.push(operation);
                 }
                 Err(RateRefusal::RequestMore) if attempt == 0 => self.request(index),
                 Err(RateRefusal::RequestMore) if self.waits_for_isolation(index, arrived_at) => {
-                    return self.instances[index].waiting.push((customer, arrived_at));
+                    return self.instances[index].waiting.push(operation);
                 }
+                Err(RateRefusal::Exhausted(_)) if self.waits_for_loan(index, operation) => return,
                 Err(_) => break,
             }
         }
@@ -172,10 +188,35 @@
         self.overload.is_on() && self.now + left < arrived_at + ISOLATION_WAIT
     }
 
+    /// Lets an operation wait for the response of its zone's share pool, if it may.
+    fn waits_for_loan(&mut self, index: usize, mut operation: WaitingOperation) -> bool {
+        let instance = &mut self.instances[index];
+        let id = &self.customers[operation.customer].id;
+        let waits = instance.table.uses_shares(at(self.now + 5))
+            && self.zones.request_loan(index, id, &mut operation, self.now);
+        if waits {
+            instance.waiting.push(operation);
+        }
+        waits
+    }
+
     fn serve_waiting(&mut self, index: usize) {
-        for (customer, arrived_at) in std::mem::take(&mut self.instances[index].waiting) {
-            self.operate(index, customer, arrived_at);
+        for operation in std::mem::take(&mut self.instances[index].waiting) {
+            self.operate(index, operation);
+        }
+    }
+
+    fn exchange_shares(
+        &mut self,
+        exchange: impl Fn(&mut ReplayZones, &mut [&mut AllowanceTable], &[u64], u64),
+    ) {
+        if !self.overload.is_on() {
+            return;
         }
+        let starts: Vec<_> = self.instances.iter().map(|one| one.starts_at).collect();
+        let tables = self.instances.iter_mut().map(|one| &mut one.table);
+        let mut tables: Vec<_> = tables.collect();
+        exchange(&mut self.zones, &mut tables, &starts, self.now);
     }
 
     fn request_if_due(&mut self, index: usize) {
@@ -219,6 +260,8 @@
             instance.table.resend_all();
         }
         instance.table.apply_grants(&grants, at(now), at(now + 4));
+        let is_started = |other: usize| self.instances[other].starts_at <= now;
+        self.zones.record_grant(index, is_started);
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -10,7 +10,7 @@
 use mustardhinge_core::primary_lease::{
     GroupLeases, LeaderRecord, LeaseGrant, PromotionOrders, RecordRevision, StoreEra,
 };
-use mustardhinge_core::rate_limit::RateLimiter;
+use mustardhinge_core::rate_limit::{RateLimiter, SharePool};
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore};
@@ -56,6 +56,8 @@
     pub promotion_orders: RefCell<HashMap<ServiceId, PromotionOrders>>,
     /// The leader's limiter of the customers' rates.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// The shares that the isolated instances of the zone lend each other, if this one keeps them.
+    pub share_pool: RefCell<SharePool>,
     /// The instances from which a message was received.
     pub instances: RefCell<InstanceRoster>,
     /// The leader's table of gateways.
@@ -128,6 +130,7 @@
             records: RefCell::default(),
             promotion_orders: RefCell::default(),
             rate_limiter: RefCell::default(),
+            share_pool: RefCell::new(SharePool::new(incarnation)),
             instances: RefCell::default(),
             gateways: RefCell::default(),
             gateways_built: Cell::new(None),
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -11,6 +11,7 @@
 use mustardhinge_process::event;
 
 use super::record_restore::record_report_answer;
+use super::share_pooling::end_share_pool;
 use super::{
     AllowanceResponse, ControlState, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
     StopMessage,
@@ -59,6 +60,7 @@
     node.allowances
         .borrow_mut()
         .apply_grants(&grant.allowances, requested_at, now);
+    end_share_pool(control);
     node.allowances_changed.notify_waiters();
     node.set_instances(grant.instances, grant.index);
     if let Some(update) = &grant.gateways {
@@ -171,6 +173,7 @@
     node.allowances
         .borrow_mut()
         .apply_grants(&response.allowances, requested_at, now);
+    end_share_pool(control);
     node.allowances_changed.notify_waiters();
 }
 
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod primary_change;
 mod record_restore;
 mod schedule;
+mod share_pooling;
 mod state_relay;
 mod target_feed;
 
@@ -29,8 +30,9 @@
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
     AllowanceRequest, AllowanceResponse, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
-    GroupReport, LeaderHint, LeaseRequest, PeerMessage, StopMessage,
+    GroupReport, LeaderHint, LeaseRequest, PeerMessage, ShareDepositMessage, StopMessage,
 };
 pub use plan_feed::follow_plan;
+pub use share_pooling::exchange_shares;
 pub use state_relay::{RelayedState, serve_relay};
 pub use target_feed::follow_targets;
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -11,6 +11,7 @@
 };
 use super::leader_responses::{handle_allowance_request, handle_lease_request};
 use super::record_restore::epochs_to_report;
+use super::share_pooling::{handle_share_deposit, handle_share_loan};
 use super::{
     AllowanceRequest, ControlState, GroupReport, LeaderHint, LeaseRequest, PeerMessage, StopMessage,
 };
@@ -73,6 +74,8 @@
         PeerMessage::LeaderHint(hint) => handle_leader_hint(control, &hint, from),
         PeerMessage::WhoLeads(address) => reply_with_leader(control, address),
         PeerMessage::Gateways(update) => control.node.adopt_gateways(&update),
+        PeerMessage::ShareDeposit(message) => handle_share_deposit(control, &message),
+        PeerMessage::ShareLoan(loan) => handle_share_loan(control, &loan),
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -8,13 +8,13 @@
 use mustardhinge_core::primary_lease::{
     EpochDigest, GroupEpoch, LeaderRecord, LeaseGrant, PrimaryEvidence, RecordRevision,
 };
-use mustardhinge_core::rate_limit::{AllowanceGrant, UsageReport};
+use mustardhinge_core::rate_limit::{AllowanceGrant, ShareDeposit, ShareLoan, UsageReport};
 use serde::{Deserialize, Serialize};
 
 use crate::plan::TargetsDigest;
 
 /// Version of the message format. Instances ignore messages of another version.
-const MESSAGE_FORMAT: u8 = 9;
+const MESSAGE_FORMAT: u8 = 10;
 
 /// A message between instances, sent as one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +39,10 @@
     WhoLeads(SocketAddr),
     /// The leader's assignment of gateways.
     Gateways(GatewayUpdate),
+    /// Lends shares to the pool of the sender's zone and requests operations from it.
+    ShareDeposit(ShareDepositMessage),
+    /// The pool's response to a [`ShareDeposit`](Self::ShareDeposit).
+    ShareLoan(ShareLoan),
 }
 
 impl PeerMessage {
@@ -253,3 +257,12 @@
     /// The version of the sender's configuration.
     pub plan_version: DocumentVersion,
 }
+
+/// A message to the share pool of the sender's zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareDepositMessage {
+    /// The address for the response.
+    pub address: SocketAddr,
+    /// The deposits and requests.
+    pub deposit: ShareDeposit,
+}
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -11,8 +11,8 @@
 use super::{DrainPhase, NodeSettings, NodeState};
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::control::{
-    ControlState, follow_evacuations, follow_plan, follow_targets, release_leadership, run_control,
-    serve_peers, serve_relay,
+    ControlState, exchange_shares, follow_evacuations, follow_plan, follow_targets,
+    release_leadership, run_control, serve_peers, serve_relay,
 };
 use crate::session::CallerSession;
 
@@ -87,6 +87,7 @@
         spawn_local(follow_evacuations(Rc::clone(control)));
         spawn_local(run_control::<W, P>(Rc::clone(control)));
         spawn_local(serve_peers(Rc::clone(control)));
+        spawn_local(exchange_shares(Rc::clone(control)));
         if let Some(relay) = self.relay.take() {
             spawn_local(serve_relay::<W, P>(Rc::clone(control), relay));
         }
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -11,7 +11,7 @@
 use mustardhinge_core::primary_lease::{
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
 };
-use mustardhinge_core::rate_limit::AllowanceTable;
+use mustardhinge_core::rate_limit::{AllowanceTable, ShareExchange};
 use mustardhinge_process::{BootClock, event};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -47,6 +47,10 @@
     pub allowances_changed: Notify,
     /// Wakes the control task to request more allowance from the leader.
     pub allowance_request_due: Notify,
+    /// Its exchange with the share pool of its zone while it is isolated.
+    pub share_exchange: RefCell<ShareExchange>,
+    /// Wakes the task that requests loans from the share pool.
+    pub share_loan_due: Notify,
     /// Wakes the control task to report changes on this instance in a request to the leader.
     pub leader_request_due: Notify,
     /// Its part in the election of the leader, which replaces primaries.
@@ -91,6 +95,7 @@
     pub fn new(settings: NodeSettings, election: LeaderElection, incarnation: u64) -> Self {
         let overload_switch =
             OverloadSwitch::new(settings.requests_overload_control, settings.zones.clone());
+        let share_exchange = ShareExchange::new(settings.instance.clone(), incarnation);
         Self {
             placement_rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: GatewayPeers::new(settings.peer_address, incarnation),
@@ -105,6 +110,8 @@
             allowances: RefCell::new(AllowanceTable::starting_at(BootClock.now())),
             allowances_changed: Notify::new(),
             allowance_request_due: Notify::new(),
+            share_exchange: RefCell::new(share_exchange),
+            share_loan_due: Notify::new(),
             leader_request_due: Notify::new(),
             election: RefCell::new(election),
             lease_settings: LeaseSettings::default(),
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
-use mustardhinge_core::rate_limit::{AllowanceSource, RateRefusal};
+use mustardhinge_core::rate_limit::{AllowanceSource, LoanTicket, RateRefusal};
 use tokio::time::timeout;
 
 use super::{SessionAccess, SessionRequest, StatementResponse};
@@ -25,12 +25,15 @@
         return Ok(None);
     }
     let mut waiting_since = None;
+    let mut loan = None;
     loop {
         let now = node.clock.now();
         let (admitted, until_isolated) = try_admit(node, request, now);
         let (wait, retry_after) = match admitted {
             Ok(source) => return Ok(Some(source)),
-            Err(RateRefusal::Exhausted(retry_after)) => (None, retry_after),
+            Err(RateRefusal::Exhausted(retry_after)) => {
+                (loan_wait(node, request, &mut loan, now), retry_after)
+            }
             Err(RateRefusal::AwaitFirstGrant(left)) => (first_grant_wait(request, left, now), left),
             Err(RateRefusal::RequestMore) => {
                 // The wait for the first grant doesn't count.
@@ -115,6 +118,33 @@
     Some(rest.min(left))
 }
 
+/// Returns how long an operation on an isolated instance waits for a loan of the share pool of the
+/// zone, and requests one unless a request is pending. `loan` keeps the request and until when the
+/// operation waits.
+fn loan_wait(
+    node: &NodeState,
+    request: &SessionRequest,
+    loan: &mut Option<(LoanTicket, MonotonicTime)>,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    if !node.allowances.borrow().uses_shares(now) {
+        return None;
+    }
+    let until = loan.map_or(now + ALLOWANCE_TIMEOUT, |(_, until)| until);
+    let rest = until.saturating_since(now);
+    if rest.is_zero() {
+        return None;
+    }
+    let mut exchange = node.share_exchange.borrow_mut();
+    let pending = loan.filter(|(ticket, _)| exchange.is_pending(*ticket));
+    if pending.is_none() {
+        let ticket = exchange.request(&request.customer, now)?;
+        *loan = Some((ticket, until));
+        node.share_loan_due.notify_one();
+    }
+    Some(rest)
+}
+
 /// Returns how long an operation waits until the instance counts as isolated, if it can still
 /// meet its objective then.
 fn isolation_wait(
