--- a/crates/mustardhinge-core/src/rate_limit/share_exchange.rs
+++ b/crates/mustardhinge-core/src/rate_limit/share_exchange.rs
@@ -112,6 +112,8 @@
         let has_expired = self.in_flight_since.is_some_and(is_lost);
         if has_expired {
             self.in_flight_since = None;
+            // The next message only finds out whether the pool responds.
+            self.term = None;
             self.lost += 1;
             self.paused_until = now + DEPOSIT_PAUSE;
         }
@@ -135,13 +137,13 @@
             Some(_) if is_due => self.withdraw(table, instances, now),
             _ => Vec::new(),
         };
+        if is_due && self.term.is_some() {
+            self.deposited_at = now;
+        }
         let has_content = !deposits.is_empty() || !self.requests.is_empty();
         if !has_content && (self.term.is_some() || !is_due) {
             return None;
         }
-        if is_due && self.term.is_some() {
-            self.deposited_at = now;
-        }
         let customers = deposits.iter().map(|deposit| deposit.customer.clone());
         self.deposited = customers.collect();
         self.requested = std::mem::take(&mut self.requests);
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -31,5 +31,6 @@
 mod retry;
 mod routing;
 mod safety;
+mod share_pool;
 mod spread;
 mod units;
--- a/crates/mustardhinge-core/tests/suite/rate_replay/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/mod.rs
@@ -1,6 +1,7 @@
 //! Replay of the rates of a deployment with 77 instances and 81 customers while leaders are lost
 //! and instances restart.
 
+mod pool_failures;
 mod replay_customer;
 mod replay_fleet;
 mod replay_zone;
--- a/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/replay_fleet.rs
@@ -46,6 +46,8 @@
     leader_from: u64,
     /// Part of the messages that are lost.
     pub(super) loss: f64,
+    /// Instances that the leader doesn't answer.
+    pub(super) cut_from_leader: Vec<usize>,
     /// The share pools of the zones.
     pub(super) zones: ReplayZones,
     pub(super) random: SmallRng,
@@ -81,6 +83,7 @@
             fence: 1,
             leader_from: 0,
             loss: 0.0,
+            cut_from_leader: Vec::new(),
             zones: ReplayZones::new(seed),
             random,
             overload,
@@ -236,7 +239,8 @@
         let instance = &mut self.instances[index];
         instance.requested_at = now;
         let reports = instance.table.reports(at(now));
-        let is_answered = now >= self.leader_from.max(instance.first_answer_at);
+        let is_answered = now >= self.leader_from.max(instance.first_answer_at)
+            && !self.cut_from_leader.contains(&index);
         if !is_answered || self.random.random_bool(self.loss) {
             return;
         }
--- a/crates/mustardhinge-core/tests/suite/rate_replay/replay_zone.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/replay_zone.rs
@@ -10,7 +10,7 @@
 use super::{INSTANCES, at};
 
 /// Number of zones.
-const ZONES: usize = 3;
+pub(super) const ZONES: usize = 3;
 /// Time that an operation may wait for a loan, in milliseconds.
 const LOAN_WAIT: u64 = 30;
 /// Time that a message is on its way, in milliseconds; more than between zones.
