Keep the share pool of a zone on an instance other than the leader

Losing the leader would have cost that zone its pool, just when it is needed.

Change: the grant names the keeper (GrantMessage::pool_keeper, last field): the first responsive instance of the zone other than the leader.

--- a/crates/mustardhinge-core/src/membership/instance_roster.rs
+++ b/crates/mustardhinge-core/src/membership/instance_roster.rs
@@ -47,6 +47,8 @@
     entries: BTreeMap<InstanceId, RosterEntry>,
     indices: HashMap<InstanceId, usize>,
     relays: HashMap<ZoneId, (InstanceId, SocketAddr)>,
+    /// The instance of each zone that keeps its share pool.
+    pool_keepers: HashMap<ZoneId, (InstanceId, SocketAddr)>,
     refreshed_at: Option<MonotonicTime>,
 }
 
@@ -78,12 +80,20 @@
             can_relay: entry.can_relay,
             is_leader: instance == leader,
         });
-        let relays = RelayChoice::choose(candidates, now).into_iter();
-        let relays = relays.map(|(zone, instance)| {
+        // The pool is needed when the leader is lost, and needs no store.
+        let others = candidates.clone().filter(|candidate| !candidate.is_leader);
+        let keepers = others.map(|candidate| RelayCandidate {
+            can_relay: true,
+            ..candidate
+        });
+        let with_address = |(zone, instance): (&ZoneId, &InstanceId)| {
             let address = self.entries[instance].address;
             (zone.clone(), (instance.clone(), address))
-        });
-        self.relays = relays.collect();
+        };
+        let pool_keepers = RelayChoice::choose(keepers, now);
+        let relays = RelayChoice::choose(candidates, now);
+        self.pool_keepers = pool_keepers.into_iter().map(with_address).collect();
+        self.relays = relays.into_iter().map(with_address).collect();
     }
 
     /// Returns the number of instances at the last refresh.
@@ -108,6 +118,15 @@
         (relay != requester).then_some(*address)
     }
 
+    /// Returns the address of the instance that keeps the share pool for the instance `requester`
+    /// of `zone`, or `None` if it keeps a pool itself. It is not the leader if the zone has
+    /// another responsive instance.
+    #[must_use]
+    pub fn pool_keeper_for(&self, requester: &InstanceId, zone: &ZoneId) -> Option<SocketAddr> {
+        let (keeper, address) = self.pool_keepers.get(zone)?;
+        (keeper != requester).then_some(*address)
+    }
+
     /// Chooses the leader's voters, keeping the `present` ones where possible.
     #[must_use]
     pub fn voters(&self, present: &[Voter], now: MonotonicTime) -> Vec<Voter> {
--- a/crates/mustardhinge-core/tests/suite/membership.rs
+++ b/crates/mustardhinge-core/tests/suite/membership.rs
@@ -231,3 +231,20 @@
         "a changed list resets the backoff"
     );
 }
+
+/// Guards against a share pool that is lost together with the leader, when it is needed.
+#[test]
+fn the_leader_keeps_the_share_pool_only_if_it_is_alone() {
+    let mut roster = InstanceRoster::default();
+    let ids = instances(3);
+    let zone: ZoneId = "a".parse().unwrap();
+    roster.record(&ids[0], entry("a", at(0)));
+    roster.refresh(&ids[0], at(0));
+    assert_eq!(roster.pool_keeper_for(&ids[0], &zone), None);
+    for id in &ids {
+        roster.record(id, entry("a", at(100)));
+    }
+    roster.refresh(&ids[0], at(100));
+    let keeps = |id| roster.pool_keeper_for(id, &zone).is_none();
+    assert!(!keeps(&ids[0]) && keeps(&ids[1]) && !keeps(&ids[2]));
+}
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -58,6 +58,9 @@
     pub rate_limiter: RefCell<RateLimiter>,
     /// The shares that the isolated instances of the zone lend each other, if this one keeps them.
     pub share_pool: RefCell<SharePool>,
+    /// The instance that keeps the share pool of the zone according to the last grant; none if it
+    /// is this one.
+    pub pool_keeper: Cell<Option<SocketAddr>>,
     /// The instances from which a message was received.
     pub instances: RefCell<InstanceRoster>,
     /// The leader's table of gateways.
@@ -131,6 +134,7 @@
             promotion_orders: RefCell::default(),
             rate_limiter: RefCell::default(),
             share_pool: RefCell::new(SharePool::new(incarnation)),
+            pool_keeper: Cell::new(None),
             instances: RefCell::default(),
             gateways: RefCell::default(),
             gateways_built: Cell::new(None),
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -70,6 +70,7 @@
         node.record_lease(now);
     }
     control.record_grant(grant.relay, now);
+    control.pool_keeper.set(grant.pool_keeper);
     let source = grant.relay.unwrap_or(grant.record.address);
     check_plan_version(control, grant.plan_version, source, now);
     check_evacuations(control, &grant.evacuations, source, now);
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -52,6 +52,7 @@
         targets: node.targets_digest(),
         gateways: control.gateways.borrow().update_since(request.gateways),
         evacuations: node.evacuation_version(),
+        pool_keeper: roster.pool_keeper_for(&request.from, &request.zone),
     })
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -179,6 +179,9 @@
     pub gateways: Option<GatewayUpdate>,
     /// The version of the leader's set of evacuated zones.
     pub evacuations: EvacuationVersion,
+    /// The instance that keeps the share pool of the requester's zone; none if that is the
+    /// requester.
+    pub pool_keeper: Option<SocketAddr>,
 }
 
 /// The leases on the groups' primaries for one instance.
--- a/crates/mustardhinge-resident/src/control/share_pooling.rs
+++ b/crates/mustardhinge-resident/src/control/share_pooling.rs
@@ -69,7 +69,7 @@
 /// Sends a message to the instance that keeps the pool, or handles it if that is this instance.
 fn send_deposit<P>(control: &ControlState<P>, deposit: ShareDeposit, now: MonotonicTime) {
     let own = control.node.settings.peer_address;
-    match control.relay.get().filter(|keeper| *keeper != own) {
+    match control.pool_keeper.get().filter(|keeper| *keeper != own) {
         Some(keeper) => {
             let message = ShareDepositMessage {
                 address: own,
