--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -35,6 +35,7 @@
 mod retry_replay;
 mod routing;
 mod safety;
+mod share_pool;
 mod spread;
 mod state_transfer;
 mod units;
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -2,7 +2,7 @@
 
 use mustardhinge_core::overload::OverloadControl;
 use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
-use mustardhinge_core::rate_limit::{AllowanceSource, LeaderDelays, RateRefusal};
+use mustardhinge_core::rate_limit::{AllowanceSource, LeaderDelays, LoanTicket, RateRefusal};
 use tokio::time::timeout;
 
 use super::{SessionAccess, SessionRequest, StatementResponse};
@@ -26,6 +26,7 @@
         return Ok(None);
     }
     let mut waiting_since = None;
+    let mut loan = None;
     loop {
         let now = node.clock.now();
         let (admitted, leader) = try_admit(node, request, now);
@@ -37,7 +38,12 @@
                 if refusal == RateRefusal::RequestMore && decided.0.is_some() {
                     node.allowance_request_due.notify_one();
                 }
-                decided
+                match refusal {
+                    RateRefusal::Exhausted(_) => {
+                        (loan_wait(node, request, &mut loan, now), decided.1)
+                    }
+                    _ => decided,
+                }
             }
         };
         let Some(wait) = wait else {
@@ -138,6 +144,33 @@
     Some(rest.min(left))
 }
 
+/// Returns how long an operation on an isolated instance waits for a loan of the share pool of the
+/// zone, and requests one unless a request is pending. `loan` keeps the request and until when the
+/// operation waits.
+fn loan_wait(
+    node: &NodeState,
+    request: &SessionRequest,
+    loan: &mut Option<(LoanTicket, MonotonicTime)>,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    if !node.allowances.borrow().uses_shares(now) {
+        return None;
+    }
+    let until = loan.map_or(now + ALLOWANCE_TIMEOUT, |(_, until)| until);
+    let rest = until.saturating_since(now);
+    if rest.is_zero() {
+        return None;
+    }
+    let mut exchange = node.share_exchange.borrow_mut();
+    let pending = loan.filter(|(ticket, _)| exchange.is_pending(*ticket));
+    if pending.is_none() {
+        let ticket = exchange.request(&request.customer, now)?;
+        *loan = Some((ticket, until));
+        node.share_loan_due.notify_one();
+    }
+    Some(rest)
+}
+
 /// Returns how long an operation waits until the instance counts as isolated, if it can still
 /// meet its objective then.
 fn isolation_wait(
