--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{LeaderTerm, MonotonicTime, ServiceId, TargetId};
-use mustardhinge_core::primary_lease::{GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, StoreEra};
+use mustardhinge_core::primary_lease::{
+    GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, RecordRevision, StoreEra,
+};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -171,8 +173,11 @@
         .as_ref()
         .is_some_and(|(revision, record)| record.era >= revision.era());
     let now = control.node.clock.now();
-    if is_restored || !control.node.election.borrow().may_grant(now) {
-        return is_restored;
+    if is_restored {
+        return copy.is_some_and(|copy| keep_own_record(control, copy));
+    }
+    if !control.node.election.borrow().may_grant(now) {
+        return false;
     }
     match copy {
         Some(copy) => control.records.borrow_mut().insert(service.clone(), copy),
@@ -181,3 +186,25 @@
     let record = NewGroupRecord::confirmed(leases.epoch(), leases.primary(), leases.term());
     write_group_record(control, service, record).await
 }
+
+/// Keeps a stored record that this leader has written itself, by a call whose response was lost.
+/// Returns whether it has. Another leader's record is read again later, since this leader is about
+/// to learn that it was replaced.
+fn keep_own_record<P>(
+    control: &ControlState<P>,
+    (revision, record): (RecordRevision, GroupRecord),
+) -> bool {
+    let own_fence = {
+        let election = control.node.election.borrow();
+        election.held_record().map(|(held, _, _)| held.fence)
+    };
+    let is_own = own_fence == Some(record.fence);
+    if is_own {
+        let service = record.service.clone();
+        control
+            .records
+            .borrow_mut()
+            .insert(service, (revision, record));
+    }
+    is_own
+}
