Keep evacuations that a restored store lacks, and the newest era in the product

Cause: an evacuation written after the copy from which the store was restored ended at once, and work went back to the zone, although operators write lost objects again within two seconds. The newest era of the store and the refusal of earlier ones were kept in the adapter.

Change: `EvacuatedZones` keeps a zone that is missing from a list of a later era in force for 2.5 s, on each instance for itself; the version of a set stays that of the store's list, so fetches between instances are as before. A failed call starts the time again. The platform trait has `store_eras` instead of two methods to implement.

--- /dev/null
+++ b/crates/mustardhinge-core/src/evacuation/missing_evacuation.rs
@@ -0,0 +1,23 @@
+use std::time::Duration;
+
+use crate::units::MonotonicTime;
+
+/// Time for which an evacuation stays in force that a list of a later era doesn't have. Operators
+/// write again within two seconds what a restored store has lost.
+const MISSING_GRACE_PERIOD: Duration = Duration::from_millis(2_500);
+
+/// An evacuation that was known before the store was restored and that the restored store lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MissingEvacuation {
+    /// Since when the zone is known to be evacuated.
+    pub(super) since: MonotonicTime,
+    /// Since when the evacuation is known to be missing.
+    pub(super) missing_since: MonotonicTime,
+}
+
+impl MissingEvacuation {
+    /// Returns whether the evacuation is still in force.
+    pub(super) fn is_in_force(&self, now: MonotonicTime) -> bool {
+        now.saturating_since(self.missing_since) < MISSING_GRACE_PERIOD
+    }
+}
--- a/crates/mustardhinge-core/src/evacuation/mod.rs
+++ b/crates/mustardhinge-core/src/evacuation/mod.rs
@@ -2,6 +2,7 @@
 
 mod evacuated_zones;
 mod evacuation_version;
+mod missing_evacuation;
 mod target_use;
 
 pub use evacuated_zones::EvacuatedZones;
--- a/crates/mustardhinge-core/tests/suite/evacuation.rs
+++ b/crates/mustardhinge-core/tests/suite/evacuation.rs
@@ -24,7 +24,7 @@
     let mut zones = EvacuatedZones::default();
     assert!(zones.put(zone("north"), at(900)));
     zones.advance(revision(4));
-    assert!(!zones.adopt([(zone("north"), at(100))], revision(5)));
+    assert!(!zones.adopt([(zone("north"), at(100))], revision(5), at(900)));
     assert_eq!(zones.since(&zone("north")), Some(at(100)));
     assert!(!zones.put(zone("north"), at(2_000)));
     assert_eq!(zones.since(&zone("north")), Some(at(100)));
@@ -34,12 +34,12 @@
 #[test]
 fn an_older_set_changes_nothing() {
     let mut zones = EvacuatedZones::default();
-    zones.adopt([(zone("north"), at(0))], revision(9));
-    assert!(!zones.adopt([], revision(8)));
+    zones.adopt([(zone("north"), at(0))], revision(9), at(0));
+    assert!(!zones.adopt([], revision(8), at(0)));
     assert!(zones.since(&zone("north")).is_some());
     assert!(zones.remove(&zone("north")));
     zones.advance(revision(10));
-    assert!(!zones.adopt([(zone("north"), at(0))], revision(9)));
+    assert!(!zones.adopt([(zone("north"), at(0))], revision(9), at(0)));
     assert_eq!(
         zones.target_use(&zone("north"), at(9_000)),
         TargetUse::Usable
@@ -52,7 +52,7 @@
     let set = |names: &[&str], number| {
         let mut zones = EvacuatedZones::default();
         let named = names.iter().map(|name| (zone(name), at(0)));
-        zones.adopt(named, revision(number));
+        zones.adopt(named, revision(number), at(0));
         zones.version()
     };
     assert!(!set(&[], 9).is_newer_than(&set(&[], 3)));
@@ -76,3 +76,42 @@
     assert_eq!(after(3_600_000), TargetUse::Evacuated);
     assert!(after(0).is_restricted() && !after(0).is_evacuated());
 }
+
+/// Guards against work that returns to an evacuated zone because the store came back from a copy
+/// older than the evacuation, and against an evacuation that never ends there.
+#[test]
+fn an_evacuation_missing_from_a_copy_ends_after_a_while() {
+    let restored = |number| RecordRevision::new(StoreEra::new(1), number);
+    let missing = || {
+        let mut zones = EvacuatedZones::default();
+        zones.adopt([(zone("north"), at(0))], revision(9), at(0));
+        assert!(!zones.adopt([], restored(3), at(10_000)), "still in force");
+        zones
+    };
+    let mut zones = missing();
+    assert!(!zones.adopt([], restored(4), at(11_000)), "the same era");
+    assert!(!zones.expire_missing(at(12_499)));
+    assert!(zones.target_use(&zone("north"), at(12_499)).is_evacuated());
+    assert_eq!(zones.version().digest, 0, "others take the store's list");
+    assert!(zones.expire_missing(at(12_500)));
+    assert_eq!(zones.since(&zone("north")), None);
+    // Written again: evacuated without a break, and then for good.
+    let mut zones = missing();
+    assert!(!zones.put(zone("north"), at(12_000)));
+    assert!(!zones.expire_missing(at(20_000)));
+    assert_eq!(zones.since(&zone("north")), Some(at(0)));
+    // Listed again, removed, and a failed call meanwhile.
+    let mut zones = missing();
+    assert!(!zones.adopt([(zone("north"), at(12_000))], restored(5), at(12_000)));
+    assert_eq!(zones.since(&zone("north")), Some(at(0)));
+    let mut zones = missing();
+    assert!(zones.remove(&zone("north")));
+    let mut zones = missing();
+    zones.restart_missing(at(12_000));
+    assert!(!zones.expire_missing(at(14_499)));
+    // A second restore.
+    let mut zones = missing();
+    let second = RecordRevision::new(StoreEra::new(2), 1);
+    assert!(!zones.adopt([], second, at(12_000)));
+    assert!(!zones.expire_missing(at(14_499)));
+}
--- a/crates/mustardhinge-resident/src/adapter/platform_client.rs
+++ b/crates/mustardhinge-resident/src/adapter/platform_client.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 
 use super::{PlatformError, PromotionOutcome, PromotionRequest, WatchResponse, WriteOutcome};
+use crate::control::StoreEras;
 use crate::plan::{ServingPlan, TargetEntry};
 
 /// Client of the platform: its object store, and its call to promote a target.
@@ -63,13 +64,20 @@
         expected: Option<RecordRevision>,
     ) -> impl Future<Output = WriteOutcome>;
 
+    /// Returns the eras seen. The client passes the era of each response to
+    /// [`StoreEras::accept`], fails the call if that fails, and sends no revision that is outdated
+    /// by them.
+    fn store_eras(&self) -> &StoreEras;
+
     /// Returns the newest era of the store that was seen, or `None` before the first response.
-    ///
-    /// A call returns an error if its response is of an earlier era.
-    fn store_era(&self) -> Option<StoreEra>;
+    fn store_era(&self) -> Option<StoreEra> {
+        self.store_eras().newest().get()
+    }
 
     /// Records an era that another instance has seen.
-    fn observe_store_era(&self, era: StoreEra);
+    fn observe_store_era(&self, era: StoreEra) {
+        self.store_eras().observe(era);
+    }
 
     /// Requests the promotion of a target to the primary of its group.
     fn promote(&self, request: &PromotionRequest) -> impl Future<Output = PromotionOutcome>;
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -65,6 +65,7 @@
         let now = control.node.clock.now();
         metrics::counter!("resident_control_looks_total").increment(1);
         control.update_store_era();
+        control.node.expire_evacuations(now);
         update_leadership(&control, &mut state, now);
         advance_election(&control, &state, now);
         let is_closing = close_epochs(&control, now);
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -27,6 +27,10 @@
         if let Err(error) = follow_once(&control).await {
             control.record_store_result(Err(&error));
             sleep(RETRY_DELAY).await;
+            control.node.update_evacuations(|zones, now| {
+                zones.restart_missing(now);
+                false
+            });
         }
     }
 }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod record_restore;
 mod schedule;
 mod state_relay;
+mod store_eras;
 mod target_feed;
 
 pub use control_state::ControlState;
@@ -33,4 +34,5 @@
 };
 pub use plan_feed::follow_plan;
 pub use state_relay::{RelayedState, serve_relay};
+pub use store_eras::StoreEras;
 pub use target_feed::follow_targets;
--- a/crates/mustardhinge-resident/src/node/node_evacuations.rs
+++ b/crates/mustardhinge-resident/src/node/node_evacuations.rs
@@ -16,7 +16,7 @@
         revision: RecordRevision,
         origin: &str,
     ) {
-        self.change_evacuations(origin, |known, _| known.adopt(zones, revision));
+        self.change_evacuations(origin, |known, now| known.adopt(zones, revision, now));
     }
 
     /// Applies changes that were read from the store. `change` returns whether a zone was added or
@@ -28,6 +28,14 @@
         self.change_evacuations("store", change);
     }
 
+    /// Ends the evacuations that a restored store still lacks once their time is up.
+    pub fn expire_evacuations(&self, now: MonotonicTime) {
+        let has_expired = self.evacuations.borrow_mut().expire_missing(now);
+        if has_expired {
+            self.change_evacuations("expired", |_, _| true);
+        }
+    }
+
     fn change_evacuations(
         &self,
         origin: &str,
@@ -41,7 +49,7 @@
         }
         if has_changed {
             let zones = self.evacuations.borrow();
-            let names: Vec<_> = zones.iter().map(|(zone, _)| zone.as_str()).collect();
+            let names: Vec<_> = zones.in_force().map(ZoneId::as_str).collect();
             event::EVACUATIONS_CHANGED.log(format_args!(
                 "zones={names:?} revision={} origin={origin}",
                 zones.version().revision
@@ -63,7 +71,7 @@
         self.evacuations.borrow().version()
     }
 
-    /// Returns the evacuated zones, each with the time since when it is known to be evacuated.
+    /// Returns the evacuated zones that the store lists, each with the time since when it is known to be evacuated.
     #[must_use]
     pub fn evacuated_zones(&self) -> Vec<(ZoneId, MonotonicTime)> {
         let zones = self.evacuations.borrow();
