Count targets with lost registrations for the setup of a group

Cause: after a restore, a new leader sets up a group once most of its listed targets respond. Targets whose registration the copy lacks left the list 2.5 s after the restore was noticed, which may be before the setup, so one old primary could make up the whole group.

Change: `SetupQuorum` (core) decides. Until 3 s after the claim it counts targets that were known before the restore, left the list without being seen departing and are not listed again (`LostTargets`); after that their registration has expired.

--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -5,7 +5,7 @@
 
 use mustardhinge_core::prelude::{LeaderTerm, MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
-    GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, RecordRevision, StoreEra,
+    GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, RecordRevision, SetupQuorum, StoreEra,
 };
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -85,8 +85,13 @@
     let service = group.service();
     record_epochs(control, &control.node.leases.borrow().known_epochs());
     let statuses = query_targets::<W>(group).await;
-    // Fewer servers may all have missed the last change of the primary.
-    if statuses.len() * 2 <= group.targets().len() {
+    let quorum = SetupQuorum {
+        responded: statuses.len(),
+        listed: group.targets().len(),
+        expired: control.node.count_lost_targets(service),
+    };
+    let claimed_at = control.leader_since.get();
+    if !quorum.is_reached(control.node.clock.now().saturating_since(claimed_at)) {
         return false;
     }
     let reported = control.reported_epochs.borrow().get(service).cloned();
--- a/crates/mustardhinge-resident/src/node/departed_targets.rs
+++ b/crates/mustardhinge-resident/src/node/departed_targets.rs
@@ -52,6 +52,11 @@
         })
     }
 
+    /// Returns whether the target was seen leaving or removed.
+    pub(super) fn contains(&self, target: &TargetId) -> bool {
+        self.targets.contains_key(target)
+    }
+
     /// Forgets the departure of a target that is in use again.
     pub(super) fn remove(&mut self, target: &TargetId) {
         self.targets.remove(target);
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod departed_targets;
 mod drain_phase;
+mod lost_targets;
 mod node_evacuations;
 mod node_gateways;
 mod node_limits;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::departed_targets::DepartedTargets;
+use super::lost_targets::LostTargets;
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
@@ -75,6 +76,7 @@
     overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
     departed: RefCell<DepartedTargets>,
+    pub(super) lost: RefCell<LostTargets>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
     pub(super) instances: Cell<usize>,
@@ -117,6 +119,7 @@
             overload_control: Cell::new(None),
             targets_revision: Cell::default(),
             departed: RefCell::default(),
+            lost: RefCell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
             index: Cell::new(None),
@@ -186,6 +189,7 @@
             departed.remove(&entry.target);
         }
         drop(departed);
+        self.lost.borrow_mut().remove(&entry.target);
         self.apply_entry(entry);
         true
     }
@@ -252,6 +256,9 @@
             self.invalidate_list_caches();
             event::TARGET_DROPPED.log(format_args!("target={target} service={}", group.service()));
             group.remove(target, self.clock.now());
+            if !self.departed.borrow().contains(target) {
+                self.lost.borrow_mut().record(target, group.service());
+            }
         }
     }
 
