Send less to targets that are slow after their start

Cause: `cold_left_ms` of a target's entry was not decoded. A cold target got its usual reads, and could be promoted while a warm one was there.

Change, only with overload control on: a cold target keeps a read that placement gave it with a probability that grows linearly from a quarter to 1 (`ColdPeriod`, `SpreadPlacement::choose_with_cold`), and isn't promoted while a warm one responds that has received at least as much of the log (`SuccessorChoice::choose_warm`). The value is handled like `sequence`: it is no part of an entry's state or of the digest of the list. A value that is missing or of another type counts as 0. Relays pass on the time left.

--- a/crates/mustardhinge-core/src/placement/mod.rs
+++ b/crates/mustardhinge-core/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! The choice of a target for each statement, and the log position that the target must have
 //! applied, for groups whose primary is used under a lease.
 
+mod cold_choice;
+mod cold_period;
 mod customer_share;
 mod latency_estimate;
 mod load_estimate;
@@ -16,6 +18,7 @@
 mod target_affinity;
 mod target_load;
 
+pub use cold_period::ColdPeriod;
 pub use customer_share::CustomerShare;
 pub use latency_estimate::LatencyEstimate;
 pub use load_estimate::LoadEstimate;
--- a/crates/mustardhinge-core/src/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/src/primary_lease/mod.rs
@@ -34,6 +34,7 @@
 mod voter_acks;
 mod voter_choice;
 mod wait_decision;
+mod warm_successor;
 
 pub use change_cause::ChangeCause;
 pub use control_schedule::ControlSchedule;
--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/cold_targets.rs
@@ -0,0 +1,128 @@
+//! Targets that are slow for some time after their start.
+
+use std::time::Duration;
+
+use mustardhinge_core::placement::{
+    ColdPeriod, PlacementCandidate, SpreadCandidate, SpreadLimits, SpreadPlacement,
+};
+use mustardhinge_core::prelude::{LeaderTerm, LogPosition, MonotonicTime, TargetId};
+use mustardhinge_core::primary_lease::{ServerStatus, SuccessorChoice};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::default() + Duration::from_millis(millis)
+}
+
+/// Guards against a target that stays cold because its heartbeats arrive late or repeat the value
+/// that it had at its start.
+#[test]
+fn only_a_new_process_or_a_greater_value_begins_a_cold_period() {
+    let left = Duration::from_millis;
+    let mut cold = ColdPeriod::default();
+    cold.observe(left(4_000), 1, at(0));
+    cold.observe(left(4_000), 1, at(1_000));
+    cold.observe(left(3_900), 1, at(2_000));
+    assert_eq!(cold.left(at(3_000)), left(1_000));
+    assert!((cold.share(at(3_000)) - 0.8125).abs() < 1e-9);
+    cold.observe(left(3_900), 1, at(5_000));
+    assert!(cold.left(at(5_000)).is_zero() && cold.share(at(5_000)) >= 1.0);
+    cold.observe(left(0), 1, at(6_000));
+    cold.observe(left(2_000), 1, at(7_000));
+    assert!((cold.share(at(7_000)) - 0.25).abs() < 1e-9);
+    cold.observe(left(500), 1, at(7_100));
+    assert_eq!(cold.left(at(7_100)), left(500));
+    cold.observe(left(4_000), 2, at(7_200));
+    assert_eq!(cold.left(at(7_200)), left(4_000));
+    cold.observe(Duration::MAX, 3, at(8_000));
+    assert!(cold.left(at(8_000)) <= Duration::from_secs(600));
+}
+
+fn candidate(is_failing: bool) -> SpreadCandidate {
+    SpreadCandidate {
+        target: PlacementCandidate {
+            is_primary: false,
+            is_same_zone: true,
+            is_leaving: false,
+            is_failing,
+            lacks_position: false,
+            is_too_stale: false,
+            in_flight: 0,
+            slots: 5,
+            typical_latency: Duration::from_millis(24),
+            has_connection: true,
+        },
+        age: Duration::from_millis(100),
+        is_silent: false,
+    }
+}
+
+/// Returns the part of 4,000 reads that the first candidate gets.
+fn first_part(candidates: &[SpreadCandidate], shares: &[f64]) -> f64 {
+    let limits = SpreadLimits {
+        max_wait: Duration::from_millis(400),
+        senders: 10,
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let share = |index: usize| shares[index];
+    let mut choose =
+        || SpreadPlacement::choose_with_cold(candidates, limits, &[], share, &mut rng).unwrap();
+    let firsts = (0..4_000).filter(|_| choose().index == 0).count();
+    firsts as f64 / 4_000.0
+}
+
+/// Guards against a cold target that gets its usual share, or nothing, and against reads that are
+/// sent to a failing target to spare a cold one.
+#[test]
+fn a_cold_target_gets_a_part_of_its_usual_reads() {
+    let sound = [candidate(false), candidate(false)];
+    let usual = first_part(&sound, &[1.0, 1.0]);
+    for share in [0.25, 0.625] {
+        let part = first_part(&sound, &[share, 1.0]);
+        assert!((part - usual * share).abs() < 0.03, "{part} of {usual}");
+    }
+    let both = first_part(&sound, &[0.25, 0.25]);
+    assert!((both - usual).abs() < 0.05, "{both} of {usual}");
+    let alone = first_part(&sound[..1], &[0.25]);
+    assert!(alone >= 1.0, "{alone}");
+    let failing = first_part(&[candidate(false), candidate(true)], &[0.25, 1.0]);
+    assert!(failing >= 1.0, "{failing}");
+}
+
+fn replica(name: &str, offset: u64) -> ServerStatus {
+    let term = LeaderTerm::new(3);
+    ServerStatus {
+        target: name.parse().unwrap(),
+        is_primary: false,
+        term,
+        received: LogPosition::new(term, offset),
+        is_leaving: false,
+    }
+}
+
+/// Guards against a cold primary while a warm replica can take over, and against a warm one that
+/// lacks acknowledged writes.
+#[test]
+fn a_cold_target_is_promoted_only_if_no_warm_one_can_take_over() {
+    let old: TargetId = "old".parse().unwrap();
+    let is_cold = |target: &TargetId| target.as_str().starts_with("cold");
+    let choose = |servers: &[ServerStatus]| {
+        SuccessorChoice::choose_warm(servers, is_cold, &old, LeaderTerm::new(3), false)
+    };
+    let promote = |name: &str| SuccessorChoice::Promote(name.parse().unwrap());
+    let (warm, cold) = (replica("warm", 9), replica("cold", 9));
+    assert_eq!(choose(&[warm.clone(), cold.clone()]), promote("warm"));
+    assert_eq!(choose(&[replica("warm", 8), cold.clone()]), promote("cold"));
+    assert_eq!(choose(std::slice::from_ref(&cold)), promote("cold"));
+    let leaving = ServerStatus {
+        is_leaving: true,
+        ..warm.clone()
+    };
+    assert_eq!(choose(&[leaving, cold.clone()]), promote("cold"));
+    let primary = ServerStatus {
+        is_primary: true,
+        ..cold
+    };
+    let kept = SuccessorChoice::Adopt(primary.target.clone(), primary.term);
+    assert_eq!(choose(&[warm, primary]), kept);
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod budget_ledger;
 mod budget_window;
 mod budget_zone;
+mod cold_targets;
 mod connection;
 mod document;
 mod drain;
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -103,7 +103,9 @@
     let statuses = query_targets::<W>(group).await;
     let now = control.node.clock.now();
     let server_statuses = to_server_statuses(group, &statuses, now);
-    let choose = |may_keep| SuccessorChoice::choose(&server_statuses, &old, term, may_keep);
+    let is_cold = |target: &TargetId| control.node.is_cold((service, target), now);
+    let choose =
+        |may_keep| SuccessorChoice::choose_warm(&server_statuses, is_cold, &old, term, may_keep);
     let may_keep = may_keep_primary(cause, was_failing)
         || cause == ChangeCause::Leaving && has_stopped_leaving(group, &old, now);
     let is_distrusted = group
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -139,6 +139,10 @@
     let _permit = control.response_permits.acquire().await?;
     let plan = control.node.plan();
     let (targets, revision) = control.node.target_list();
+    let cold_seconds = targets
+        .iter()
+        .map(|entry| entry.cold_left_ms.div_ceil(1_000));
+    let cold_seconds = cold_seconds.max().unwrap_or(0);
     let has_plan = plan.version() > query.plan_version;
     let is_current = revision >= query.revision();
     let has_targets = is_current && control.node.targets_digest() != query.targets;
@@ -165,6 +169,7 @@
             digest,
             revision.era(),
             (has_plan, has_targets),
+            cold_seconds,
         );
         compress_response(control, key, state)?
     } else {
@@ -189,8 +194,9 @@
     })
 }
 
-/// Cache key of a compressed response: the versions of the state and the parts that it contains.
-pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, StoreEra, (bool, bool));
+/// Cache key of a compressed response: the versions of the state, the parts that it contains, and
+/// the longest time in seconds for which a target remains slow.
+pub(super) type ResponseKey = (DocumentVersion, TargetsDigest, StoreEra, (bool, bool), u64);
 
 /// Returns the compressed response. The last one is cached, since the instances of a starting zone
 /// request the same response dozens of times.
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! State of an instance, shared by its sessions and its control tasks.
 
+mod cold_targets;
 mod departed_targets;
 mod drain_phase;
 mod lost_targets;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -190,7 +190,9 @@
         }
         drop(departed);
         self.lost.borrow_mut().remove(&entry.target);
+        let (service, target) = (entry.service.clone(), entry.target.clone());
         self.apply_entry(entry);
+        self.apply_cold_time((&service, &target), now);
         true
     }
 
@@ -201,7 +203,8 @@
             Some(handle) => {
                 let known = handle.entry();
                 if known.has_same_state(&entry) {
-                    if known.sequence != entry.sequence {
+                    let written = (entry.sequence, entry.cold_left_ms);
+                    if (known.sequence, known.cold_left_ms) != written {
                         handle.refresh(entry);
                     }
                     return;
@@ -267,9 +270,8 @@
     pub fn target_list(&self) -> (Vec<TargetEntry>, RecordRevision) {
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
-        let entries = handles
-            .map(|handle| handle.entry().as_ref().clone())
-            .collect();
+        let now = self.clock.now();
+        let entries = handles.map(|handle| handle.relayed_entry(now)).collect();
         (entries, self.targets_revision.get())
     }
 
--- a/crates/mustardhinge-resident/src/plan/target_entry.rs
+++ b/crates/mustardhinge-resident/src/plan/target_entry.rs
@@ -29,10 +29,14 @@
     /// The number of times that the server wrote this entry; 0 if the platform doesn't count them.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub sequence: u64,
+    /// The time in milliseconds for which the target remains slow after its start.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_left_ms: u64,
 }
 
 impl TargetEntry {
-    /// Returns whether both entries are the same except for their sequence.
+    /// Returns whether both entries are the same except for their sequence and the time for which the
+    /// target remains slow, which change with each heartbeat.
     #[must_use]
     pub fn has_same_state(&self, other: &Self) -> bool {
         let Self {
@@ -45,6 +49,7 @@
             role,
             born_ms,
             sequence: _,
+            cold_left_ms: _,
         } = self;
         (target, service, address, zone)
             == (&other.target, &other.service, &other.address, &other.zone)
@@ -53,7 +58,7 @@
     }
 }
 
-/// Hashes the state without the sequence, so that an entry that is only written again doesn't
+/// Hashes the state without the sequence and the cold time, so that an entry that is only written again doesn't
 /// change the digest of the list.
 impl Hash for TargetEntry {
     fn hash<H: Hasher>(&self, state: &mut H) {
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -93,7 +93,9 @@
         senders: node.instances(),
     };
     let mut rng = node.placement_rng.borrow_mut();
-    let choice = SpreadPlacement::choose(&candidates, limits, &skipped, &mut *rng)?;
+    let cold_share = |index: usize| targets[index].cold_share(now);
+    let choice =
+        SpreadPlacement::choose_with_cold(&candidates, limits, &skipped, cold_share, &mut *rng)?;
     let is_same_zone = candidates.get(choice.index)?.target.is_same_zone;
     metrics::counter!(
         "resident_reads_placed_total",
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to targets: pooling, leasing to one session at a time, fair queuing and health.
 
+mod cold_time;
 mod connection_error;
 mod connection_pool;
 mod connection_request;
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -5,7 +5,7 @@
 use mustardhinge_core::evacuation::TargetUse;
 use mustardhinge_core::gateway::GatewayPair;
 use mustardhinge_core::overload::{OverloadControl, ProbeTrust};
-use mustardhinge_core::placement::{LatencyEstimate, ReplicaLag, TargetLoad};
+use mustardhinge_core::placement::{ColdPeriod, LatencyEstimate, ReplicaLag, TargetLoad};
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RoutePriority, TargetId};
 use mustardhinge_core::queue::{ReportGate, SlotCost, WorkKind};
 use mustardhinge_process::{BootClock, event};
@@ -42,6 +42,7 @@
     probe_trust: Cell<ProbeTrust>,
     overload_control: Cell<OverloadControl>,
     is_marked_leaving: Cell<bool>,
+    pub(super) cold: Cell<ColdPeriod>,
     evacuated_since: Cell<Option<MonotonicTime>>,
     is_removed: Cell<bool>,
     is_probed: Cell<bool>,
@@ -67,6 +68,7 @@
             probe_trust: Cell::default(),
             overload_control: Cell::default(),
             is_marked_leaving: Cell::new(false),
+            cold: Cell::default(),
             evacuated_since: Cell::new(None),
             is_removed: Cell::new(false),
             is_probed: Cell::new(false),
