--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod schedule;
 mod share_pooling;
 mod state_relay;
+mod store_eras;
 mod target_feed;
 
 pub use control_state::ControlState;
@@ -35,4 +36,5 @@
 pub use plan_feed::follow_plan;
 pub use share_pooling::exchange_shares;
 pub use state_relay::{RelayedState, serve_relay};
+pub use store_eras::StoreEras;
 pub use target_feed::follow_targets;
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{LeaderTerm, MonotonicTime, ServiceId, TargetId};
-use mustardhinge_core::primary_lease::{GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, StoreEra};
+use mustardhinge_core::primary_lease::{
+    GroupEpoch, GroupLeases, GroupPhase, LeaseGrant, RecordRevision, SetupQuorum, StoreEra,
+};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -83,8 +85,13 @@
     let service = group.service();
     record_epochs(control, &control.node.leases.borrow().known_epochs());
     let statuses = query_targets::<W>(group).await;
-    // Fewer servers may all have missed the last change of the primary.
-    if statuses.len() * 2 <= group.targets().len() {
+    let quorum = SetupQuorum {
+        responded: statuses.len(),
+        listed: group.targets().len(),
+        expired: control.node.count_lost_targets(service),
+    };
+    let claimed_at = control.leader_since.get();
+    if !quorum.is_reached(control.node.clock.now().saturating_since(claimed_at)) {
         return false;
     }
     let reported = control.reported_epochs.borrow().get(service).cloned();
@@ -171,8 +178,11 @@
         .as_ref()
         .is_some_and(|(revision, record)| record.era >= revision.era());
     let now = control.node.clock.now();
-    if is_restored || !control.node.election.borrow().may_grant(now) {
-        return is_restored;
+    if is_restored {
+        return copy.is_some_and(|copy| keep_own_record(control, copy));
+    }
+    if !control.node.election.borrow().may_grant(now) {
+        return false;
     }
     match copy {
         Some(copy) => control.records.borrow_mut().insert(service.clone(), copy),
@@ -181,3 +191,25 @@
     let record = NewGroupRecord::confirmed(leases.epoch(), leases.primary(), leases.term());
     write_group_record(control, service, record).await
 }
+
+/// Keeps a stored record that this leader has written itself, by a call whose response was lost.
+/// Returns whether it has. Another leader's record is read again later, since this leader is about
+/// to learn that it was replaced.
+fn keep_own_record<P>(
+    control: &ControlState<P>,
+    (revision, record): (RecordRevision, GroupRecord),
+) -> bool {
+    let own_fence = {
+        let election = control.node.election.borrow();
+        election.held_record().map(|(held, _, _)| held.fence)
+    };
+    let is_own = own_fence == Some(record.fence);
+    if is_own {
+        let service = record.service.clone();
+        control
+            .records
+            .borrow_mut()
+            .insert(service, (revision, record));
+    }
+    is_own
+}
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::departed_targets::DepartedTargets;
+use super::lost_targets::LostTargets;
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
@@ -82,6 +83,7 @@
     overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
     departed: RefCell<DepartedTargets>,
+    pub(super) lost: RefCell<LostTargets>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
     pub(super) instances: Cell<usize>,
@@ -128,6 +130,7 @@
             overload_control: Cell::new(None),
             targets_revision: Cell::default(),
             departed: RefCell::default(),
+            lost: RefCell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
             index: Cell::new(None),
@@ -197,7 +200,10 @@
             departed.remove(&entry.target);
         }
         drop(departed);
+        self.lost.borrow_mut().remove(&entry.target);
+        let (service, target) = (entry.service.clone(), entry.target.clone());
         self.apply_entry(entry);
+        self.apply_cold_time((&service, &target), now);
         true
     }
 
@@ -208,7 +214,8 @@
             Some(handle) => {
                 let known = handle.entry();
                 if known.has_same_state(&entry) {
-                    if known.sequence != entry.sequence {
+                    let written = (entry.sequence, entry.cold_left_ms);
+                    if (known.sequence, known.cold_left_ms) != written {
                         handle.refresh(entry);
                     }
                     return;
@@ -263,6 +270,9 @@
             self.invalidate_list_caches();
             event::TARGET_DROPPED.log(format_args!("target={target} service={}", group.service()));
             group.remove(target, self.clock.now());
+            if !self.departed.borrow().contains(target) {
+                self.lost.borrow_mut().record(target, group.service());
+            }
         }
     }
 
@@ -271,9 +281,8 @@
     pub fn target_list(&self) -> (Vec<TargetEntry>, RecordRevision) {
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
-        let entries = handles
-            .map(|handle| handle.entry().as_ref().clone())
-            .collect();
+        let now = self.clock.now();
+        let entries = handles.map(|handle| handle.relayed_entry(now)).collect();
         (entries, self.targets_revision.get())
     }
 
