--- a/crates/mustardhinge-core/tests/suite/rate_replay/pool_failures.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_replay/pool_failures.rs
@@ -105,8 +105,8 @@
     sum(customers.map(|customer| customer.refused_between(from, from + 6_000)))
 }
 
-/// Guards against instances that keep lending to a pool that doesn't respond: without pools,
-/// 11.1 % was refused.
+/// Guards against instances that keep lending to a pool that doesn't respond. Before the pools
+/// existed, 11.1 % was refused.
 #[test]
 fn unreachable_pools_cost_no_more_than_having_none() {
     let cut_off = |fleet: &mut ReplayFleet| fleet.zones.cut_off = (0..ZONES).collect();
@@ -114,10 +114,11 @@
     assert!(refused * 1_000 < all * 111, "{refused} of {all}");
 }
 
-/// Guards against a lost message after which a pool is not used any more.
+/// Guards against a lost message after which a pool is not used any more. The bound is that of the
+/// replay without losses.
 #[test]
 fn lost_messages_to_pools_refuse_few_operations() {
     let lose = |fleet: &mut ReplayFleet| fleet.zones.loss = 0.01;
     let (refused, all) = sum((540..540 + SEEDS).map(|seed| run_at_half_rate(seed, lose)));
-    assert!(refused * 100 < all * 4, "{refused} of {all}");
+    assert!(refused * 100 < all, "{refused} of {all}");
 }
