--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -1,7 +1,10 @@
 use std::time::Duration;
 
 use super::isolated_bucket::IsolatedBucket;
-use super::{AdmissionContext, AllowanceGrant, AllowanceSource, CustomerRate, RateRefusal};
+use super::{
+    AdmissionContext, AllowanceGrant, AllowanceSource, BucketGeneration, CustomerRate, RateRefusal,
+    ShareAmount,
+};
 use crate::units::MonotonicTime;
 
 /// Time without a response of the leader after which an instance is isolated and admits
@@ -31,6 +34,7 @@
     granted: u64,
     /// What was left to use without a leader since the last grant, under overload control.
     isolated: Option<IsolatedBucket>,
+    generation: BucketGeneration,
 }
 
 impl CustomerAllowance {
@@ -49,6 +53,7 @@
             isolated_refilled_at: now,
             granted: 0,
             isolated: None,
+            generation: BucketGeneration::FIRST,
         }
     }
 
@@ -82,6 +87,12 @@
         self.spent >= self.ceiling
     }
 
+    /// Returns the number of operations that the granted allowance still admits.
+    #[must_use]
+    pub const fn remaining(&self) -> u64 {
+        self.ceiling.saturating_sub(self.spent)
+    }
+
     /// Returns the level of the customer's bucket in the last grant, less what was used without
     /// a leader since.
     #[must_use]
@@ -91,8 +102,8 @@
         };
         let unused = self.ceiling.saturating_sub(self.spent);
         // The value is small.
-        let used = bucket.used_by_all(unused, self.limits).ceil() as i64;
-        self.last_fill.map(|fill| fill - used)
+        let used = bucket.used_by_all(unused).ceil() as i64;
+        self.last_fill.map(|fill| fill.saturating_sub(used))
     }
 
     /// Returns the level to report to a leader; `None` if the instance is isolated and had no
@@ -103,6 +114,24 @@
         self.last_fill().filter(|_| !is_unknown)
     }
 
+    /// Returns the level of the customer's bucket in the last grant.
+    #[must_use]
+    pub const fn granted_fill(&self) -> Option<i64> {
+        self.last_fill
+    }
+
+    /// Returns the share of the rate that [`last_fill`](Self::last_fill) was extrapolated from, in
+    /// millionths.
+    #[must_use]
+    pub fn reported_share(&self) -> u32 {
+        let share = self
+            .isolated
+            .as_ref()
+            .map_or(self.share, IsolatedBucket::share);
+        // The share is at most one.
+        (share * 1_000_000.0) as u32
+    }
+
     /// Expires the share of the rate, which an earlier leader granted.
     pub const fn expire_share(&mut self, now: MonotonicTime) {
         self.share_until = now;
@@ -135,7 +164,8 @@
                     .map_err(RateRefusal::Exhausted),
                 _ => self.admit_isolated(context.last_response_at, context.instances, now),
             };
-            return admitted.map(|()| AllowanceSource::IsolatedShare);
+            let bucket = self.generation;
+            return admitted.map(|()| AllowanceSource::IsolatedShare { bucket });
         }
         if now < self.closed_until {
             return Err(RateRefusal::Exhausted(
@@ -146,11 +176,16 @@
     }
 
     /// Returns an operation that was admitted and never sent to a target, while the count of
-    /// `reported` operations does not include it yet.
+    /// `reported` operations does not include it yet. A bucket that has been replaced since takes
+    /// nothing back, because the operation didn't reduce the new one.
     pub fn release(&mut self, source: AllowanceSource, reported: u64) {
         match (source, &mut self.isolated) {
             (AllowanceSource::Grant, _) if self.spent > reported => self.spent -= 1,
-            (AllowanceSource::IsolatedShare, Some(bucket)) => bucket.put_back(self.limits),
+            (AllowanceSource::IsolatedShare { bucket: used }, Some(bucket))
+                if used == self.generation =>
+            {
+                bucket.put_back(self.limits);
+            }
             _ => {}
         }
     }
@@ -164,27 +199,62 @@
         instances: usize,
         isolated_at: MonotonicTime,
         now: MonotonicTime,
-    ) {
+    ) -> &mut IsolatedBucket {
         let is_valid = now < self.share_until;
         let share = self.current_share(instances, now);
-        if let Some(bucket) = &mut self.isolated {
-            bucket.set_share(share);
-            return;
-        }
         // Buckets hold far less than the exact range of the type.
         let level = self.last_fill.filter(|_| is_valid).map(|fill| fill as f64);
         let usable = level.map_or(0.0, |level| self.limits.usable(level));
         // A process without a grant refills from its start.
         let refilled_at = isolated_at.max(self.isolated_refilled_at);
-        self.isolated = Some(IsolatedBucket::new(
-            share,
-            usable,
-            self.granted,
-            refilled_at,
-        ));
+        let granted = self.granted;
+        let bucket = self
+            .isolated
+            .get_or_insert_with(|| IsolatedBucket::new(share, usable, granted, refilled_at));
+        bucket.set_share(share);
+        bucket
+    }
+
+    /// Takes what the instance can't use out of the bucket of an isolated instance, and returns it
+    /// with how much the share pool may hold for this bucket. `is_idle` says that the customer has
+    /// no operations here. Takes nothing if that is less than `least`.
+    pub(super) fn withdraw(
+        &mut self,
+        context: AdmissionContext,
+        (is_idle, least): (bool, ShareAmount),
+        now: MonotonicTime,
+    ) -> Option<(ShareAmount, ShareAmount)> {
+        let isolated_at = context.last_response_at + ISOLATED_AFTER;
+        let limits = self.limits;
+        let unused = self.ceiling.saturating_sub(self.spent);
+        let bucket = self.begin_isolation(context.instances, isolated_at, now);
+        if is_idle {
+            bucket.add_unused(unused);
+        }
+        let amount = bucket.withdraw(limits, (is_idle, least), isolated_at, now);
+        let room = bucket.room(limits);
+        if is_idle {
+            self.ceiling = self.spent;
+        }
+        Some((amount?, room))
+    }
+
+    /// Records how much of a deposit the share pool has accepted.
+    pub(super) const fn record_accepted(&mut self, amount: ShareAmount) {
+        if let Some(bucket) = &mut self.isolated {
+            bucket.record_accepted(amount);
+        }
+    }
+
+    /// Adds operations borrowed from the share pool.
+    pub(super) fn add_loan(&mut self, operations: u32) {
+        if let Some(bucket) = &mut self.isolated {
+            bucket.add_loan(operations);
+        }
     }
 
-    fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
+    /// Returns the share of the rate that the instance may use without a leader.
+    pub(super) fn current_share(&self, instances: usize, now: MonotonicTime) -> f64 {
         if now < self.share_until {
             self.share
         } else {
@@ -235,6 +305,7 @@
         self.ceiling = grant.ceiling;
         self.granted = grant.ceiling.saturating_sub(reported);
         self.isolated = None;
+        self.generation = self.generation.next();
         self.share = f64::from(grant.share) / 1_000_000.0;
         self.share_until = now + SHARE_VALIDITY;
         self.last_fill = Some(grant.fill);
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -8,21 +8,20 @@
 use mustardhinge_core::membership::{
     InstanceRoster, ListFetchBackoff, RosterEntry, TransferSources,
 };
-use mustardhinge_core::prelude::{DocumentVersion, InstanceId, MonotonicTime, ServiceId};
+use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
     GroupLeases, LeaderRecord, LeaseGrant, PromotionOrders, RecordRevision, StoreEra,
 };
-use mustardhinge_core::rate_limit::RateLimiter;
+use mustardhinge_core::rate_limit::{RateLimiter, SharePool};
 use mustardhinge_process::event;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{sleep, timeout};
 
-use super::state_relay::ResponseKey;
+use super::state_relay::{ResponseKey, StateVersion};
 use super::{GrantAck, GroupRecord, PeerMessage};
 use crate::adapter::PlatformClient;
 use crate::node::NodeState;
-use crate::plan::TargetsDigest;
 
 /// Time after which a new leader has received a message from every instance that it can reach.
 const ROSTER_SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -63,6 +62,11 @@
     pub promotion_orders: RefCell<HashMap<ServiceId, PromotionOrders>>,
     /// The leader's limiter of the customers' rates.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// The shares that the isolated instances of the zone lend each other, if this one keeps them.
+    pub share_pool: RefCell<SharePool>,
+    /// The instance that keeps the share pool of the zone according to the last grant; none if it
+    /// is this one.
+    pub pool_keeper: Cell<Option<SocketAddr>>,
     /// The instances from which a message was received.
     pub instances: RefCell<InstanceRoster>,
     /// The leader's table of gateways.
@@ -84,8 +88,7 @@
     /// Limits the number of concurrent state responses.
     pub response_permits: Semaphore,
     /// The instances that have received this instance's state.
-    pub(super) transfer_sources:
-        RefCell<TransferSources<(DocumentVersion, TargetsDigest), SocketAddr>>,
+    pub(super) transfer_sources: RefCell<TransferSources<StateVersion, SocketAddr>>,
     /// Addresses that requested the leader while it was unknown.
     pub pending_requesters: RefCell<Vec<SocketAddr>>,
     /// Whether [`leader_hint`](Self::leader_hint) names a new leader that has not been sent a
@@ -138,6 +141,8 @@
             records: RefCell::default(),
             promotion_orders: RefCell::default(),
             rate_limiter: RefCell::default(),
+            share_pool: RefCell::new(SharePool::new(incarnation)),
+            pool_keeper: Cell::new(None),
             instances: RefCell::default(),
             gateways: RefCell::default(),
             gateways_built: Cell::new(None),
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -11,6 +11,7 @@
 use mustardhinge_process::event;
 
 use super::record_restore::record_report_answer;
+use super::share_pooling::end_share_pool;
 use super::{
     AllowanceResponse, ControlState, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
     StopMessage,
@@ -59,6 +60,7 @@
     node.allowances
         .borrow_mut()
         .apply_grants(&grant.allowances, requested_at, now);
+    end_share_pool(control);
     node.allowances_changed.notify_waiters();
     node.set_instances(grant.instances, grant.index);
     if let Some(update) = &grant.gateways {
@@ -68,6 +70,7 @@
         node.record_lease(now);
     }
     control.record_grant(grant.relay, now);
+    control.pool_keeper.set(grant.pool_keeper);
     let source = grant.relay.unwrap_or(grant.record.address);
     check_plan_version(control, grant.plan_version, source, now);
     check_evacuations(control, &grant.evacuations, source, now);
@@ -171,6 +174,7 @@
     node.allowances
         .borrow_mut()
         .apply_grants(&response.allowances, requested_at, now);
+    end_share_pool(control);
     node.allowances_changed.notify_waiters();
 }
 
@@ -192,9 +196,13 @@
     now: MonotonicTime,
 ) {
     let mut leases = control.node.leases.borrow_mut();
+    let known = leases.newest(&stop.service);
+    let was_closing =
+        known.is_some_and(|state| state.epoch == stop.epoch && state.closing_since.is_some());
     leases.close(&stop.service, stop.epoch, now);
     drop(leases);
-    if !is_stopped(control, &stop.service, stop.epoch) {
+    // The leader repeats the notification in each iteration of its own loop.
+    if !was_closing && !is_stopped(control, &stop.service, stop.epoch) {
         control.wake.notify_one();
     }
 }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -19,7 +19,9 @@
 mod primary_change;
 mod record_restore;
 mod schedule;
+mod share_pooling;
 mod state_relay;
+mod store_eras;
 mod target_feed;
 
 pub use control_state::ControlState;
@@ -29,8 +31,10 @@
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
     AllowanceRequest, AllowanceResponse, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
-    GroupReport, LeaderHint, LeaseRequest, PeerMessage, StopMessage,
+    GroupReport, LeaderHint, LeaseRequest, PeerMessage, ShareDepositMessage, StopMessage,
 };
 pub use plan_feed::follow_plan;
+pub use share_pooling::exchange_shares;
 pub use state_relay::{RelayedState, serve_relay};
+pub use store_eras::StoreEras;
 pub use target_feed::follow_targets;
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -1,7 +1,9 @@
 //! State of an instance, shared by its sessions and its control tasks.
 
+mod cold_targets;
 mod departed_targets;
 mod drain_phase;
+mod lost_targets;
 mod node_evacuations;
 mod node_gateways;
 mod node_limits;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -11,13 +11,15 @@
 use mustardhinge_core::primary_lease::{
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
 };
-use mustardhinge_core::rate_limit::AllowanceTable;
+use mustardhinge_core::rate_limit::{AllowanceTable, ShareExchange};
+use mustardhinge_core::retry::RetryTable;
 use mustardhinge_process::{BootClock, event};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, watch};
 
 use super::departed_targets::DepartedTargets;
+use super::lost_targets::LostTargets;
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
@@ -43,10 +45,16 @@
     pub leases: RefCell<HeldLeases>,
     /// The share of the customers' rates granted to this instance, and its use.
     pub allowances: RefCell<AllowanceTable>,
+    /// The internal retries of each customer and priority, under overload control.
+    pub retries: RefCell<RetryTable>,
     /// Notified when the leader granted more allowance. Wakes the requests that wait for it.
     pub allowances_changed: Notify,
     /// Wakes the control task to request more allowance from the leader.
     pub allowance_request_due: Notify,
+    /// Its exchange with the share pool of its zone while it is isolated.
+    pub share_exchange: RefCell<ShareExchange>,
+    /// Wakes the task that requests loans from the share pool.
+    pub share_loan_due: Notify,
     /// Wakes the control task to report changes on this instance in a request to the leader.
     pub leader_request_due: Notify,
     /// Its part in the election of the leader, which replaces primaries.
@@ -75,6 +83,7 @@
     overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
     departed: RefCell<DepartedTargets>,
+    pub(super) lost: RefCell<LostTargets>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
     pub(super) instances: Cell<usize>,
@@ -91,6 +100,7 @@
     pub fn new(settings: NodeSettings, election: LeaderElection, incarnation: u64) -> Self {
         let overload_switch =
             OverloadSwitch::new(settings.requests_overload_control, settings.zones.clone());
+        let share_exchange = ShareExchange::new(settings.instance.clone(), incarnation);
         Self {
             placement_rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             peers: GatewayPeers::new(settings.peer_address, incarnation),
@@ -103,8 +113,11 @@
             clock: BootClock,
             leases: RefCell::default(),
             allowances: RefCell::new(AllowanceTable::starting_at(BootClock.now())),
+            retries: RefCell::default(),
             allowances_changed: Notify::new(),
             allowance_request_due: Notify::new(),
+            share_exchange: RefCell::new(share_exchange),
+            share_loan_due: Notify::new(),
             leader_request_due: Notify::new(),
             election: RefCell::new(election),
             lease_settings: LeaseSettings::default(),
@@ -117,6 +130,7 @@
             overload_control: Cell::new(None),
             targets_revision: Cell::default(),
             departed: RefCell::default(),
+            lost: RefCell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
             index: Cell::new(None),
@@ -186,7 +200,10 @@
             departed.remove(&entry.target);
         }
         drop(departed);
+        self.lost.borrow_mut().remove(&entry.target);
+        let (service, target) = (entry.service.clone(), entry.target.clone());
         self.apply_entry(entry);
+        self.apply_cold_time((&service, &target), now);
         true
     }
 
@@ -197,7 +214,8 @@
             Some(handle) => {
                 let known = handle.entry();
                 if known.has_same_state(&entry) {
-                    if known.sequence != entry.sequence {
+                    let written = (entry.sequence, entry.cold_left_ms);
+                    if (known.sequence, known.cold_left_ms) != written {
                         handle.refresh(entry);
                     }
                     return;
@@ -252,6 +270,9 @@
             self.invalidate_list_caches();
             event::TARGET_DROPPED.log(format_args!("target={target} service={}", group.service()));
             group.remove(target, self.clock.now());
+            if !self.departed.borrow().contains(target) {
+                self.lost.borrow_mut().record(target, group.service());
+            }
         }
     }
 
@@ -260,9 +281,8 @@
     pub fn target_list(&self) -> (Vec<TargetEntry>, RecordRevision) {
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
-        let entries = handles
-            .map(|handle| handle.entry().as_ref().clone())
-            .collect();
+        let now = self.clock.now();
+        let entries = handles.map(|handle| handle.relayed_entry(now)).collect();
         (entries, self.targets_revision.get())
     }
 
@@ -307,6 +327,21 @@
         current
     }
 
+    /// Returns whether overload control is in force, as [`overload_control`](Self::overload_control)
+    /// does, without applying a change of it.
+    #[must_use]
+    pub fn current_overload_control(&self) -> OverloadControl {
+        if let Some(known) = self.overload_control.get() {
+            return known;
+        }
+        let mut switch = self.overload_switch.borrow().clone();
+        let groups = self.groups.borrow();
+        let handles = groups.values().flat_map(|group| group.targets());
+        let entries: Vec<_> = handles.map(|handle| handle.entry()).collect();
+        switch.record_targets(entries.iter().map(|entry| (&entry.service, &entry.zone)));
+        switch.current()
+    }
+
     fn invalidate_list_caches(&self) {
         self.overload_control.set(None);
         self.targets_digest.set(None);
@@ -404,7 +439,8 @@
     fn update_group_limits(&self, group: &GroupState) {
         let gateways = self.gateways.borrow();
         let now = self.clock.now();
-        let connection_limit = self.plan().connection_limit(group.service());
+        let plan = self.plan();
+        let connection_limit = plan.connection_limit(group.service());
         let share = ConnectionShare {
             connection_limit,
             instances: self.instances.get(),
@@ -421,6 +457,7 @@
             };
             target.set_gateways(pair);
             target.set_limit(own_limit, now);
+            target.set_total_weight(plan.total_weight());
         }
     }
 
@@ -531,6 +568,12 @@
         self.drain_phase.send_replace(phase);
     }
 
+    /// Returns the phase of a planned stop.
+    #[must_use]
+    pub fn drain_phase(&self) -> DrainPhase {
+        *self.drain_phase.borrow()
+    }
+
     /// Returns a receiver of the phases of a planned stop.
     #[must_use]
     pub fn subscribe_drain(&self) -> watch::Receiver<DrainPhase> {
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use mustardhinge_core::key::{KeyDigest, KeyTable};
 use mustardhinge_core::placement::CustomerShare;
-use mustardhinge_core::prelude::{CustomerId, DocumentVersion, ServiceId};
+use mustardhinge_core::prelude::{CustomerId, DocumentVersion, RouteName, ServiceId};
+use mustardhinge_core::queue::CustomerWeight;
 
 use super::{PlanCustomer, PlanRoute};
 
@@ -33,6 +34,7 @@
 pub struct ServingPlan {
     parts: PlanParts,
     customer_shares: HashMap<CustomerId, CustomerShare>,
+    total_weight: u64,
 }
 
 impl ServingPlan {
@@ -48,9 +50,13 @@
                 (limits.customer.clone(), share)
             })
             .collect();
+        let weights = parts.customers.iter();
+        let weights = weights.map(|limits| CustomerWeight::from_rate(limits.limits.rate).get());
+        let total_weight = weights.map(u64::from).sum();
         Self {
             parts,
             customer_shares,
+            total_weight,
         }
     }
 
@@ -66,6 +72,14 @@
         self.parts.routes.get(database)
     }
 
+    /// Returns the route of this name, or else the one of the database of this name.
+    #[must_use]
+    pub fn find_route(&self, name: &RouteName) -> Option<&Rc<PlanRoute>> {
+        let mut routes = self.parts.routes.values();
+        let named = routes.find(|route| route.name.as_ref() == Some(name));
+        named.or_else(|| self.route(name.as_str().as_bytes()))
+    }
+
     /// Returns the customer whose key has this digest.
     #[must_use]
     pub fn find_customer(&self, digest: &KeyDigest) -> Option<&CustomerId> {
@@ -78,6 +92,12 @@
         &self.parts.customers
     }
 
+    /// Returns the sum of the weights of all customers.
+    #[must_use]
+    pub const fn total_weight(&self) -> u64 {
+        self.total_weight
+    }
+
     /// Returns a customer's share of the rates of all customers, or 0 for an unknown customer.
     #[must_use]
     pub fn customer_share(&self, customer: &CustomerId) -> CustomerShare {
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
+use mustardhinge_core::overload::OverloadControl;
 use mustardhinge_core::prelude::{MonotonicTime, RefusalReason};
-use mustardhinge_core::rate_limit::{AllowanceSource, RateRefusal};
+use mustardhinge_core::rate_limit::{AllowanceSource, LeaderDelays, LoanTicket, RateRefusal};
 use tokio::time::timeout;
 
 use super::{SessionAccess, SessionRequest, StatementResponse};
@@ -25,24 +26,24 @@
         return Ok(None);
     }
     let mut waiting_since = None;
+    let mut loan = None;
     loop {
         let now = node.clock.now();
-        let (admitted, until_isolated) = try_admit(node, request, now);
+        let (admitted, leader) = try_admit(node, request, now);
         let (wait, retry_after) = match admitted {
             Ok(source) => return Ok(Some(source)),
-            Err(RateRefusal::Exhausted(retry_after)) => (None, retry_after),
-            Err(RateRefusal::AwaitFirstGrant(left)) => (first_grant_wait(request, left, now), left),
-            Err(RateRefusal::RequestMore) => {
-                // The wait for the first grant doesn't count.
-                let is_on = node.overload_control().is_on();
-                let since = if is_on { now } else { request.received_at };
-                let waited = now.saturating_since(*waiting_since.get_or_insert(since));
-                let wait = allowance_wait(waited)
-                    .or_else(|| isolation_wait(node, request, until_isolated, now));
-                if wait.is_some() {
+            Err(refusal) => {
+                let conditions = (node.overload_control(), leader);
+                let decided = decide_wait(request, refusal, conditions, &mut waiting_since, now);
+                if refusal == RateRefusal::RequestMore && decided.0.is_some() {
                     node.allowance_request_due.notify_one();
                 }
-                (wait, until_isolated.max(ALLOWANCE_TIMEOUT))
+                match refusal {
+                    RateRefusal::Exhausted(_) => {
+                        (loan_wait(node, request, &mut loan, now), decided.1)
+                    }
+                    _ => decided,
+                }
             }
         };
         let Some(wait) = wait else {
@@ -56,6 +57,40 @@
     }
 }
 
+/// Decides how long an operation waits that was not admitted, if it waits, and the retry delay if it
+/// doesn't.
+///
+/// `leader` matters only while overload control is in force, and `waiting_since` is set to the start
+/// of the wait for a larger allowance.
+pub(crate) fn decide_wait(
+    request: &SessionRequest,
+    refusal: RateRefusal,
+    (overload, leader): (OverloadControl, LeaderDelays),
+    waiting_since: &mut Option<MonotonicTime>,
+    now: MonotonicTime,
+) -> (Option<Duration>, Duration) {
+    match refusal {
+        RateRefusal::Exhausted(retry_after) => (None, retry_after),
+        RateRefusal::AwaitFirstGrant(left) => (first_grant_wait(request, left, now), left),
+        RateRefusal::RequestMore => {
+            // The wait for the first grant doesn't count.
+            let is_on = overload.is_on();
+            let since = if is_on { now } else { request.received_at };
+            let waited = now.saturating_since(*waiting_since.get_or_insert(since));
+            let wait = allowance_wait(waited).or_else(|| {
+                let wait = isolation_wait(request, leader.until_isolated, now);
+                wait.filter(|_| is_on)
+            });
+            let retry_after = if is_on {
+                leader.until_response
+            } else {
+                ALLOWANCE_TIMEOUT
+            };
+            (wait, retry_after)
+        }
+    }
+}
+
 /// Returns an operation to its customer's rate if it was refused before it was sent anywhere.
 pub(super) fn release_unsent(
     node: &NodeState,
@@ -76,22 +111,16 @@
     }
 }
 
-/// Tries to admit an operation, and returns the result and the time until the instance counts as
-/// isolated. That time is zero unless overload control is in force.
+/// Tries to admit an operation, and returns the result and when the leader's next response is
+/// expected.
 fn try_admit(
     node: &NodeState,
     request: &SessionRequest,
     now: MonotonicTime,
-) -> (Result<AllowanceSource, RateRefusal>, Duration) {
-    let overload = node.overload_control();
+) -> (Result<AllowanceSource, RateRefusal>, LeaderDelays) {
     let mut allowances = node.allowances.borrow_mut();
     let admitted = allowances.admit(&request.customer, node.instances(), now);
-    let until_isolated = if overload.is_on() {
-        allowances.time_until_isolated(now)
-    } else {
-        Duration::ZERO
-    };
-    (admitted, until_isolated)
+    (admitted, allowances.leader_delays(now))
 }
 
 /// Returns how long an operation that has `waited` still waits for a larger allowance.
@@ -115,10 +144,36 @@
     Some(rest.min(left))
 }
 
+/// Returns how long an operation on an isolated instance waits for a loan of the share pool of the
+/// zone, and requests one unless a request is pending. `loan` keeps the request and until when the
+/// operation waits.
+fn loan_wait(
+    node: &NodeState,
+    request: &SessionRequest,
+    loan: &mut Option<(LoanTicket, MonotonicTime)>,
+    now: MonotonicTime,
+) -> Option<Duration> {
+    if !node.allowances.borrow().uses_shares(now) {
+        return None;
+    }
+    let until = loan.map_or(now + ALLOWANCE_TIMEOUT, |(_, until)| until);
+    let rest = until.saturating_since(now);
+    if rest.is_zero() {
+        return None;
+    }
+    let mut exchange = node.share_exchange.borrow_mut();
+    let pending = loan.filter(|(ticket, _)| exchange.is_pending(*ticket));
+    if pending.is_none() {
+        let ticket = exchange.request(&request.customer, now)?;
+        *loan = Some((ticket, until));
+        node.share_loan_due.notify_one();
+    }
+    Some(rest)
+}
+
 /// Returns how long an operation waits until the instance counts as isolated, if it can still
 /// meet its objective then.
 fn isolation_wait(
-    node: &NodeState,
     request: &SessionRequest,
     until_isolated: Duration,
     now: MonotonicTime,
@@ -128,5 +183,5 @@
     let fits = until_isolated + waited < max_wait;
     // The instance is isolated only after the end of the interval.
     let wait = until_isolated + Duration::from_millis(1);
-    (node.overload_control().is_on() && fits).then_some(wait)
+    fits.then_some(wait)
 }
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -1,10 +1,11 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
-use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
+use mustardhinge_core::prelude::{CustomerId, MonotonicTime, RetryDelay};
 use mustardhinge_core::queue::{
-    CostEstimates, CustomerWeight, FairQueue, PopOutcome, PriorityItem, PriorityQueue,
-    PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow, WaitingItem,
+    CostEstimates, CustomerWeight, DepartureCause, FairQueue, PopOutcome, PriorityItem,
+    PriorityQueue, PriorityWaits, PushOutcome, QueueLimits, QueueRefusal, SlotCost, SlotWindow,
+    WaitLimits, WaitingItem,
 };
 use tokio::sync::oneshot;
 
@@ -40,9 +41,8 @@
     pub grant: oneshot::Sender<GrantResult>,
 }
 
-/// A grant, or the retry delay of a session that was evicted or expired in the queue with
-/// priorities.
-pub(super) type GrantResult = Result<ConnectionGrant, Duration>;
+/// A grant, or why a session left the queue with priorities without one, and its retry delay.
+pub(super) type GrantResult = Result<ConnectionGrant, (DepartureCause, Duration)>;
 
 /// The receiver of a waiting session's grant, with the ticket to cancel it.
 pub(super) type PendingGrant = (WaitTicket, oneshot::Receiver<GrantResult>);
@@ -225,16 +225,7 @@
         request: &ConnectionRequest,
         now: MonotonicTime,
     ) -> Result<PendingGrant, Duration> {
-        let (grant, granted) = oneshot::channel();
-        let item = WaitingItem {
-            customer: request.customer.clone(),
-            deadline: now + request.max_expected_wait(),
-            cost: STATEMENT_COST,
-            item: WaitingSession {
-                session: request.session,
-                grant,
-            },
-        };
+        let (item, granted) = fair_item(request, now);
         // Displaced and expired sessions are notified by their dropped sender.
         match self.waiting.borrow_mut().push(item, now) {
             PushOutcome::Queued { ticket, .. } => Ok((WaitTicket::Fair(ticket), granted)),
@@ -248,31 +239,64 @@
         has_idle: bool,
         now: MonotonicTime,
     ) -> Result<PendingGrant, Duration> {
+        let (item, granted) = self.priority_item((request, weight), has_idle, now);
+        match self.by_priority.borrow_mut().push(item, now) {
+            PushOutcome::Queued { ticket, displaced } => {
+                if let Some(refusal) = displaced {
+                    notify_refused(refusal);
+                }
+                Ok((WaitTicket::Priority(request.priority, ticket), granted))
+            }
+            PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
+        }
+    }
+
+    fn priority_item(
+        &self,
+        (request, weight): (&ConnectionRequest, CustomerWeight),
+        has_idle: bool,
+        now: MonotonicTime,
+    ) -> (PriorityItem<WaitingSession>, oneshot::Receiver<GrantResult>) {
         let (grant, granted) = oneshot::channel();
         let cost = self.cost_of(request, has_idle);
-        let slot_time = Duration::from_micros(cost.as_micros().into());
+        let limits = WaitLimits::new(request.wait, cost, now);
         let item = PriorityItem {
             customer: request.customer.clone(),
             weight,
             priority: request.priority,
-            admit_by: now + request.max_expected_wait(),
-            // The cost of a transaction covers more statements than the objective does.
-            deadline: now + request.wait.saturating_sub(slot_time.min(request.wait / 4)),
+            admit_by: limits.admit_by,
+            deadline: limits.deadline,
             cost,
             item: WaitingSession {
                 session: request.session,
                 grant,
             },
         };
-        match self.by_priority.borrow_mut().push(item, now) {
-            PushOutcome::Queued { ticket, displaced } => {
-                if let Some(refusal) = displaced {
-                    notify_refused(refusal);
-                }
-                Ok((WaitTicket::Priority(request.priority, ticket), granted))
+        (item, granted)
+    }
+
+    /// Returns how long a session would be expected to wait if it were queued now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay if the session would be refused.
+    pub(super) fn preview(
+        &self,
+        request: &ConnectionRequest,
+        has_idle: bool,
+        now: MonotonicTime,
+    ) -> Result<Duration, Duration> {
+        let preview = match request.weight {
+            Some(weight) => {
+                let (item, _) = self.priority_item((request, weight), has_idle, now);
+                self.by_priority.borrow().preview(&item, now)
             }
-            PushOutcome::Refused(refusal) => Err(refusal.retry_after.get()),
-        }
+            None => {
+                let (item, _) = fair_item(request, now);
+                self.waiting.borrow().preview(&item, now)
+            }
+        };
+        preview.map_err(RetryDelay::get)
     }
 
     /// Removes a session that no longer waits.
@@ -311,12 +335,37 @@
         None
     }
 
+    /// Refuses the sessions whose deadline has passed in the queue with priorities.
+    pub(super) fn refuse_expired(&self, now: MonotonicTime) {
+        let mut queue = self.by_priority.borrow_mut();
+        while let Some(refusal) = queue.pop_expired(now) {
+            notify_refused(refusal);
+        }
+    }
+
     /// Rejects all waiting sessions, after the target has failed or was removed.
     pub(super) fn reject_all(&self, now: MonotonicTime) {
         while self.pop(now).is_some() {}
     }
 }
 
+fn fair_item(
+    request: &ConnectionRequest,
+    now: MonotonicTime,
+) -> (WaitingItem<WaitingSession>, oneshot::Receiver<GrantResult>) {
+    let (grant, granted) = oneshot::channel();
+    let item = WaitingItem {
+        customer: request.customer.clone(),
+        deadline: now + request.max_expected_wait(),
+        cost: STATEMENT_COST,
+        item: WaitingSession {
+            session: request.session,
+            grant,
+        },
+    };
+    (item, granted)
+}
+
 /// Sends the retry delay to a session that was evicted or expired.
 fn notify_refused(refusal: QueueRefusal<WaitingSession>) {
     // The session may have stopped waiting.
@@ -324,5 +373,5 @@
         .refused
         .item
         .grant
-        .send(Err(refusal.retry_after.get()));
+        .send(Err((refusal.reason.into(), refusal.retry_after.get())));
 }
