Let large instances claim the leadership first

Cause: the leader answers all instances, and any of them could become it. Change: ClaimOrder staggers claims by processor time. Instances with half a core or more use the first 8 ranks, those with less than a quarter claim 120 ms later, also at the very first start; those in between claim as before.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -7,7 +7,9 @@
 
 use super::held_leadership::HeldLeadership;
 use super::voter_acks::VoterAcks;
-use super::{LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter};
+use super::{
+    ClaimOrder, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter,
+};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
@@ -26,7 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct LeaderElection {
     own: LeaderRecord,
-    rank: u32,
+    claim_order: ClaimOrder,
     settings: LeaseSettings,
     observed: Option<ObservedRecord>,
     is_record_absent: bool,
@@ -67,7 +69,7 @@
         };
         Self {
             own,
-            rank,
+            claim_order: ClaimOrder::by_rank(rank),
             settings: LeaseSettings::default(),
             observed: None,
             is_record_absent: false,
@@ -88,6 +90,13 @@
         }
     }
 
+    /// Sets the order in which this instance claims leadership, instead of that of its rank.
+    #[must_use]
+    pub const fn with_claim_order(mut self, claim_order: ClaimOrder) -> Self {
+        self.claim_order = claim_order;
+        self
+    }
+
     /// Schedules an immediate read if the record has never been read.
     ///
     /// Called when another instance requests the leader's address or addresses this instance as
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -15,9 +15,6 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
 /// Interval between reads after a write whose outcome is unknown.
 const STALE_READ_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay between the claims of instances of consecutive ranks, so that the first one wins
-/// without a conflict.
-const CLAIM_SPREAD: Duration = Duration::from_millis(15);
 
 impl LeaderElection {
     /// Returns the next action.
@@ -113,7 +110,7 @@
             return None;
         }
         let is_own = observed.record.holder == self.own.holder;
-        let spread = CLAIM_SPREAD * self.rank;
+        let spread = self.claim_order.spread;
         let wait = match (is_own, observed.record.released) {
             _ if observed.is_from_copy() => self.settings.claim_after + spread,
             (true, _) => Duration::ZERO,
@@ -135,13 +132,17 @@
     /// claim waits as long as for a record that its leader doesn't renew.
     fn absent_claim_step(&self, now: MonotonicTime) -> Option<ElectionStep> {
         let is_first = self.era == StoreEra::default();
-        let wait = self.settings.claim_after + CLAIM_SPREAD * self.rank;
+        let wait = if is_first {
+            self.claim_order.first_delay
+        } else {
+            self.settings.claim_after + self.claim_order.spread
+        };
         let has_waited = self
             .absent_since
             .is_some_and(|since| now.saturating_since(since) >= wait);
         let mut record = self.claim_record(self.highest_fence + 1, None);
         record.settled = is_first && self.highest_fence == 0;
-        let may_claim = self.is_record_absent && (is_first || has_waited);
+        let may_claim = self.is_record_absent && has_waited;
         may_claim.then_some(ElectionStep::Write {
             record,
             expected: None,
--- a/crates/mustardhinge-core/src/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/src/primary_lease/mod.rs
@@ -8,6 +8,7 @@
 //! by majority don't use this module: see [`failover`](crate::failover).
 
 mod change_cause;
+mod claim_order;
 mod control_schedule;
 mod election_step;
 mod epoch_digest;
@@ -37,6 +38,7 @@
 mod warm_successor;
 
 pub use change_cause::ChangeCause;
+pub use claim_order::ClaimOrder;
 pub use control_schedule::ControlSchedule;
 pub use election_step::ElectionStep;
 pub use epoch_digest::EpochDigest;
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -2,7 +2,8 @@
 
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_core::primary_lease::{
-    ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision, StoreEra,
+    ClaimOrder, ElectionStep, LeaderElection, LeaderRecord, ObservedRecord, RecordRevision,
+    StoreEra,
 };
 
 use super::{at, id};
@@ -317,3 +318,60 @@
         "each new leader has a higher fence"
     );
 }
+
+/// All processes start, and the record's leader doesn't return. Guards against a leader with little
+/// processor time while there are larger instances, and against a vacant leadership if there are
+/// none.
+#[test]
+fn small_instances_claim_after_the_larger_ones() {
+    let delays = |centicores: u16| (0..64).map(move |rank| first_claim_ms(centicores, rank));
+    let slowest_large = delays(50).max().unwrap();
+    let fastest_small = delays(12).min().unwrap();
+    assert!(slowest_large < fastest_small);
+    assert!(delays(12).max().unwrap() <= 2_000 + 63 * 15 + 120 + STEP_MS);
+    // Instances between the two claim as they did before the order existed.
+    assert!(delays(25).eq((0..64).map(|rank| ceil_to_step(2_000 + rank * 15))));
+}
+
+/// Milliseconds between two looks at the next step.
+const STEP_MS: u64 = 5;
+
+const fn ceil_to_step(millis: u64) -> u64 {
+    millis.div_ceil(STEP_MS) * STEP_MS
+}
+
+/// Returns when an instance claims the leadership of one that is gone.
+fn first_claim_ms(centicores: u16, incarnation: u64) -> u64 {
+    let mut store = FakeStore::default();
+    let mut gone = election("gone", 1);
+    run_steps(&mut gone, &mut store, at(0));
+    let order = ClaimOrder::for_instance(centicores, incarnation);
+    let mut other = election("other", 2).with_claim_order(order);
+    for now in (0..10_000).step_by(STEP_MS as usize) {
+        run_steps(&mut other, &mut store, at(now));
+        if other.may_grant(at(now)) {
+            return now;
+        }
+    }
+    panic!("no claim");
+}
+
+/// The first start of a deployment. Guards against a small first leader, and against a delay of
+/// instances that are not small.
+#[test]
+fn a_small_instance_leaves_the_first_claim_to_others() {
+    for (centicores, expected) in [(12, 120), (25, 0), (50, 0)] {
+        let mut store = FakeStore::default();
+        let order = ClaimOrder::for_instance(centicores, 7);
+        let mut first = election("first", 1).with_claim_order(order);
+        let mut claimed_at = None;
+        for now in (0..1_000).step_by(STEP_MS as usize) {
+            run_steps(&mut first, &mut store, at(now));
+            if first.may_grant(at(now)) {
+                claimed_at = Some(now);
+                break;
+            }
+        }
+        assert_eq!(claimed_at, Some(expected), "{centicores}");
+    }
+}
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use mustardhinge_core::primary_lease::LeaderElection;
+use mustardhinge_core::primary_lease::{ClaimOrder, LeaderElection};
 use mustardhinge_process::event;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
@@ -16,8 +16,6 @@
 };
 use crate::session::CallerSession;
 
-/// Number of ranks that stagger the election attempts of the instances.
-const ELECTION_RANKS: u32 = 64;
 /// How long new callers are still accepted after a planned stop is announced. The platform needs
 /// this long to stop sending them.
 const ANNOUNCE_DURATION: Duration = Duration::from_millis(1_500);
@@ -51,13 +49,14 @@
         let socket = UdpSocket::bind(settings.peer_address).await;
         let socket =
             socket.with_context(|| format!("binding UDP socket {}", settings.peer_address))?;
-        let rank = u32::try_from(incarnation % u64::from(ELECTION_RANKS)).unwrap_or(0);
+        let claim_order = ClaimOrder::for_instance(settings.cpu_centicores, incarnation);
         let election = LeaderElection::new(
             settings.instance.clone(),
             incarnation,
             settings.peer_address,
-            rank,
-        );
+            0,
+        )
+        .with_claim_order(claim_order);
         let node = Rc::new(NodeState::new(settings, election, incarnation));
         let control = Rc::new(ControlState::new(node, platform, socket, incarnation));
         Ok(Self {
