--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -149,6 +149,19 @@
         write_chunks(&mut stream, &response).await?;
         return Ok(None);
     };
+    let response = build_response(control, &query)?;
+    let sent_state = current_state(control);
+    write_chunks(&mut stream, &response).await?;
+    metrics::counter!("resident_state_responses_total", "result" => "sent").increment(1);
+    if let Some(sender) = query.sender {
+        let mut sources = control.transfer_sources.borrow_mut();
+        sources.record(sent_state, sender);
+    }
+    Ok(None)
+}
+
+/// Returns the response to a query: the parts of this instance's state that the requester lacks.
+fn build_response<P>(control: &ControlState<P>, query: &RelayQuery) -> anyhow::Result<Rc<Vec<u8>>> {
     let plan = control.node.plan();
     let (targets, revision) = control.node.target_list();
     let cold_seconds = targets
@@ -167,14 +180,14 @@
         evacuations: evacuations.clone(),
         busy: None,
     };
-    let response = if evacuations.is_some() {
+    if evacuations.is_some() {
         // Not cached, since the ages grow.
         let bytes = serde_json::to_vec(&state())?;
-        Rc::new(if query.accepts_compressed {
+        Ok(Rc::new(if query.accepts_compressed {
             compress(&bytes)?
         } else {
             bytes
-        })
+        }))
     } else if query.accepts_compressed {
         let digest = control.node.targets_digest();
         let key = (
@@ -184,18 +197,10 @@
             (has_plan, has_targets),
             cold_seconds,
         );
-        compress_response(control, key, state)?
+        compress_response(control, key, state)
     } else {
-        Rc::new(serde_json::to_vec(&state())?)
-    };
-    let sent_state = current_state(control);
-    write_chunks(&mut stream, &response).await?;
-    metrics::counter!("resident_state_responses_total", "result" => "sent").increment(1);
-    if let Some(sender) = query.sender {
-        let mut sources = control.transfer_sources.borrow_mut();
-        sources.record(sent_state, sender);
+        Ok(Rc::new(serde_json::to_vec(&state())?))
     }
-    Ok(None)
 }
 
 /// Waits for a permit to send a response. Returns `None` if the requester should query another
