Charge retries only when another attempt follows

Cause: a read or begin charged its retry before it was known whether time, attempts or targets remained. Each pooled connection kept the line of its last request allocated, also with overload control off. A transaction was still stored after overload control had been turned off, and a gateway logged the end of a transaction a second time as rest_or_stop.

Change: reads and begins charge the retry once the next attempt has a placement, and return the last response if it is refused. The request id is copied for transactions under overload control only, and cleared on release. TargetLease::park checks the current state of overload control. Transactions already ended are removed from a gateway without a second event.

--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -219,17 +219,25 @@
         self.pins.borrow_mut().insert(pin, pinned);
     }
 
-    /// Abandons the transactions that have been idle for `limit`.
+    /// Abandons the transactions that have been idle for `limit`, and removes those that were ended
+    /// for their connections, whose end is already logged.
     pub(super) fn expire_transactions(&self, limit: Duration) {
         let now = self.node.clock.now();
         let ended: Vec<_> = self
+            .pins
+            .borrow_mut()
+            .extract_if(|_, pinned| pinned.lease.is_ended())
+            .collect();
+        self.add_forwarded(-(ended.len() as isize));
+        drop(ended);
+        let expired: Vec<_> = self
             .pins
             .borrow()
             .iter()
             .filter(|(_, pinned)| now.saturating_since(pinned.used_at) >= limit)
             .map(|(pin, _)| *pin)
             .collect();
-        for pin in ended {
+        for pin in expired {
             event::TRANSACTION_ENDED.log(format_args!("forwarded={pin} cause=rest_or_stop"));
             self.release(pin);
         }
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -85,6 +85,7 @@
     let mut tried = Vec::new();
     let retry_after = retry_without_target(&group, node.clock.now());
     let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
+    let mut failed = None;
     let mut was_full = false;
     for attempt in 0..MAX_READ_ATTEMPTS {
         let placement = match place_read::<W>(node, &group, request, last_commit, &tried).await {
@@ -98,6 +99,17 @@
             Ok(None) => break,
             Err(response) => return if attempt == 0 { response } else { last },
         };
+        if let Some((target, attempt)) = &failed {
+            if !admit_retry(node, request) {
+                placement.lease.release(node.clock.now());
+                return last;
+            }
+            metrics::counter!("resident_retries_total", "reason" => last.reason()).increment(1);
+            event::REQUEST_RETRIED.log(format_args!(
+                "request={} target={target} attempt={attempt} answer={last:?}",
+                String::from_utf8_lossy(&request.id)
+            ));
+        }
         let target = placement.lease.target().id();
         match try_read::<W>(node, &group, request, values, placement).await {
             Ok(response) => return response,
@@ -105,19 +117,11 @@
                 response,
                 is_transient,
             }) => {
-                if !admit_retry(node, request) {
-                    return response;
-                }
-                metrics::counter!("resident_retries_total", "reason" => response.reason())
-                    .increment(1);
-                event::REQUEST_RETRIED.log(format_args!(
-                    "request={} target={target} attempt={attempt} answer={response:?}",
-                    String::from_utf8_lossy(&request.id)
-                ));
                 was_full |= is_transient && response.is_full();
                 last = response;
             }
         }
+        failed = Some((target.clone(), attempt));
         tried.push(target);
         if request.time_left(node.clock.now()).is_zero() {
             return last;
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime};
 use mustardhinge_core::primary_lease::GroupEpoch;
 
@@ -120,8 +121,12 @@
     }
     let sent_at = node.clock.now();
     check_epoch(node, &execution, sent_at)?;
+    let may_become_idle = lease.has_work() && execution.step != TransactionStep::Single;
     let connection = lease.connection_mut().ok_or_else(closed)?;
-    connection.last_request = request.id.clone();
+    if may_become_idle {
+        // A copy: the id is a slice of the caller's whole line, which may be 1 MiB long.
+        connection.last_request = Bytes::copy_from_slice(&request.id);
+    }
     let mut statement_count = 1;
     match execution.step {
         TransactionStep::Single => {
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -187,6 +187,7 @@
     let mut tried = Vec::new();
     let retry_after = retry_without_target(&group, node.clock.now());
     let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
+    let mut failed = None;
     let at_primary = !read_only || request.route.read_rule == ReadRule::Primary;
     for attempt in 0..MAX_BEGIN_ATTEMPTS {
         let placement = if at_primary {
@@ -197,18 +198,24 @@
         let Some(placement) = placement else {
             break;
         };
+        if let Some((target, attempt)) = &failed {
+            if !admit_retry(node, request) {
+                placement.lease.release(node.clock.now());
+                return Err(last);
+            }
+            metrics::counter!("resident_retries_total", "reason" => last.reason()).increment(1);
+            event::REQUEST_RETRIED.log(format_args!(
+                "request={} target={target} attempt={attempt} stage=begin answer={last:?}",
+                String::from_utf8_lossy(&request.id)
+            ));
+        }
         let target = placement.lease.target().id();
         match try_begin::<W>(node, request, values, placement, (read_only, at_primary)).await {
             Ok(begun) => return Ok(begun),
             Err(failure) if failure.is_final => return Err(failure.response),
-            Err(failure) if !admit_retry(node, request) => return Err(failure.response),
             Err(failure) => last = failure.response,
         }
-        metrics::counter!("resident_retries_total", "reason" => last.reason()).increment(1);
-        event::REQUEST_RETRIED.log(format_args!(
-            "request={} target={target} attempt={attempt} stage=begin answer={last:?}",
-            String::from_utf8_lossy(&request.id)
-        ));
+        failed = Some((target.clone(), attempt));
         if at_primary {
             if request.wait_left(node.clock.now()).is_zero() {
                 break;
--- a/crates/mustardhinge-resident/src/target/target_connection.rs
+++ b/crates/mustardhinge-resident/src/target/target_connection.rs
@@ -34,7 +34,7 @@
     pub state: TransactionState,
     /// Time of its last use.
     pub used_at: MonotonicTime,
-    /// Id of the last request that used it.
+    /// Id of the last request of its open transaction, under overload control; otherwise empty.
     pub last_request: Bytes,
     pub(super) hold: Option<ConnectionHold>,
 }
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use mustardhinge_core::connection::TransactionNumber;
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::BootClock;
@@ -58,6 +59,12 @@
         self
     }
 
+    /// Returns whether the lease was acquired under overload control and its slot time is recorded.
+    #[must_use]
+    pub const fn has_work(&self) -> bool {
+        self.work.is_some()
+    }
+
     /// Creates a lease that forwards through the target's gateway.
     #[must_use]
     pub fn forwarded(target: Rc<TargetHandle>, connection: ForwardedConnection) -> Self {
@@ -106,7 +113,9 @@
     /// Stores the connection of an open transaction until its next statement, under overload
     /// control.
     fn park(&mut self, now: MonotonicTime) {
-        let Some(work) = self.work else {
+        // Overload control may have been turned off since the lease was acquired.
+        let work = self.work.filter(|_| self.target.is_overload_controlled());
+        let Some(work) = work else {
             return;
         };
         match self.connection.take() {
@@ -227,6 +236,7 @@
                 if connection.state == TransactionState::Idle =>
             {
                 connection.used_at = now;
+                connection.last_request = Bytes::new();
                 self.target.return_connection(*connection, now);
             }
             LeasedConnection::Direct(_) => self.target.record_closed(now),
