--- a/crates/mustardhinge-resident/src/explain/explain_request.rs
+++ b/crates/mustardhinge-resident/src/explain/explain_request.rs
@@ -68,8 +68,7 @@
         );
         return Err(QueryError::not_found("service", message));
     }
-    let route = plan.find_route(&query.route);
-    let route = route.filter(|route| route.service == query.service);
+    let route = plan.find_route(&query.service, &query.route);
     let route = route.ok_or_else(|| {
         let (route, service) = (&query.route, &query.service);
         let message = format!(
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -72,12 +72,14 @@
         self.parts.routes.get(database)
     }
 
-    /// Returns the route of this name, or else the one of the database of this name.
+    /// Returns the route of a service with this name, or else the one of the database of this name.
+    /// Routes of several services may have the same name.
     #[must_use]
-    pub fn find_route(&self, name: &RouteName) -> Option<&Rc<PlanRoute>> {
-        let mut routes = self.parts.routes.values();
+    pub fn find_route(&self, service: &ServiceId, name: &RouteName) -> Option<&Rc<PlanRoute>> {
+        let of_service = |route: &&Rc<PlanRoute>| route.service == *service;
+        let mut routes = self.parts.routes.values().filter(of_service);
         let named = routes.find(|route| route.name.as_ref() == Some(name));
-        named.or_else(|| self.route(name.as_str().as_bytes()))
+        named.or_else(|| self.route(name.as_str().as_bytes()).filter(of_service))
     }
 
     /// Returns the customer whose key has this digest.
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -121,12 +121,8 @@
     }
     let sent_at = node.clock.now();
     check_epoch(node, &execution, sent_at)?;
-    let may_become_idle = lease.has_work() && execution.step != TransactionStep::Single;
+    record_last_request(lease, &execution);
     let connection = lease.connection_mut().ok_or_else(closed)?;
-    if may_become_idle {
-        // A copy: the id is a slice of the caller's whole line, which may be 1 MiB long.
-        connection.last_request = Bytes::copy_from_slice(&request.id);
-    }
     let mut statement_count = 1;
     match execution.step {
         TransactionStep::Single => {
@@ -168,6 +164,17 @@
     Ok(reply)
 }
 
+/// Records the request on a connection that may become idle inside a transaction.
+fn record_last_request(lease: &mut TargetLease, execution: &StatementExecution<'_>) {
+    if lease.has_work()
+        && execution.step != TransactionStep::Single
+        && let Some(connection) = lease.connection_mut()
+    {
+        // A copy: the id is a slice of the caller's whole line, which may be 1 MiB long.
+        connection.last_request = Bytes::copy_from_slice(&execution.request.id);
+    }
+}
+
 async fn execute_forwarded(
     node: &Rc<NodeState>,
     lease: &mut TargetLease,
