Keep lost targets, warm targets and relayed evacuations apart from stale news

Cause, found in review: a second list of the same era counted a target that was lost in a restore as departed, which shrank the setup quorum. A time computed by a relay counted as announced, so a warm target became cold again. Followers ended missing evacuations before they could hear that these were written again.

Change: departures need a listing in the present era, relays mark missing targets, relayed cold times are kept separately, and relayed evacuations stay for 4 s.

--- a/crates/mustardhinge-core/src/evacuation/evacuated_zones.rs
+++ b/crates/mustardhinge-core/src/evacuation/evacuated_zones.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
 
-use super::missing_evacuation::MissingEvacuation;
+use super::missing_evacuation::{MissingEvacuation, RELAY_GRACE_PERIOD, STORE_GRACE_PERIOD};
 use super::{EvacuationVersion, TargetUse};
 use crate::ids::ZoneId;
 use crate::primary_lease::RecordRevision;
@@ -47,6 +48,27 @@
         zones: impl IntoIterator<Item = (ZoneId, MonotonicTime)>,
         revision: RecordRevision,
         now: MonotonicTime,
+    ) -> bool {
+        self.replace(zones, revision, STORE_GRACE_PERIOD, now)
+    }
+
+    /// Replaces the set by that of another instance, as [`Self::adopt`] does. A missing zone stays in
+    /// force for 4 s, since the news that it is listed again arrives later.
+    pub fn adopt_relayed(
+        &mut self,
+        zones: impl IntoIterator<Item = (ZoneId, MonotonicTime)>,
+        revision: RecordRevision,
+        now: MonotonicTime,
+    ) -> bool {
+        self.replace(zones, revision, RELAY_GRACE_PERIOD, now)
+    }
+
+    fn replace(
+        &mut self,
+        zones: impl IntoIterator<Item = (ZoneId, MonotonicTime)>,
+        revision: RecordRevision,
+        grace_period: Duration,
+        now: MonotonicTime,
     ) -> bool {
         if revision < self.revision {
             return false;
@@ -59,10 +81,14 @@
                 let missing = MissingEvacuation {
                     since,
                     missing_since,
+                    grace_period,
                 };
                 (zone.clone(), missing)
             }));
-            self.restart_missing(now);
+            for missing in self.missing.values_mut() {
+                missing.missing_since = now;
+                missing.grace_period = grace_period;
+            }
         }
         self.revision = revision;
         for (zone, since) in zones {
@@ -87,7 +113,7 @@
         self.zones.remove(zone).is_some() || was_missing
     }
 
-    /// Ends the evacuations that a restored store still lacks after 2.5 s. Returns whether there
+    /// Ends the evacuations that a restored store still lacks after their time. Returns whether there
     /// were any.
     pub fn expire_missing(&mut self, now: MonotonicTime) -> bool {
         let before = self.missing.len();
--- a/crates/mustardhinge-core/src/placement/cold_period.rs
+++ b/crates/mustardhinge-core/src/placement/cold_period.rs
@@ -32,7 +32,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdPeriod {
     born_ms: u64,
+    /// Last time that the target announced; the greatest possible one while it isn't known.
     announced: Duration,
+    /// Last rest of a period that another instance computed.
+    relayed: Duration,
     began: MonotonicTime,
     ends: MonotonicTime,
 }
@@ -41,16 +44,44 @@
     /// Records that the process that started at `born_ms` remains slow for `left`.
     pub fn observe(&mut self, left: Duration, born_ms: u64, now: MonotonicTime) {
         let left = left.min(MAX_COLD_TIME);
+        if self.apply(left, self.announced, born_ms, now) {
+            self.relayed = left;
+        }
+        self.announced = left;
+    }
+
+    /// Records that, as another instance computed, the process that started at `born_ms` remains
+    /// slow for `left`.
+    ///
+    /// This isn't the announced time: a target that always announces the same would otherwise seem
+    /// to announce more than before once its entry is read from the store again.
+    pub fn observe_relayed(&mut self, left: Duration, born_ms: u64, now: MonotonicTime) {
+        let left = left.min(MAX_COLD_TIME);
+        if self.apply(left, self.relayed, born_ms, now) {
+            self.announced = MAX_COLD_TIME;
+        }
+        self.relayed = left;
+    }
+
+    /// Begins a period with a new process or, once the last one is over, with a time greater than
+    /// `before`. Otherwise shortens the period. Returns whether one began.
+    fn apply(
+        &mut self,
+        left: Duration,
+        before: Duration,
+        born_ms: u64,
+        now: MonotonicTime,
+    ) -> bool {
         let is_new_process = self.born_ms != born_ms;
-        let has_ended = now >= self.ends;
-        if is_new_process || has_ended && left > self.announced {
+        let begins = is_new_process || now >= self.ends && left > before;
+        if begins {
             self.began = now;
             self.ends = now + left;
         } else {
             self.ends = self.ends.min(now + left);
         }
         self.born_ms = born_ms;
-        self.announced = left;
+        begins
     }
 
     /// Returns the rest of the period.
--- a/crates/mustardhinge-core/tests/suite/cold_targets.rs
+++ b/crates/mustardhinge-core/tests/suite/cold_targets.rs
@@ -38,6 +38,28 @@
     assert!(cold.left(at(8_000)) <= Duration::from_secs(600));
 }
 
+/// Guards against a warm target that becomes cold again when an instance loses its relay and reads
+/// the time that the target always announces.
+#[test]
+fn a_relayed_time_does_not_count_as_announced() {
+    let left = Duration::from_millis;
+    let mut cold = ColdPeriod::default();
+    cold.observe_relayed(left(0), 1, at(0));
+    cold.observe(left(30_000), 1, at(1_000));
+    assert!(cold.left(at(1_000)).is_zero());
+    let mut cold = ColdPeriod::default();
+    cold.observe(left(30_000), 1, at(0));
+    cold.observe_relayed(left(0), 1, at(31_000));
+    cold.observe(left(30_000), 1, at(32_000));
+    assert!(cold.left(at(32_000)).is_zero());
+    cold.observe_relayed(left(20_000), 1, at(33_000));
+    assert_eq!(cold.left(at(33_000)), left(20_000));
+    cold.observe(left(30_000), 1, at(54_000));
+    assert!(cold.left(at(54_000)).is_zero());
+    cold.observe_relayed(left(5_000), 2, at(55_000));
+    assert_eq!(cold.left(at(55_000)), left(5_000));
+}
+
 fn candidate(is_failing: bool) -> SpreadCandidate {
     SpreadCandidate {
         target: PlacementCandidate {
--- a/crates/mustardhinge-core/tests/suite/evacuation.rs
+++ b/crates/mustardhinge-core/tests/suite/evacuation.rs
@@ -115,3 +115,25 @@
     assert!(!zones.adopt([], second, at(12_000)));
     assert!(!zones.expire_missing(at(14_499)));
 }
+
+/// Guards against a follower that uses a zone again while its relay, which is one propagation delay
+/// ahead, knows already that the evacuation was written again.
+#[test]
+fn a_follower_keeps_a_missing_evacuation_until_it_hears_of_its_return() {
+    let restored = |number| RecordRevision::new(StoreEra::new(1), number);
+    let (mut relay, mut follower) = (EvacuatedZones::default(), EvacuatedZones::default());
+    relay.adopt([(zone("north"), at(0))], revision(9), at(0));
+    follower.adopt_relayed([(zone("north"), at(0))], revision(9), at(0));
+    relay.adopt([], restored(3), at(10_000));
+    follower.adopt_relayed([], restored(3), at(10_000));
+    // Written again 2 s later; the follower hears of it 900 ms after its relay.
+    relay.put(zone("north"), at(12_000));
+    relay.advance(restored(4));
+    assert!(!relay.expire_missing(at(12_900)) && !follower.expire_missing(at(12_900)));
+    let listed: Vec<_> = relay.iter().map(|(zone, at)| (zone.clone(), at)).collect();
+    assert!(!follower.adopt_relayed(listed, restored(4), at(12_900)));
+    assert!(!follower.expire_missing(at(20_000)));
+    // Without a return it ends.
+    follower.adopt_relayed([], RecordRevision::new(StoreEra::new(2), 1), at(30_000));
+    assert!(!follower.expire_missing(at(33_900)) && follower.expire_missing(at(34_000)));
+}
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -391,7 +391,7 @@
         let revision = evacuations.revision;
         control
             .node
-            .adopt_evacuations(zones.collect(), revision, "peer");
+            .adopt_relayed_evacuations(zones.collect(), revision);
     }
     if current_query(control) == before {
         QueryOutcome::NothingNew
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -47,15 +47,11 @@
     control.record_store_result(Ok(()));
     control.update_store_era();
     let era = revision.era();
-    let is_same_era = control.node.targets_revision().era() == era;
     let now = control.node.clock.now();
     let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
     for known in control.node.target_list().0 {
         if !listed.contains(&known.target) {
-            // A list from an older copy doesn't show that a target was removed.
-            if is_same_era {
-                control.node.record_departure(&known.target, era);
-            }
+            control.node.record_missing(&known.target, era);
             missing.entry(known.target).or_insert(now);
         }
     }
--- a/crates/mustardhinge-resident/src/node/cold_targets.rs
+++ b/crates/mustardhinge-resident/src/node/cold_targets.rs
@@ -6,18 +6,30 @@
 
 use super::NodeState;
 
+/// Where an entry was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EntrySource {
+    Store,
+    /// Another instance, which replaces the announced cold time by the rest of it.
+    Relay,
+}
+
 impl NodeState {
     /// Applies the time for which a target remains slow according to its entry.
     pub(super) fn apply_cold_time(
         &self,
         (service, target): (&ServiceId, &TargetId),
+        source: EntrySource,
         now: MonotonicTime,
     ) {
         let group = self.find_group(service);
         if let Some(handle) = group.and_then(|group| group.find(target)) {
             let entry = handle.entry();
             let left = Duration::from_millis(entry.cold_left_ms);
-            handle.observe_cold_time(left, entry.born_ms, now);
+            match source {
+                EntrySource::Store => handle.observe_cold_time(left, entry.born_ms, now),
+                EntrySource::Relay => handle.observe_relayed_cold_time(left, entry.born_ms, now),
+            }
         }
     }
 
--- a/crates/mustardhinge-resident/src/node/node_evacuations.rs
+++ b/crates/mustardhinge-resident/src/node/node_evacuations.rs
@@ -19,6 +19,17 @@
         self.change_evacuations(origin, |known, now| known.adopt(zones, revision, now));
     }
 
+    /// Replaces the set of evacuated zones by that of another instance, unless it is older.
+    pub fn adopt_relayed_evacuations(
+        &self,
+        zones: Vec<(ZoneId, MonotonicTime)>,
+        revision: RecordRevision,
+    ) {
+        self.change_evacuations("peer", |known, now| {
+            known.adopt_relayed(zones, revision, now)
+        });
+    }
+
     /// Applies changes that were read from the store. `change` returns whether a zone was added or
     /// removed.
     pub fn update_evacuations(
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -18,6 +18,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, watch};
 
+use super::cold_targets::EntrySource;
 use super::departed_targets::DepartedTargets;
 use super::lost_targets::LostTargets;
 use super::{DrainPhase, NodeLimits, NodeSettings};
@@ -83,6 +84,8 @@
     overload_control: Cell<Option<OverloadControl>>,
     targets_revision: Cell<RecordRevision>,
     departed: RefCell<DepartedTargets>,
+    /// The latest era of the store in which each target was listed.
+    listed_eras: RefCell<HashMap<TargetId, StoreEra>>,
     pub(super) lost: RefCell<LostTargets>,
     /// Cached result of [`Self::targets_digest`].
     targets_digest: Cell<Option<TargetsDigest>>,
@@ -130,6 +133,7 @@
             overload_control: Cell::new(None),
             targets_revision: Cell::default(),
             departed: RefCell::default(),
+            listed_eras: RefCell::default(),
             lost: RefCell::default(),
             targets_digest: Cell::new(None),
             instances: Cell::new(ASSUMED_INSTANCES),
@@ -189,6 +193,10 @@
     /// Adds a target listed in `era` or updates its entry. Returns false for an entry that is older
     /// than the known departure of its target, which is ignored.
     pub fn upsert_target(&self, entry: TargetEntry, era: StoreEra) -> bool {
+        self.apply_listed(entry, era, EntrySource::Store)
+    }
+
+    fn apply_listed(&self, entry: TargetEntry, era: StoreEra, source: EntrySource) -> bool {
         let now = self.clock.now();
         let mut departed = self.departed.borrow_mut();
         if departed.is_older(&entry, era) {
@@ -201,9 +209,13 @@
         }
         drop(departed);
         self.lost.borrow_mut().remove(&entry.target);
+        if !entry.is_missing {
+            let mut listed_eras = self.listed_eras.borrow_mut();
+            listed_eras.insert(entry.target.clone(), era);
+        }
         let (service, target) = (entry.service.clone(), entry.target.clone());
         self.apply_entry(entry);
-        self.apply_cold_time((&service, &target), now);
+        self.apply_cold_time((&service, &target), source, now);
         true
     }
 
@@ -263,8 +275,17 @@
         }
     }
 
+    /// Records that a list of `era` doesn't have a target. That shows its departure only if the
+    /// target was listed in this era: a list from an older copy may lack it although it never left.
+    pub fn record_missing(&self, target: &TargetId, era: StoreEra) {
+        if self.listed_eras.borrow().get(target) == Some(&era) {
+            self.record_departure(target, era);
+        }
+    }
+
     /// Removes a target that is no longer listed.
     pub fn remove_target(&self, target: &TargetId) {
+        self.listed_eras.borrow_mut().remove(target);
         let service = self.target_services.borrow_mut().remove(target);
         if let Some(group) = service.and_then(|service| self.find_group(&service)) {
             self.invalidate_list_caches();
@@ -282,8 +303,17 @@
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
         let now = self.clock.now();
-        let entries = handles.map(|handle| handle.relayed_entry(now)).collect();
-        (entries, self.targets_revision.get())
+        let revision = self.targets_revision.get();
+        let listed_eras = self.listed_eras.borrow();
+        let entries = handles.map(|handle| {
+            let entry = handle.relayed_entry(now);
+            let is_missing = listed_eras.get(&entry.target) != Some(&revision.era());
+            TargetEntry {
+                is_missing,
+                ..entry
+            }
+        });
+        (entries.collect(), revision)
     }
 
     /// Returns the targets whose entries are marked as leaving.
@@ -372,18 +402,16 @@
             return;
         }
         let era = revision.era();
-        let is_same_era = self.targets_revision.replace(revision).era() == era;
+        self.targets_revision.set(revision);
         let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
         for known in self.target_list().0 {
             if !listed.contains(&known.target) {
-                if is_same_era {
-                    self.record_departure(&known.target, era);
-                }
+                self.record_missing(&known.target, era);
                 self.remove_target(&known.target);
             }
         }
         for entry in entries {
-            self.upsert_target(entry, era);
+            self.apply_listed(entry, era, EntrySource::Relay);
         }
     }
 
--- a/crates/mustardhinge-resident/src/plan/target_entry.rs
+++ b/crates/mustardhinge-resident/src/plan/target_entry.rs
@@ -32,11 +32,15 @@
     /// The time in milliseconds for which the target remains slow after its start.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub cold_left_ms: u64,
+    /// Whether the sending instance keeps the target although no list of the present era of the
+    /// store had it. Set between instances only.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_missing: bool,
 }
 
 impl TargetEntry {
     /// Returns whether both entries are the same except for their sequence and the time for which the
-    /// target remains slow, which change with each heartbeat.
+    /// target remains slow, which change with each heartbeat, and whether the target is missing.
     #[must_use]
     pub fn has_same_state(&self, other: &Self) -> bool {
         let Self {
@@ -50,6 +54,7 @@
             born_ms,
             sequence: _,
             cold_left_ms: _,
+            is_missing: _,
         } = self;
         (target, service, address, zone)
             == (&other.target, &other.service, &other.address, &other.zone)
@@ -80,3 +85,11 @@
 const fn is_zero(number: &u64) -> bool {
     *number == 0
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
--- a/crates/mustardhinge-resident/src/target/cold_time.rs
+++ b/crates/mustardhinge-resident/src/target/cold_time.rs
@@ -15,6 +15,14 @@
         self.cold.set(cold);
     }
 
+    /// Records that, as another instance computed, the process that started at `born_ms` remains slow
+    /// for `left`.
+    pub fn observe_relayed_cold_time(&self, left: Duration, born_ms: u64, now: MonotonicTime) {
+        let mut cold = self.cold.get();
+        cold.observe_relayed(left, born_ms, now);
+        self.cold.set(cold);
+    }
+
     /// Returns the part of its usual reads that the target gets.
     #[must_use]
     pub fn cold_share(&self, now: MonotonicTime) -> f64 {
