--- a/crates/mustardhinge-core/src/placement/spread_placement.rs
+++ b/crates/mustardhinge-core/src/placement/spread_placement.rs
@@ -14,9 +14,9 @@
 impl SpreadPlacement {
     /// Returns the chosen candidate.
     ///
-    /// Skips the same candidates as [`ReadPlacement::choose`], and those of other availability
-    /// zones while a replica of the same zone has capacity within the objective. The older the
-    /// information, the more targets are near the lowest cost; a higher fixed cost (a connection,
+    /// Skips the same candidates as [`ReadPlacement::choose`](super::ReadPlacement::choose), and
+    /// those of other availability zones while a replica of the same zone has capacity within the
+    /// objective. The older the information, the more targets are near the lowest cost; a higher fixed cost (a connection,
     /// the zone, the primary, a fault) is never outweighed by the age of the information.
     #[must_use]
     pub fn choose(
