--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -21,7 +21,7 @@
 use super::primary_change::run_primary_change;
 use super::record_restore::restore_records;
 use super::schedule::{control_schedule, has_unusable};
-use super::state_relay::fetch_state;
+use super::state_fetch::fetch_state;
 use crate::adapter::{PlatformClient, ServerRole, SessionCodec, WriteOutcome};
 use crate::group::GroupState;
 use crate::target::TargetHandle;
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod record_restore;
 mod schedule;
 mod share_pooling;
+mod state_fetch;
 mod state_relay;
 mod store_eras;
 mod target_feed;
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -1,13 +1,11 @@
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flate2::Compression;
-use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use mustardhinge_core::evacuation::EvacuationVersion;
-use mustardhinge_core::membership::{QueryOutcome, SearchStep, StateSearch};
 use mustardhinge_core::prelude::{DocumentVersion, ZoneId};
 use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 use serde::{Deserialize, Serialize};
@@ -24,19 +22,15 @@
 use crate::plan::{TargetEntry, TargetsDigest};
 
 /// Maximum time without progress of a transfer.
-const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum duration of a transfer of an instance's state, which takes seconds on the slowest links.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
+pub(super) const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
 /// Number of bytes that are sent within [`PROGRESS_TIMEOUT`].
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Maximum time for which a query waits while others are served; small states are sent within it.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Delay after a failure to accept a connection, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum size of a relayed state in bytes: a configuration of the maximum size and a list of
-/// thousands of targets.
-const MAX_STATE_BYTES: u64 = 4 * 1024 * 1024;
-
 /// Maximum size in bytes of a query, not counting its first bytes, which are read separately to
 /// recognize [`FORWARD_PREFACE`]; about twice the size with the longest numbers.
 const MAX_QUERY_BYTES: u64 = 512;
@@ -291,126 +285,3 @@
     encoder.write_all(response)?;
     encoder.finish()
 }
-
-/// Decompresses a response of at most [`MAX_STATE_BYTES`]; earlier versions send plain JSON.
-fn decompress(response: Vec<u8>) -> std::io::Result<Vec<u8>> {
-    if response.starts_with(b"{") {
-        return Ok(response);
-    }
-    let mut decompressed = Vec::new();
-    DeflateDecoder::new(&response[..])
-        .take(MAX_STATE_BYTES)
-        .read_to_end(&mut decompressed)?;
-    Ok(decompressed)
-}
-
-/// Fetches and adopts the state of the instance at `address` or, if it has no newer state, that of
-/// the leader.
-pub(super) async fn fetch_state<P: PlatformClient>(
-    control: Rc<ControlState<P>>,
-    address: SocketAddr,
-) {
-    if control.is_fetching.replace(true) {
-        return;
-    }
-    fetch_newest(&control, address).await;
-    control.is_fetching.set(false);
-}
-
-async fn fetch_newest<P: PlatformClient>(control: &ControlState<P>, address: SocketAddr) {
-    let is_relay = control.relay.get() == Some(address);
-    let mut search = StateSearch::new(address, is_relay, control.node.clock.now());
-    let mut step = search.first_step();
-    loop {
-        match step {
-            SearchStep::Query(source, delay) => {
-                if !delay.is_zero() {
-                    sleep(delay).await;
-                }
-                let outcome = adopt_from(control, source).await;
-                let now = control.node.clock.now();
-                step = search.next_step(source, outcome, &mut rand::rng(), now);
-            }
-            SearchStep::QueryLeader => {
-                let leader = control.node.election.borrow().known_leader().cloned();
-                if let Some(leader) = leader.filter(|leader| leader.address != address) {
-                    adopt_from(control, leader.address).await;
-                }
-                return;
-            }
-            SearchStep::Done => return,
-        }
-    }
-}
-
-fn current_query<P>(control: &ControlState<P>) -> RelayQuery {
-    RelayQuery {
-        plan_version: control.node.plan().version(),
-        targets_revision: control.node.targets_revision().number(),
-        targets_era: control.node.targets_revision().era(),
-        targets: control.node.targets_digest(),
-        accepts_compressed: true,
-        evacuations: control.node.evacuation_version(),
-        sender: Some(control.node.settings.peer_address),
-    }
-}
-
-/// Queries the instance at `address` and adopts the state that it sends.
-async fn adopt_from<P: PlatformClient>(
-    control: &ControlState<P>,
-    address: SocketAddr,
-) -> QueryOutcome<SocketAddr> {
-    let before = current_query(control);
-    let fetched = timeout(TRANSFER_TIMEOUT, fetch(address, before)).await;
-    let state = match fetched {
-        Ok(Ok(state)) => state,
-        Ok(Err(error)) => {
-            log::debug!("failed to fetch state from {address}: {error}");
-            return QueryOutcome::NothingNew;
-        }
-        Err(_) => {
-            log::debug!("timed out fetching state from {address}");
-            return QueryOutcome::NothingNew;
-        }
-    };
-    if let Some(sources) = state.busy {
-        return QueryOutcome::Busy(sources);
-    }
-    if let Some(plan) = state.plan {
-        match control.platform.decode_plan(plan.as_bytes()) {
-            Ok(plan) => {
-                control.node.adopt_plan(plan, "peer");
-            }
-            Err(error) => log::warn!("invalid configuration from {address} ignored: {error}"),
-        }
-    }
-    if let Some(targets) = state.targets {
-        let revision = RecordRevision::new(state.era, state.revision);
-        control.node.adopt_targets(targets, revision);
-    }
-    let follows_evacuations = control.node.settings.follows_evacuations;
-    if let Some(evacuations) = state.evacuations.filter(|_| follows_evacuations) {
-        let now = control.node.clock.now();
-        let zones = evacuations.zones.into_iter();
-        let zones = zones.map(|(zone, age_ms)| (zone, now - Duration::from_millis(age_ms)));
-        let revision = evacuations.revision;
-        control
-            .node
-            .adopt_relayed_evacuations(zones.collect(), revision);
-    }
-    if current_query(control) == before {
-        QueryOutcome::NothingNew
-    } else {
-        QueryOutcome::Adopted
-    }
-}
-
-async fn fetch(address: SocketAddr, query: RelayQuery) -> anyhow::Result<RelayedState> {
-    let mut stream = timeout(PROGRESS_TIMEOUT, TcpStream::connect(address)).await??;
-    stream.write_all(&serde_json::to_vec(&query)?).await?;
-    stream.shutdown().await?;
-    let mut stream = stream.take(MAX_STATE_BYTES);
-    let mut bytes = Vec::new();
-    while timeout(PROGRESS_TIMEOUT, stream.read_buf(&mut bytes)).await?? > 0 {}
-    Ok(serde_json::from_slice(&decompress(bytes)?)?)
-}
