--- a/crates/mustardhinge-core/tests/suite/state_transfer.rs
+++ b/crates/mustardhinge-core/tests/suite/state_transfer.rs
@@ -11,7 +11,7 @@
 const INSTANCES: usize = 100;
 /// Duration of a step, in milliseconds.
 const STEP: u64 = 5;
-/// Size of the state, in bytes: a compressed list of 2,100 targets and a configuration.
+/// Assumed size of the state, in bytes: a compressed list of 2,100 targets and a configuration.
 const STATE_BYTES: f64 = 150_000.0;
 /// Bandwidth of an instance's link, in bytes per step: 10 Mbit/s.
 const LINK_BYTES: f64 = 1_250.0 * STEP as f64;
