Let a leader that was away claim again only after the usual wait

A leader that could not renew for 12 s sent its renewal with a number that the store had issued again, overwrote its successor's record, and claimed at once because it still took itself for the leader. The successor went on replacing primaries for up to 1.7 s.

Change: a leader writes its lost record at once only within 1.7 s of its last renewal, before another one can claim. After that it waits like any other claimant.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -120,8 +120,7 @@
         self.absent_since = None;
         self.has_predecessor_stopped = false;
         self.is_unbroken = self.held.as_ref().is_some_and(|held| {
-            let bound = self.settings.claim_after - self.settings.promote_margin;
-            held.record.era.next() == era && now.saturating_since(held.renewed_at) < bound
+            held.record.era.next() == era && self.is_renewed_recently(held, now)
         });
         if self.held.is_some() {
             self.is_stale = true;
@@ -380,13 +379,18 @@
     /// Returns whether this instance may replace a primary.
     #[must_use]
     pub fn may_promote(&self, now: MonotonicTime) -> bool {
+        self.held
+            .as_ref()
+            .is_some_and(|held| now >= held.promote_from && self.is_renewed_recently(held, now))
+    }
+
+    /// Returns whether no other instance can have claimed leadership since the last renewal.
+    fn is_renewed_recently(&self, held: &HeldLeadership, now: MonotonicTime) -> bool {
         let bound = self
             .settings
             .claim_after
             .saturating_sub(self.settings.promote_margin);
-        self.held.as_ref().is_some_and(|held| {
-            now >= held.promote_from && now.saturating_since(held.renewed_at) < bound
-        })
+        now.saturating_since(held.renewed_at) < bound
     }
 
     /// Returns this instance's record, its revision and the time of the last renewal while it is
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -37,6 +37,10 @@
         if !is_unresponsive {
             return ElectionStep::Wait;
         }
+        self.claim_or_read(now)
+    }
+
+    fn claim_or_read(&self, now: MonotonicTime) -> ElectionStep {
         if let Some(step) = self.claim_step(now) {
             return step;
         }
@@ -78,11 +82,17 @@
     }
 
     /// Returns the step by which a leader writes its record to a restored store, with a new fence.
+    ///
+    /// A leader whose last renewal is too old may have been replaced by a leader whose record was
+    /// lost as well and who still replaces primaries, so it waits like any other claimant.
     fn restore_step(&self, held: &HeldLeadership, now: MonotonicTime) -> ElectionStep {
         let is_recent = |at: MonotonicTime| now.saturating_since(at) < STALE_READ_INTERVAL;
         if self.last_write_at.is_some_and(is_recent) {
             return ElectionStep::Wait;
         }
+        if !self.is_renewed_recently(held, now) {
+            return self.claim_or_read(now);
+        }
         let stored = self.observed.as_ref().map(|observed| observed.revision);
         let expected = stored.filter(|revision| revision.era() == self.era);
         if expected.is_none() && !self.is_record_absent {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -27,6 +27,7 @@
         self.voter_acks.reset(record.fence);
         self.voter_acks.confirm(&record);
         let is_unbroken = std::mem::take(&mut self.is_unbroken);
+        let known_since = held.as_ref().and_then(|_| self.stored_since());
         let is_lost = revision.era() > StoreEra::default()
             && self
                 .observed
@@ -39,7 +40,10 @@
                 renewed_at: sent_at,
                 ..held
             },
-            None if is_lost => self.held_after_loss(revision, record, sent_at),
+            None if is_lost => {
+                let lost_at = known_since.map_or(sent_at, |since| since.min(sent_at));
+                self.held_after_loss(revision, record, (lost_at, sent_at))
+            }
             None => self.held_after_claim(revision, record, sent_at),
         });
         let own = (self.own.holder.clone(), self.own.incarnation);
@@ -71,19 +75,26 @@
         }
     }
 
+    /// Returns since when this instance has known what its claim replaces. No other leader has
+    /// renewed its record since.
+    fn stored_since(&self) -> Option<MonotonicTime> {
+        let observed = self.observed.as_ref();
+        observed.map_or(self.absent_since, |observed| Some(observed.first_seen))
+    }
+
     /// Returns the leadership after a restore of the store. The last leader is unknown, so neither
     /// voters nor a stopped predecessor shorten the wait.
     fn held_after_loss(
         &self,
         revision: RecordRevision,
         record: LeaderRecord,
-        sent_at: MonotonicTime,
+        (lost_at, sent_at): (MonotonicTime, MonotonicTime),
     ) -> HeldLeadership {
         HeldLeadership {
             record,
             revision,
             renewed_at: sent_at,
-            promote_from: sent_at + self.settings.renew_deadline + self.settings.lease,
+            promote_from: lost_at + self.settings.renew_deadline + self.settings.lease,
             has_one_predecessor: false,
             predecessor_voters: Vec::new(),
             moved: BTreeSet::new(),
--- a/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
@@ -309,45 +309,76 @@
     }
 }
 
+/// Times of the failures of one play, in milliseconds.
+#[derive(Default)]
+struct Failures {
+    /// When the store is restored, and the age of the copy.
+    restores: Vec<(u64, u64)>,
+    /// Which instance can't reach the store, from when and for how long.
+    outages: Vec<(usize, u64, u64)>,
+    /// Which instance is restarted, and when.
+    restarts: Vec<(usize, u64)>,
+}
+
+/// Plays a minute of three instances without any message between them.
+fn play(failures: &Failures) -> Result<(), TestCaseError> {
+    let mut store = RestoredStore::default();
+    let mut instances: Vec<_> = (0..3)
+        .map(|index| Instance {
+            election: election(&format!("i{index}"), 1),
+            last_grant: None,
+        })
+        .collect();
+    let mut owners = BTreeMap::new();
+    for millis in (1_000..60_000).step_by(100) {
+        let now = at(millis);
+        let is_due = |due: u64| due / 100 == millis / 100;
+        for (_, age) in failures.restores.iter().filter(|(due, _)| is_due(*due)) {
+            store.restore(millis.saturating_sub(*age));
+        }
+        for (index, _) in failures.restarts.iter().filter(|(_, due)| is_due(*due)) {
+            instances[*index].election = election(&format!("i{index}"), millis);
+        }
+        for (index, instance) in instances.iter_mut().enumerate() {
+            let is_cut = |&&(cut, from, length): &&(usize, u64, u64)| {
+                cut == index && (from..from + length).contains(&millis)
+            };
+            if !failures.outages.iter().any(|outage| is_cut(&outage)) {
+                run_step(&mut instance.election, &mut store, now);
+            }
+            if instance.election.may_grant(now) {
+                instance.last_grant = Some(now);
+            }
+        }
+        store.copy(millis);
+        record_fences(&instances, &mut owners);
+        check(&instances, now)?;
+    }
+    Ok(())
+}
+
+/// A leader that was cut off for 12 s overwrites its successor's record by a renewal whose expected
+/// number was issued again. It must not claim at once, since the successor still replaces primaries.
+#[test]
+fn a_replaced_leader_that_returns_after_restores_claims_no_leadership() {
+    let failures = Failures {
+        restores: vec![(16_800, 4_501), (18_900, 1_501), (23_300, 3_601)],
+        outages: vec![(0, 13_701, 11_800), (2, 1_315, 8_386)],
+        restarts: vec![(2, 1_400)],
+    };
+    play(&failures).unwrap();
+}
+
 proptest! {
-    /// Three instances without any message between them, each with an interrupted connection to a
-    /// store that is restored several times, some restarted without memory. No leader may replace a
-    /// primary while a lease of another one may run, and no two may share a fence.
+    /// Each instance has an interrupted connection to a store that is restored several times, and
+    /// some are restarted without memory. No leader may replace a primary while a lease of another
+    /// one may run, and no two may share a fence.
     #[test]
     fn rights_never_overlap_across_restores(
         restores in prop::collection::vec((1_000_u64..40_000, 0_u64..6_000), 1..4),
         outages in prop::collection::vec((0_usize..3, 1_000_u64..40_000, 100_u64..14_000), 0..8),
         restarts in prop::collection::vec((0_usize..3, 1_000_u64..40_000), 0..3),
     ) {
-        let mut store = RestoredStore::default();
-        let mut instances: Vec<_> = (0..3).map(|index| Instance {
-            election: election(&format!("i{index}"), 1),
-            last_grant: None,
-        }).collect();
-        let mut owners = BTreeMap::new();
-        for millis in (1_000..60_000).step_by(100) {
-            let now = at(millis);
-            let is_due = |due: u64| due / 100 == millis / 100;
-            for (_, age) in restores.iter().filter(|(due, _)| is_due(*due)) {
-                store.restore(millis.saturating_sub(*age));
-            }
-            for (index, _) in restarts.iter().filter(|(_, due)| is_due(*due)) {
-                instances[*index].election = election(&format!("i{index}"), millis);
-            }
-            for (index, instance) in instances.iter_mut().enumerate() {
-                let is_cut = |&&(cut, from, length): &&(usize, u64, u64)| {
-                    cut == index && (from..from + length).contains(&millis)
-                };
-                if !outages.iter().any(|outage| is_cut(&outage)) {
-                    run_step(&mut instance.election, &mut store, now);
-                }
-                if instance.election.may_grant(now) {
-                    instance.last_grant = Some(now);
-                }
-            }
-            store.copy(millis);
-            record_fences(&instances, &mut owners);
-            check(&instances, now)?;
-        }
+        play(&Failures { restores, outages, restarts })?;
     }
 }
