Query the leader at once if the relay can't be reached

A partition between instances hid the relay of their zone from 27 instances, not the leader. Each of them tried four connections to the relay, 2 s each, before it queried the leader: 4 until 10.0 s.

Change: an instance without a connection within 1 s leads to the leader at once, and a busy leader refers the requester to its sources like a relay.

--- a/crates/mustardhinge-core/src/membership/state_search.rs
+++ b/crates/mustardhinge-core/src/membership/state_search.rs
@@ -18,8 +18,10 @@
 pub enum QueryOutcome<A> {
     /// Newer state, which was adopted.
     Adopted,
-    /// No newer state, or no response.
+    /// No newer state.
     NothingNew,
+    /// No connection, or no response in time.
+    Unreachable,
     /// The instance is sending its state to others; these instances have received it.
     Busy(Vec<A>),
 }
@@ -29,7 +31,7 @@
 pub enum SearchStep<A> {
     /// Query this instance after the given delay.
     Query(A, Duration),
-    /// Query the leader, then end the search.
+    /// Go on at the leader, see [`StateSearch::continue_at_leader`].
     QueryLeader,
     /// The search has ended.
     Done,
@@ -43,6 +45,7 @@
 pub struct StateSearch<A> {
     first: A,
     is_relay: bool,
+    is_at_leader: bool,
     began_at: MonotonicTime,
     fruitless_queries: u32,
     queried: Vec<A>,
@@ -55,6 +58,7 @@
         Self {
             first,
             is_relay,
+            is_at_leader: false,
             began_at: now,
             fruitless_queries: 0,
             queried: Vec::new(),
@@ -67,6 +71,15 @@
         SearchStep::Query(self.first, Duration::ZERO)
     }
 
+    /// Goes on at the leader, which is the last one to be queried.
+    pub fn continue_at_leader(&mut self, leader: A) -> SearchStep<A> {
+        self.first = leader;
+        self.is_relay = false;
+        self.is_at_leader = true;
+        self.queried.clear();
+        self.first_step()
+    }
+
     /// Returns the step after a query to `address`.
     pub fn next_step(
         &mut self,
@@ -78,7 +91,7 @@
         let is_late = now.saturating_since(self.began_at) >= MAX_SEARCH_TIME;
         match outcome {
             QueryOutcome::Adopted => SearchStep::Done,
-            _ if is_late => SearchStep::QueryLeader,
+            _ if is_late => self.leave_first(),
             QueryOutcome::Busy(sources) => {
                 let unqueried = sources
                     .into_iter()
@@ -91,18 +104,27 @@
                     None => self.retry_first(random),
                 }
             }
-            QueryOutcome::NothingNew if address != self.first => self.retry_first(random),
+            _ if address != self.first => self.retry_first(random),
+            QueryOutcome::Unreachable => self.leave_first(),
             QueryOutcome::NothingNew => {
                 self.fruitless_queries += 1;
                 if self.is_relay && self.fruitless_queries < MAX_FRUITLESS_QUERIES {
                     SearchStep::Query(self.first, RETRY_DELAY)
                 } else {
-                    SearchStep::QueryLeader
+                    self.leave_first()
                 }
             }
         }
     }
 
+    const fn leave_first(&self) -> SearchStep<A> {
+        if self.is_at_leader {
+            SearchStep::Done
+        } else {
+            SearchStep::QueryLeader
+        }
+    }
+
     /// Returns to the first instance, which may know more sources by then. The delay is random, so
     /// that requesters that were refused together don't return together.
     fn retry_first(&mut self, random: &mut impl Rng) -> SearchStep<A> {
--- a/crates/mustardhinge-core/tests/suite/state_transfer.rs
+++ b/crates/mustardhinge-core/tests/suite/state_transfer.rs
@@ -91,7 +91,10 @@
             return;
         }
         self.instances[requester].next = None;
-        if !self.instances[source].is_alive || !self.instances[source].has_state {
+        if !self.instances[source].is_alive {
+            return self.finish(requester, source, QueryOutcome::Unreachable);
+        }
+        if !self.instances[source].has_state {
             return self.finish(requester, source, QueryOutcome::NothingNew);
         }
         self.instances[source].queries.push(ReplayQuery {
@@ -179,7 +182,7 @@
                 instance.is_alive = false;
                 let waiting = std::mem::take(&mut instance.queries);
                 for query in waiting {
-                    zone.finish(query.requester, index, QueryOutcome::NothingNew);
+                    zone.finish(query.requester, index, QueryOutcome::Unreachable);
                 }
             }
         }
@@ -207,6 +210,29 @@
     assert_eq!(step, SearchStep::QueryLeader);
 }
 
+/// A partition hides the relay, but not the leader, from some instances. Guards against searches
+/// that repeat the connection until the configuration is overdue, and against a leader that sends
+/// its state to all of them itself.
+#[test]
+fn an_unreachable_relay_leads_to_the_leader_and_its_sources() {
+    let now = MonotonicTime::from_millis(1_000);
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut search = StateSearch::new(5, true, now);
+    let mut next = |search: &mut StateSearch<u32>, address, outcome| {
+        search.next_step(address, outcome, &mut random, now)
+    };
+    let step = next(&mut search, 5, QueryOutcome::Unreachable);
+    assert_eq!(step, SearchStep::QueryLeader);
+    let step = search.continue_at_leader(9);
+    assert_eq!(step, SearchStep::Query(9, Duration::ZERO));
+    let step = next(&mut search, 9, QueryOutcome::Busy(vec![7]));
+    assert_eq!(step, SearchStep::Query(7, Duration::ZERO));
+    let step = next(&mut search, 7, QueryOutcome::Unreachable);
+    assert!(matches!(step, SearchStep::Query(9, _)), "{step:?}");
+    let step = next(&mut search, 9, QueryOutcome::Unreachable);
+    assert_eq!(step, SearchStep::Done, "the next grant begins a new search");
+}
+
 /// A relay that stays busy without sources doesn't hold a requester forever.
 #[test]
 fn a_search_ends_at_the_leader_if_the_relay_stays_busy() {
--- a/crates/mustardhinge-resident/src/control/state_fetch.rs
+++ b/crates/mustardhinge-resident/src/control/state_fetch.rs
@@ -20,6 +20,10 @@
 /// thousands of targets.
 const MAX_STATE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Maximum time for a connection. It is short compared with the seconds within which a configuration
+/// has to take effect, so that the leader is queried in time if a partition hides the relay.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Decompresses a response of at most [`MAX_STATE_BYTES`]; earlier versions send plain JSON.
 fn decompress(response: Vec<u8>) -> std::io::Result<Vec<u8>> {
     if response.starts_with(b"{") {
@@ -61,10 +65,10 @@
             }
             SearchStep::QueryLeader => {
                 let leader = control.node.election.borrow().known_leader().cloned();
-                if let Some(leader) = leader.filter(|leader| leader.address != address) {
-                    adopt_from(control, leader.address).await;
-                }
-                return;
+                let Some(leader) = leader.filter(|leader| leader.address != address) else {
+                    return;
+                };
+                step = search.continue_at_leader(leader.address);
             }
             SearchStep::Done => return,
         }
@@ -94,11 +98,11 @@
         Ok(Ok(state)) => state,
         Ok(Err(error)) => {
             log::debug!("failed to fetch state from {address}: {error}");
-            return QueryOutcome::NothingNew;
+            return QueryOutcome::Unreachable;
         }
         Err(_) => {
             log::debug!("timed out fetching state from {address}");
-            return QueryOutcome::NothingNew;
+            return QueryOutcome::Unreachable;
         }
     };
     if let Some(sources) = state.busy {
@@ -134,7 +138,7 @@
 }
 
 async fn fetch(address: SocketAddr, query: RelayQuery) -> anyhow::Result<RelayedState> {
-    let mut stream = timeout(PROGRESS_TIMEOUT, TcpStream::connect(address)).await??;
+    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.write_all(&serde_json::to_vec(&query)?).await?;
     stream.shutdown().await?;
     let mut stream = stream.take(MAX_STATE_BYTES);
