--- a/crates/mustardhinge-core/src/placement/cold_choice.rs
+++ b/crates/mustardhinge-core/src/placement/cold_choice.rs
@@ -1,6 +1,6 @@
 use rand::{Rng, RngExt};
 
-use super::{SpreadCandidate, SpreadChoice, SpreadLimits, SpreadPlacement};
+use super::{SpreadCandidate, SpreadChoice, SpreadLimits, SpreadPlacement, SpreadRange};
 
 impl SpreadPlacement {
     /// Returns the chosen candidate like [`choose`](Self::choose), but a cold target gets only the
@@ -37,6 +37,60 @@
             }
         }
     }
+
+    /// Returns the probability with which [`choose_with_cold`](Self::choose_with_cold) returns each
+    /// candidate, without drawing random numbers.
+    #[must_use]
+    pub fn probabilities_with_cold(
+        candidates: &[SpreadCandidate],
+        limits: SpreadLimits,
+        tried: &[usize],
+        share: impl Fn(usize) -> f64,
+    ) -> Vec<(usize, f64)> {
+        let mut totals = vec![0.0; candidates.len()];
+        // Each entry has the targets that were passed over, the first of them, and how probable
+        // it is that the choice gets there.
+        let mut open = vec![(tried.to_vec(), None, 1.0)];
+        while let Some((passed_over, usual, reached)) = open.pop() {
+            let drawn = usual_probabilities(candidates, limits, &passed_over);
+            if let (Some(usual), true) = (usual, drawn.is_empty()) {
+                totals[usual] += reached;
+            }
+            for (index, probability) in drawn {
+                let probability = reached * probability;
+                match usual {
+                    Some(usual) if !is_sound(&candidates[index]) => totals[usual] += probability,
+                    _ => {
+                        let kept = share(index).clamp(0.0, 1.0);
+                        totals[index] += probability * kept;
+                        if kept < 1.0 {
+                            let passed_over = [&passed_over[..], &[index]].concat();
+                            let usual = usual.or(Some(index));
+                            open.push((passed_over, usual, probability * (1.0 - kept)));
+                        }
+                    }
+                }
+            }
+        }
+        let chosen = totals.into_iter().enumerate();
+        chosen.filter(|(_, total)| *total > 0.0).collect()
+    }
+}
+
+/// Returns the probabilities of a choice that doesn't take cold targets into account.
+fn usual_probabilities(
+    candidates: &[SpreadCandidate],
+    limits: SpreadLimits,
+    tried: &[usize],
+) -> Vec<(usize, f64)> {
+    let Some(range) = SpreadRange::new(candidates, limits, tried) else {
+        return Vec::new();
+    };
+    let total: f64 = range.weights().map(|(_, weight)| weight).sum();
+    let weights = range.weights();
+    weights
+        .map(|(index, weight)| (index, weight / total))
+        .collect()
 }
 
 /// Returns whether a target can take a read that a cold target is spared.
--- a/crates/mustardhinge-core/tests/suite/cold_targets.rs
+++ b/crates/mustardhinge-core/tests/suite/cold_targets.rs
@@ -7,6 +7,7 @@
 };
 use mustardhinge_core::prelude::{LeaderTerm, LogPosition, MonotonicTime, TargetId};
 use mustardhinge_core::primary_lease::{ServerStatus, SuccessorChoice};
+use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -111,6 +112,44 @@
     assert!(failing >= 1.0, "{failing}");
 }
 
+proptest! {
+    /// Guards against explained probabilities that differ from the choice of the request path.
+    #[test]
+    fn probabilities_with_cold_targets_match_the_choice(
+        targets in prop::collection::vec((any::<bool>(), 0_usize..12, 0.1_f64..1.6), 1..5),
+        tried in prop::option::of(0_usize..4),
+        seed in any::<u64>(),
+    ) {
+        let candidates: Vec<_> = targets.iter().map(|(is_failing, in_flight, _)| {
+            let mut candidate = candidate(*is_failing);
+            candidate.target.in_flight = *in_flight;
+            candidate
+        }).collect();
+        let limits = SpreadLimits { max_wait: Duration::from_millis(400), senders: 10 };
+        let tried: Vec<_> = tried.into_iter().collect();
+        let share = |index: usize| targets[index].2;
+        let expected =
+            SpreadPlacement::probabilities_with_cold(&candidates, limits, &tried, share);
+        let mut counts = vec![0.0; candidates.len()];
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..2_000 {
+            let mut choose =
+                || SpreadPlacement::choose_with_cold(&candidates, limits, &tried, share, &mut rng);
+            let Some(choice) = choose() else {
+                prop_assert!(expected.is_empty());
+                return Ok(());
+            };
+            counts[choice.index] += 1.0 / 2_000.0;
+        }
+        for (index, count) in counts.into_iter().enumerate() {
+            let known = expected.iter().find(|(known, _)| *known == index);
+            let probability = known.map_or(0.0, |(_, probability)| *probability);
+            // Six standard deviations of 2,000 draws are at most 0.067.
+            prop_assert!((count - probability).abs() < 0.067, "{index}: {count} {expected:?}");
+        }
+    }
+}
+
 fn replica(name: &str, offset: u64) -> ServerStatus {
     let term = LeaderTerm::new(3);
     ServerStatus {
--- a/crates/mustardhinge-resident/src/explain/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/explain/read_candidates.rs
@@ -3,7 +3,7 @@
 
 use mustardhinge_core::placement::{
     PlacementCandidate, PlacementExclusion, ReadPlacement, SpreadCandidate, SpreadLimits,
-    SpreadRange,
+    SpreadPlacement, SpreadRange,
 };
 
 use super::explain_context::ExplainContext;
@@ -13,7 +13,8 @@
 /// The candidates of a read, by the setting of overload control.
 pub(super) enum ReadCandidates {
     Plain(Vec<PlacementCandidate>),
-    Spread(Vec<SpreadCandidate>, SpreadLimits),
+    /// Also has the part of its usual reads that each target gets.
+    Spread(Vec<SpreadCandidate>, SpreadLimits, Vec<f64>),
 }
 
 impl ReadCandidates {
@@ -28,7 +29,8 @@
         let read = (max_staleness, context.now);
         if context.overload.is_on() {
             let (candidates, limits) = spread_candidates(node, group, request, read);
-            Self::Spread(candidates, limits)
+            let shares = targets.iter().map(|target| target.cold_share(context.now));
+            Self::Spread(candidates, limits, shares.collect())
         } else {
             Self::Plain(plain_candidates(node, group, request, read))
         }
@@ -41,15 +43,9 @@
                 let chosen = ReadPlacement::choose(candidates, tried);
                 chosen.map(|index| (index, 1.0)).into_iter().collect()
             }
-            Self::Spread(candidates, limits) => {
-                let Some(range) = SpreadRange::new(candidates, *limits, tried) else {
-                    return Vec::new();
-                };
-                let total: f64 = range.weights().map(|(_, weight)| weight).sum();
-                let weights = range.weights();
-                weights
-                    .map(|(index, weight)| (index, weight / total))
-                    .collect()
+            Self::Spread(candidates, limits, shares) => {
+                let share = |index: usize| shares[index];
+                SpreadPlacement::probabilities_with_cold(candidates, *limits, tried, share)
             }
         }
     }
@@ -64,7 +60,8 @@
                     (!is_chosen).then_some(PlacementExclusion::HigherCost)
                 })
             }
-            Self::Spread(candidates, limits) => match SpreadRange::new(candidates, *limits, &[]) {
+            Self::Spread(candidates, limits, _) => match SpreadRange::new(candidates, *limits, &[])
+            {
                 Some(range) => range.exclusion(index),
                 None => ReadPlacement::exclusion(&candidates.get(index)?.target, true),
             },
@@ -75,7 +72,7 @@
     pub(super) fn cost(&self, index: usize) -> Option<Duration> {
         let target = match self {
             Self::Plain(candidates) => candidates.get(index)?,
-            Self::Spread(candidates, _) => &candidates.get(index)?.target,
+            Self::Spread(candidates, ..) => &candidates.get(index)?.target,
         };
         Some(ReadPlacement::expected_cost(target))
     }
@@ -84,7 +81,7 @@
     pub(super) fn free_capacity(&self, index: usize) -> Option<f64> {
         match self {
             Self::Plain(_) => None,
-            Self::Spread(candidates, limits) => {
+            Self::Spread(candidates, limits, _) => {
                 let range = SpreadRange::new(candidates, *limits, &[]);
                 let horizon = range.map_or(Duration::ZERO, |range| range.horizon());
                 Some(candidates.get(index)?.free_capacity(horizon))
