Cover cold and missing targets in the digest of the list

Cause: the digest didn't cover cold_left_ms and is_missing. Instances that get the list through a relay missed the cold period of a target that was listed before, and a target that a restored store lists again.

Change: the digest covers whether a cold time is announced and whether the target is missing, but not the length of the time, which changes with each heartbeat. A relay passes on at least 1 ms until the end is announced, so that digests agree.

--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -219,7 +219,9 @@
         self.lost.borrow_mut().remove(&entry.target);
         if !entry.is_missing {
             let mut listed_eras = self.listed_eras.borrow_mut();
-            listed_eras.insert(entry.target.clone(), era);
+            if listed_eras.insert(entry.target.clone(), era) != Some(era) {
+                self.record_digest_change(&entry.target);
+            }
         }
         let (service, target) = (entry.service.clone(), entry.target.clone());
         self.apply_entry(entry);
@@ -234,6 +236,9 @@
             Some(handle) => {
                 let known = handle.entry();
                 if known.has_same_state(&entry) {
+                    if known.is_cold() != entry.is_cold() {
+                        self.record_digest_change(&entry.target);
+                    }
                     let written = (entry.sequence, entry.cold_left_ms);
                     if (known.sequence, known.cold_left_ms) != written {
                         handle.refresh(entry);
@@ -315,14 +320,31 @@
     /// Returns the entry of a target for another instance.
     pub(super) fn relayed_entry(&self, handle: &TargetHandle) -> TargetEntry {
         let entry = handle.relayed_entry(self.clock.now());
-        let era = self.targets_revision.get().era();
-        let is_missing = self.listed_eras.borrow().get(&entry.target) != Some(&era);
         TargetEntry {
-            is_missing,
+            is_missing: self.is_missing(&entry.target),
             ..entry
         }
     }
 
+    /// Returns the entry of a target as the digest of the list covers it.
+    fn listed_entry(&self, handle: &TargetHandle) -> Rc<TargetEntry> {
+        let entry = handle.entry();
+        let is_missing = self.is_missing(&entry.target);
+        if entry.is_missing == is_missing {
+            return entry;
+        }
+        Rc::new(TargetEntry {
+            is_missing,
+            ..entry.as_ref().clone()
+        })
+    }
+
+    /// Returns whether no list of the present era had a target.
+    fn is_missing(&self, target: &TargetId) -> bool {
+        let era = self.targets_revision.get().era();
+        self.listed_eras.borrow().get(target) != Some(&era)
+    }
+
     /// Returns a listed target.
     pub(super) fn find_target(&self, target: &TargetId) -> Option<Rc<TargetHandle>> {
         let service = self.target_services.borrow().get(target).cloned();
@@ -392,12 +414,17 @@
 
     /// Records that the entry of a target was added, changed or removed.
     fn record_list_change(&self, target: &TargetId) {
-        self.list_changes.borrow_mut().record(target);
+        self.record_digest_change(target);
         self.overload_control.set(None);
-        self.targets_digest.set(None);
         self.leaving_targets.replace(None);
     }
 
+    /// Records that a part of a target's entry changed that only the digest of the list covers.
+    fn record_digest_change(&self, target: &TargetId) {
+        self.list_changes.borrow_mut().record(target);
+        self.targets_digest.set(None);
+    }
+
     /// Marks targets as leaving that another instance reports as leaving, in case this instance's
     /// watch of the list is stalled.
     pub fn mark_leaving(&self, leaving: &[TargetId]) {
@@ -440,7 +467,7 @@
         }
         let groups = self.groups.borrow();
         let handles = groups.values().flat_map(|group| group.targets());
-        let entries: Vec<_> = handles.map(|handle| handle.entry()).collect();
+        let entries: Vec<_> = handles.map(|handle| self.listed_entry(&handle)).collect();
         let digest = TargetsDigest::of(entries.iter().map(AsRef::as_ref));
         self.targets_digest.set(Some(digest));
         let version = digest.in_era(self.targets_revision.get().era());
--- a/crates/mustardhinge-resident/src/plan/target_entry.rs
+++ b/crates/mustardhinge-resident/src/plan/target_entry.rs
@@ -39,6 +39,12 @@
 }
 
 impl TargetEntry {
+    /// Returns whether the target announces that it is slow after its start.
+    #[must_use]
+    pub const fn is_cold(&self) -> bool {
+        self.cold_left_ms > 0
+    }
+
     /// Returns whether both entries are the same except for their sequence and the time for which the
     /// target remains slow, which change with each heartbeat, and whether the target is missing.
     #[must_use]
@@ -63,8 +69,8 @@
     }
 }
 
-/// Hashes the state without the sequence and the cold time, so that an entry that is only written again doesn't
-/// change the digest of the list.
+/// Hashes the state, whether the target is cold, and whether it is missing. The sequence and the
+/// length of the cold time change with each heartbeat and must not change the digest of the list.
 impl Hash for TargetEntry {
     fn hash<H: Hasher>(&self, state: &mut H) {
         self.target.hash(state);
@@ -75,6 +81,8 @@
         self.is_leaving.hash(state);
         self.role.hash(state);
         self.born_ms.hash(state);
+        self.is_cold().hash(state);
+        self.is_missing.hash(state);
     }
 }
 
--- a/crates/mustardhinge-resident/src/plan/targets_digest.rs
+++ b/crates/mustardhinge-resident/src/plan/targets_digest.rs
@@ -6,7 +6,8 @@
 
 use super::TargetEntry;
 
-/// Digest of a list of targets. Equal digests mean equal lists.
+/// Digest of a list of targets. Equal digests mean equal lists, except for the sequences and the
+/// lengths of the cold times.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetsDigest(u64);
 
--- a/crates/mustardhinge-resident/src/target/cold_time.rs
+++ b/crates/mustardhinge-resident/src/target/cold_time.rs
@@ -30,12 +30,17 @@
     }
 
     /// Returns the entry for another instance, with the time for which the target remains slow now.
+    ///
+    /// The time is at least a millisecond while the entry announces one. Otherwise the digests of
+    /// the instances would differ from the end of the period until the target's next heartbeat.
     #[must_use]
     pub fn relayed_entry(&self, now: MonotonicTime) -> TargetEntry {
         let left = self.cold.get().left(now).as_millis();
+        let left = u64::try_from(left).unwrap_or(u64::MAX);
+        let entry = self.entry();
         TargetEntry {
-            cold_left_ms: u64::try_from(left).unwrap_or(u64::MAX),
-            ..self.entry().as_ref().clone()
+            cold_left_ms: if entry.is_cold() { left.max(1) } else { 0 },
+            ..entry.as_ref().clone()
         }
     }
 }
