Split first grants, beginning with the groups in use

Cause: the first grants of a leader name all groups to each started instance, 24 kB for 700 groups (estimated).

Change: GrantLimit bounds the groups of which an instance knows nothing by the number of instances: 342 in a response to one of 7 instances, 80 of 30, 33 of 300. Parts with groups that the instance used or reported come first. Groups in parts that it knows partly still go before them, up to 400, so that no held lease expires. Requests for 64 or more groups have parts for all of them, the leader empties differing parts of its digest, and its own leases are not limited.

Tests: a_change_resends_few_other_groups needs 22 first responses instead of 4, and unusable_primaries_are_sent_first expects the new limit instead of 400; both claims stay.

--- a/crates/mustardhinge-core/src/primary_lease/epoch_digest.rs
+++ b/crates/mustardhinge-core/src/primary_lease/epoch_digest.rs
@@ -52,7 +52,25 @@
         }
     }
 
-    fn part_index(&self, service: &ServiceId) -> usize {
+    /// Empties the parts that differ from those of `other`, which makes them shorter on the wire.
+    pub fn retain_matching(&mut self, other: &Self) {
+        let has_equal_length = self.0.len() == other.0.len();
+        for (index, part) in self.0.iter_mut().enumerate() {
+            if !has_equal_length || *part != other.0[index] {
+                *part = 0;
+            }
+        }
+    }
+
+    /// Returns whether the part that contains the group has no groups.
+    #[must_use]
+    pub fn is_part_empty(&self, service: &ServiceId) -> bool {
+        let part = self.0.get(self.part_index(service));
+        part.is_none_or(|part| *part == 0)
+    }
+
+    /// Returns the index of the part that contains the group.
+    pub(super) fn part_index(&self, service: &ServiceId) -> usize {
         // The result is less than the number of parts. Doubling that number splits each part.
         ((u128::from(Self::sort_key(service)) * self.0.len() as u128) >> 64) as usize
     }
--- a/crates/mustardhinge-core/src/primary_lease/held_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leases.rs
@@ -5,6 +5,10 @@
 use crate::ids::{ServiceId, TargetId};
 use crate::units::{LeaderTerm, MonotonicTime};
 
+/// Number of groups from which on a request has parts for those without an epoch. Most leaders send
+/// fewer groups in one response, and the parts would only make the first requests longer.
+const MIN_SIZED_GROUPS: usize = 64;
+
 #[derive(Clone, Debug)]
 struct HeldLease {
     epoch: GroupEpoch,
@@ -145,7 +149,23 @@
     /// Returns a digest of the epochs known to this instance.
     #[must_use]
     pub fn digest(&self) -> EpochDigest {
-        let mut digest = EpochDigest::for_groups(self.groups.len());
+        self.add_to(EpochDigest::for_groups(self.groups.len()))
+    }
+
+    /// Returns a digest of the epochs known to this instance, which is configured with `groups`
+    /// groups.
+    ///
+    /// If these are many, the digest has parts for those without an epoch too, so that each of
+    /// several responses completes some parts.
+    #[must_use]
+    pub fn request_digest(&self, groups: usize) -> EpochDigest {
+        if groups < MIN_SIZED_GROUPS {
+            return self.digest();
+        }
+        self.add_to(EpochDigest::for_groups(groups.max(self.groups.len())))
+    }
+
+    fn add_to(&self, mut digest: EpochDigest) -> EpochDigest {
         for (service, held) in &self.groups {
             digest.add(service, held.epoch, &held.primary);
         }
@@ -163,7 +183,7 @@
         requested_at: MonotonicTime,
         lease: Duration,
     ) -> Vec<ServiceId> {
-        let known = self.digest();
+        let known = self.add_to(EpochDigest::empty_like(granted));
         let mut renewed = Vec::new();
         for (service, held) in &mut self.groups {
             if !known.matches_part(granted, service) || excluded.contains(service) {
--- /dev/null
+++ b/crates/mustardhinge-core/src/primary_lease/lease_demand.rs
@@ -0,0 +1,17 @@
+use std::collections::HashSet;
+
+use super::{EpochDigest, GrantLimit};
+use crate::ids::{InstanceId, ServiceId};
+
+/// What an instance requests leases for.
+#[derive(Clone, Debug)]
+pub struct LeaseDemand<'a> {
+    /// The instance.
+    pub instance: &'a InstanceId,
+    /// The digest of the epochs that it knows.
+    pub known: &'a EpochDigest,
+    /// The services that it has used or that callers have requested from it.
+    pub wanted: HashSet<&'a ServiceId>,
+    /// How many groups the response may name.
+    pub limit: GrantLimit,
+}
--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -2,6 +2,7 @@
 
 mod control_schedule;
 mod failure_detector;
+mod first_grants;
 mod group_leases;
 mod held_leases;
 mod leader_election;
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -5,7 +5,7 @@
 
 use mustardhinge_core::membership::RosterEntry;
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
-use mustardhinge_core::primary_lease::LeaseResponse;
+use mustardhinge_core::primary_lease::{GrantLimit, LeaseDemand, LeaseResponse};
 use mustardhinge_core::rate_limit::{AllowanceGrant, UsageReport};
 
 use super::leader_messages::{check_evacuations, check_plan_version};
@@ -173,13 +173,19 @@
             leases.observe_position(position);
         }
     }
-    let response = LeaseResponse::grant(
-        &mut group_leases,
-        &request.from,
-        &request.epochs,
-        lease,
-        now,
-    );
+    let reported = request.groups.iter().map(|report| &report.service);
+    let demand = LeaseDemand {
+        instance: &request.from,
+        known: &request.epochs,
+        wanted: request.wanted_positions.iter().chain(reported).collect(),
+        limit: if request.from == control.node.settings.instance {
+            GrantLimit::NONE
+        } else {
+            let instances = control.count_instances(now);
+            GrantLimit::for_instances(instances, &control.node.lease_settings)
+        },
+    };
+    let response = LeaseResponse::grant(&mut group_leases, &demand, lease, now);
     let position_of = |service: &ServiceId| {
         let group = control.node.group(service);
         let is_current = group_leases.get(service)?.epoch() == group.epoch();
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -281,7 +281,7 @@
         grant_ack: control.grant_ack.get(),
         plan_version: node.plan().version(),
         leaving: node.leaving_targets(),
-        epochs: leases.digest(),
+        epochs: leases.request_digest(known.len()),
         wanted_positions: wanted_positions
             .map(|group| group.service().clone())
             .collect(),
