--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -189,8 +189,8 @@
 pub struct GrantedGroups {
     /// The groups whose epoch the requester does not know, and all groups without a usable lease.
     pub changed: Vec<GrantedGroup>,
-    /// The digest of all groups' epochs. A matching part renews the leases of its groups, except
-    /// of those in `changed`.
+    /// The digest of the groups' epochs, in the parts in which the requester's equals it. A matching
+    /// part renews the leases of its groups, except of those in `changed`.
     #[serde(rename = "same")]
     pub digest: EpochDigest,
     /// The requested positions, each with the time in milliseconds since it covered all
