Use observed slots and reduced shares under overload control

Cause: the queue of a target and the choice among targets used the listed slots, and a replica that fails some reads got its usual share.

Change: the queue is limited by the effective slots while these are below the listed ones; GatewayLoad carries them as its last field (frames MHF3); the choice uses the gateway's report of at most 2 s, else own evidence. Reads outside transactions feed FailureTable, whose share multiplies that of cold targets. Restart, move and removal clear both.

--- a/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
+++ b/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
@@ -166,7 +166,7 @@
             let in_flight = running.len() + done.len();
             self.targets[target].running = running;
             for (index, (_, read)) in done.into_iter().enumerate() {
-                self.complete(target, read, in_flight - index, now);
+                self.complete(target, &read, in_flight - index, now);
             }
             self.start_waiting(target, now);
         }
@@ -274,7 +274,7 @@
         }
     }
 
-    fn complete(&mut self, index: usize, read: Read, in_flight: usize, now: u64) {
+    fn complete(&mut self, index: usize, read: &Read, in_flight: usize, now: u64) {
         let at = MonotonicTime::from_millis(now);
         let elapsed = Duration::from_millis(now - read.sent);
         let target = &mut self.targets[index];
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -72,4 +72,6 @@
     STORE_ERA_RAISED = 6026, Warn, "store restored from an older copy";
     EVACUATIONS_CHANGED = 6027, Warn, "evacuated zones changed";
     TARGET_DISTRUSTED = 6028, Warn, "target fails statements but answers probes";
+    TARGET_CAPACITY_CHANGED = 6029, Info, "effective slots of a target changed";
+    TARGET_SHARE_CHANGED = 6030, Warn, "share of reads of a target that fails some changed";
 }
--- a/crates/mustardhinge-resident/src/gateway/frame_codec.rs
+++ b/crates/mustardhinge-resident/src/gateway/frame_codec.rs
@@ -8,7 +8,7 @@
 
 /// Preface of a forwarding connection, with the version of the frames. Other requests between
 /// instances over TCP begin with a brace.
-pub const FORWARD_PREFACE: [u8; 4] = *b"MHF2";
+pub const FORWARD_PREFACE: [u8; 4] = *b"MHF3";
 /// Maximum frame size: the largest message of a caller, with a session's values and prepared names.
 const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
--- a/crates/mustardhinge-resident/src/gateway/gateway_load.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_load.rs
@@ -13,6 +13,8 @@
     pub typical_latency_us: u32,
     /// Expected wait of an arrival at the gateway's queue, by priority.
     pub waits: PriorityWaits,
+    /// Effective slots of the target; 0 if they aren't known.
+    pub slots: u16,
 }
 
 impl GatewayLoad {
@@ -23,6 +25,7 @@
             statements: u32::try_from(statements).unwrap_or(u32::MAX),
             typical_latency_us: u32::try_from(typical_latency.as_micros()).unwrap_or(u32::MAX),
             waits: PriorityWaits::default(),
+            slots: 0,
         }
     }
 
@@ -33,6 +36,13 @@
         self
     }
 
+    /// Sets the effective number of slots.
+    #[must_use]
+    pub fn slots(mut self, slots: usize) -> Self {
+        self.slots = u16::try_from(slots).unwrap_or(u16::MAX);
+        self
+    }
+
     /// Returns the typical latency of the target.
     #[must_use]
     pub const fn typical_latency(&self) -> Duration {
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod node_process;
 mod node_settings;
 mod node_state;
+mod read_failures;
 mod wait_metric;
 
 pub use drain_phase::DrainPhase;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -6,7 +6,7 @@
 use mustardhinge_core::connection::ConnectionShare;
 use mustardhinge_core::evacuation::EvacuatedZones;
 use mustardhinge_core::gateway::GatewayView;
-use mustardhinge_core::overload::{OverloadControl, OverloadSwitch};
+use mustardhinge_core::overload::{FailureTable, OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
     GroupEpoch, HeldLeases, LeaderElection, LeaseSettings, RecordRevision, StoreEra,
@@ -68,6 +68,8 @@
     pub forwarded_work: Cell<usize>,
     /// Random numbers for the placement of reads, seeded by the incarnation.
     pub placement_rng: RefCell<SmallRng>,
+    /// The targets that fail a part of this instance's reads, under overload control.
+    pub(super) failures: RefCell<FailureTable>,
     /// The gateways that this instance forwards to.
     pub peers: GatewayPeers,
     pub(super) gateways: RefCell<GatewayView>,
@@ -106,6 +108,7 @@
         let share_exchange = ShareExchange::new(settings.instance.clone(), incarnation);
         Self {
             placement_rng: RefCell::new(SmallRng::seed_from_u64(incarnation)),
+            failures: RefCell::default(),
             peers: GatewayPeers::new(settings.peer_address, incarnation),
             gateways: RefCell::default(),
             gateways_changed: Notify::new(),
@@ -237,6 +240,9 @@
                     "target={} service={} role={:?} leaving={} address={}",
                     entry.target, entry.service, entry.role, entry.is_leaving, entry.address
                 ));
+                if known.born_ms != entry.born_ms || known.address != entry.address {
+                    self.forget_failures((&entry.service, &entry.target));
+                }
                 handle.update(entry);
                 self.apply_evacuation(&handle);
             }
@@ -261,6 +267,7 @@
             && let Some(group) = self.find_group(&before)
         {
             group.remove(&entry.target, self.clock.now());
+            self.forget_failures((&before, &entry.target));
         }
     }
 
@@ -291,6 +298,7 @@
             self.invalidate_list_caches();
             event::TARGET_DROPPED.log(format_args!("target={target} service={}", group.service()));
             group.remove(target, self.clock.now());
+            self.forget_failures((group.service(), target));
             if !self.departed.borrow().contains(target) {
                 self.lost.borrow_mut().record(target, group.service());
             }
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -41,7 +41,7 @@
             lacks_position: health.lacks_position(now),
             is_too_stale: !target.meets_max_age(self.max_staleness, now),
             in_flight: load.statements,
-            slots: entry.slots,
+            slots: target.shared_slots(now),
             typical_latency: target.shared_latency(now),
             // The open connections of a gateway are not known to this instance.
             has_connection: match pair {
@@ -150,9 +150,12 @@
     let (candidates, limits) =
         spread_candidates(node, (group, &targets), request, (max_staleness, now));
     let mut rng = node.placement_rng.borrow_mut();
-    let cold_share = |index: usize| targets[index].cold_share(now);
+    let share = |index: usize| {
+        let target = &targets[index];
+        target.cold_share(now) * node.failure_share(target, now)
+    };
     let choice =
-        SpreadPlacement::choose_with_cold(&candidates, limits, &skipped, cold_share, &mut *rng)?;
+        SpreadPlacement::choose_with_cold(&candidates, limits, &skipped, share, &mut *rng)?;
     let is_same_zone = candidates.get(choice.index)?.target.is_same_zone;
     metrics::counter!(
         "resident_reads_placed_total",
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -292,6 +292,7 @@
     };
     let result = execute::<W>(node, &mut lease, execution).await;
     let now = node.clock.now();
+    record_outcome(node, (&target, request), &result, now);
     let reply = match result {
         Ok(reply) => reply,
         Err(error) => {
@@ -334,6 +335,24 @@
     }
 }
 
+/// Records whether the target served a read, if the result shows it.
+fn record_outcome(
+    node: &NodeState,
+    (target, request): (&TargetHandle, &SessionRequest),
+    result: &Result<TargetReply, ExecutionError>,
+    now: MonotonicTime,
+) {
+    let is_served = match result {
+        Ok(reply) => match reply.fault {
+            Some(fault) if fault.proves_not_run() => return,
+            fault => fault.is_none(),
+        },
+        Err(ExecutionError::Lost(cause)) if cause.is_failure() => false,
+        Err(_) => return,
+    };
+    node.record_read_outcome(target, &request.customer, is_served, now);
+}
+
 /// Records the log position that a response reports.
 ///
 /// A position of the leased primary raises the floor of later reads; a position of another
--- a/crates/mustardhinge-resident/src/target/mod.rs
+++ b/crates/mustardhinge-resident/src/target/mod.rs
@@ -12,6 +12,7 @@
 mod queue_metrics;
 mod response_timeouts;
 mod running_statement;
+mod target_capacity;
 mod target_connection;
 mod target_gateways;
 mod target_handle;
--- a/crates/mustardhinge-resident/src/target/target_gateways.rs
+++ b/crates/mustardhinge-resident/src/target/target_gateways.rs
@@ -12,9 +12,9 @@
 
 /// Maximum age of a load report from a gateway; a few service times.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(250);
-/// Maximum age of the latency in a load report. The speed of a target changes more slowly than its
+/// Maximum age of the latency and the effective slots in a load report. The speed of a target changes more slowly than its
 /// load, and each of 77 instances sends to a target less than once a second.
-const LATENCY_MAX_AGE: Duration = Duration::from_secs(2);
+pub(super) const LATENCY_MAX_AGE: Duration = Duration::from_secs(2);
 
 impl TargetHandle {
     /// Returns an estimate of the statements that run at the target or are queued for it: the load
@@ -83,7 +83,7 @@
         let estimate = self
             .shared_load
             .get()
-            .estimate(self.entry().slots, latency, now);
+            .estimate(self.shared_slots(now), latency, now);
         LoadEstimate {
             statements: estimate.statements + queued,
             ..estimate
@@ -95,6 +95,7 @@
     pub fn local_load(&self, now: MonotonicTime) -> GatewayLoad {
         GatewayLoad::new(self.queue.load(), self.latency.get().typical(now))
             .waits(self.queue.reported_waits(now))
+            .slots(self.queue.effective_slots(now))
     }
 
     /// Returns the typical latency for the placement of reads.
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -51,6 +51,8 @@
     is_removed: Cell<bool>,
     is_probed: Cell<bool>,
     pub(super) forwarded: Cell<usize>,
+    /// The effective slots that the metric shows.
+    pub(super) shown_slots: Cell<usize>,
     pub(super) gateways: Cell<Option<GatewayPair>>,
     pub(super) gateway_load: Cell<Option<(GatewayLoad, MonotonicTime)>>,
     /// What is known of the load of all instances, for the placement of reads.
@@ -67,6 +69,7 @@
             idle: IdleConnections::default(),
             waiting_watch: WaitingWatch::default(),
             queue: TargetQueue::new(entry.slots),
+            shown_slots: Cell::new(entry.slots),
             entry: RefCell::new(Rc::new(entry)),
             latency: Cell::new(LatencyEstimate::default()),
             lag: Cell::new(ReplicaLag::default()),
@@ -100,13 +103,17 @@
 
     /// Applies a changed entry. Closes idle connections if the target has moved or restarted.
     pub fn update(&self, entry: TargetEntry) {
-        let (moved, restarted) = {
+        let (moved, restarted, has_other_slots) = {
             let known = self.entry.borrow();
             (
                 known.address != entry.address,
                 known.born_ms != entry.born_ms,
+                known.slots != entry.slots,
             )
         };
+        if moved || restarted || has_other_slots {
+            self.queue.reset_capacity(entry.slots);
+        }
         self.entry.replace(Rc::new(entry));
         self.is_marked_leaving.set(false);
         if moved || restarted {
@@ -198,6 +205,9 @@
     /// Sets whether overload control is in force on this instance.
     pub fn set_overload_control(&self, overload_control: OverloadControl) {
         self.overload_control.set(overload_control);
+        if !overload_control.is_on() {
+            self.queue.reset_capacity(self.entry().slots);
+        }
     }
 
     /// Returns whether overload control is in force.
@@ -284,6 +294,7 @@
     /// Records that the target refused a statement because it is busy.
     pub(super) fn record_busy(&self, now: MonotonicTime) {
         self.queue.record_busy(self.typical_latency(now), now);
+        self.record_shed(now);
     }
 
     /// Records a failure that began at `since`. Returns whether this marks the target as failing.
@@ -433,7 +444,7 @@
         request: &ConnectionRequest,
         now: MonotonicTime,
     ) -> Option<ConnectionGrant> {
-        if !self.queue.has_free_slot() {
+        if !self.queue.has_free_slot(now) {
             return None;
         }
         let idle = self
@@ -450,7 +461,7 @@
 
     /// Grants free slots and connections to the waiting sessions.
     pub(super) fn grant_waiting(&self, now: MonotonicTime) {
-        while self.queue.has_free_slot() && self.has_connection_for_waiting(now) {
+        while self.queue.has_free_slot(now) && self.has_connection_for_waiting(now) {
             let Some((customer, waiter)) = self.queue.pop(now) else {
                 return;
             };
--- a/crates/mustardhinge-resident/src/target/target_lease.rs
+++ b/crates/mustardhinge-resident/src/target/target_lease.rs
@@ -261,7 +261,7 @@
     }
 }
 
-/// Updates the target's latency estimate and window from its responses.
+/// Updates the target's latency estimate, window and observed capacity from its responses.
 fn record_latencies(
     target: &TargetHandle,
     replies: &[TargetReply],
@@ -276,5 +276,6 @@
         target.record_busy(now);
     } else if let Some(slow_after) = timeouts.slow_after {
         target.record_latency(elapsed, slow_after, now);
+        target.record_completed(now);
     }
 }
--- a/crates/mustardhinge-resident/src/target/target_preview.rs
+++ b/crates/mustardhinge-resident/src/target/target_preview.rs
@@ -15,7 +15,7 @@
         now: MonotonicTime,
     ) -> LinkAdmission {
         let can_start =
-            self.queue.has_free_slot() && self.connections.can_lease(&request.customer, now);
+            self.queue.has_free_slot(now) && self.connections.can_lease(&request.customer, now);
         if self.queue.is_empty() && can_start {
             return LinkAdmission::Run;
         }
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -1,6 +1,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
+use mustardhinge_core::overload::ObservedCapacity;
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime, RetryDelay};
 use mustardhinge_core::queue::{
     CostEstimates, CustomerWeight, DepartureCause, FairQueue, PopOutcome, PriorityItem,
@@ -58,6 +59,8 @@
     by_priority: RefCell<PriorityQueue<WaitingSession>>,
     costs: RefCell<CostEstimates>,
     window: Cell<SlotWindow>,
+    /// What the target can run as observed; without evidence unless overload control is in force.
+    capacity: Cell<ObservedCapacity>,
     running: Cell<usize>,
     reserved: Cell<usize>,
 }
@@ -74,6 +77,7 @@
             by_priority: RefCell::new(PriorityQueue::new(limits)),
             costs: RefCell::default(),
             window: Cell::new(SlotWindow::new(slots)),
+            capacity: Cell::new(ObservedCapacity::new(slots)),
             running: Cell::new(0),
             reserved: Cell::new(0),
         }
@@ -93,9 +97,47 @@
         self.waiting_count() == 0
     }
 
-    /// Returns whether the window allows one more statement at the target.
-    pub(super) fn has_free_slot(&self) -> bool {
-        self.running.get() + self.reserved.get() < self.window.get().size()
+    /// Returns whether the window and the observed capacity allow one more statement at the target.
+    pub(super) fn has_free_slot(&self, now: MonotonicTime) -> bool {
+        self.running.get() + self.reserved.get() < self.limit(now)
+    }
+
+    /// Returns the number of statements that this instance may have at the target. The window alone
+    /// limits it unless the target has shed statements below its listed slots.
+    fn limit(&self, now: MonotonicTime) -> usize {
+        let capacity = self.capacity.get();
+        let (window, slots) = (self.window.get().size(), capacity.slots(now));
+        if slots < capacity.listed() {
+            window.min(slots)
+        } else {
+            window
+        }
+    }
+
+    /// Records that the target shed a statement, which still counts as running.
+    pub(super) fn record_shed(&self, now: MonotonicTime) {
+        let mut capacity = self.capacity.get();
+        capacity.record_shed(self.running.get(), now);
+        self.capacity.set(capacity);
+        self.apply_limit(now);
+    }
+
+    /// Records a statement that the target completed.
+    pub(super) fn record_completed(&self, now: MonotonicTime) {
+        let mut capacity = self.capacity.get();
+        capacity.record_completed(now);
+        self.capacity.set(capacity);
+        self.apply_limit(now);
+    }
+
+    /// Returns the effective slots of the target.
+    pub(super) fn effective_slots(&self, now: MonotonicTime) -> usize {
+        self.capacity.get().slots(now)
+    }
+
+    /// Forgets what was observed of a target that runs `slots` statements according to its entry.
+    pub(super) fn reset_capacity(&self, slots: usize) {
+        self.capacity.set(ObservedCapacity::new(slots));
     }
 
     /// Reserves a slot for a granted lease.
@@ -131,11 +173,11 @@
         self.waiting
             .borrow_mut()
             .record_service(STATEMENT_COST, elapsed);
-        self.set_slots(window.size());
+        self.apply_limit(now);
     }
 
-    fn set_slots(&self, slots: usize) {
-        let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+    fn apply_limit(&self, now: MonotonicTime) {
+        let slots = u32::try_from(self.limit(now)).unwrap_or(u32::MAX);
         self.waiting.borrow_mut().set_slots(slots);
         self.by_priority.borrow_mut().set_slots(slots);
     }
@@ -200,7 +242,7 @@
         let mut window = self.window.get();
         window.record_refusal(typical_latency, now);
         self.window.set(window);
-        self.set_slots(window.size());
+        self.apply_limit(now);
     }
 
     /// Queues a session that waits for a slot.
