Leave the agent's own delays out of the silence of a primary

Cause: on a machine that was short of processor time, the agent replaced a primary whose connections had gone silent although a new connection was being opened. A trace beside load shows gaps of 137, 128 and 86 ms between two events of the agent, each below the 150 ms that count as a pause, so that 352 ms passed since the last response and the tick after the last gap found the primary silent (cause primary_silent) before the response was handled.

Change: of the time between two events of a failover machine, 30 ms count (delay_limit); the rest moves the times of the last signs of life. A gap above 150 ms is a pause, as before. An agent that is delayed all the time needs up to five times as long to replace a silent primary.

--- a/crates/mustardhinge-core/src/failover/failover_machine.rs
+++ b/crates/mustardhinge-core/src/failover/failover_machine.rs
@@ -110,13 +110,17 @@
         actions
     }
 
-    /// Restarts the failure detection after a pause of this process, and
-    /// abandons an attempt if other agents had time to supersede it.
+    /// Restarts the failure detection after a pause of this process, leaves out a
+    /// shorter delay of it, and abandons an attempt if other agents had time to
+    /// supersede it.
     fn handle_pause(&mut self, now: MonotonicTime) -> Vec<FailoverAction> {
         let paused = now.saturating_since(self.last_event_at);
         self.last_event_at = now;
         if paused > self.settings.get_pause_limit() {
             self.monitor.restart(now);
+        } else {
+            let delay = paused.saturating_sub(self.settings.get_delay_limit());
+            self.monitor.discount_delay(delay);
         }
         if paused < self.settings.get_step_timeout() {
             return Vec::new();
--- a/crates/mustardhinge-core/src/failover/failover_settings.rs
+++ b/crates/mustardhinge-core/src/failover/failover_settings.rs
@@ -9,6 +9,7 @@
     stall_limit: Duration,
     repair_limit: Duration,
     pause_limit: Duration,
+    delay_limit: Duration,
     rank_delay: Duration,
     claim_timeout: Duration,
     drain_timeout: Duration,
@@ -27,6 +28,7 @@
     const DEFAULT_STALL_LIMIT: Duration = Duration::from_millis(5_000);
     const DEFAULT_REPAIR_LIMIT: Duration = Duration::from_millis(1_000);
     const DEFAULT_PAUSE_LIMIT: Duration = Duration::from_millis(150);
+    const DEFAULT_DELAY_LIMIT: Duration = Duration::from_millis(30);
     const DEFAULT_RANK_DELAY: Duration = Duration::from_millis(150);
     const DEFAULT_CLAIM_TIMEOUT: Duration = Duration::from_millis(50);
     const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,6 +49,7 @@
             stall_limit: Self::DEFAULT_STALL_LIMIT,
             repair_limit: Self::DEFAULT_REPAIR_LIMIT,
             pause_limit: Self::DEFAULT_PAUSE_LIMIT,
+            delay_limit: Self::DEFAULT_DELAY_LIMIT,
             rank_delay: Self::DEFAULT_RANK_DELAY,
             claim_timeout: Self::DEFAULT_CLAIM_TIMEOUT,
             drain_timeout: Self::DEFAULT_DRAIN_TIMEOUT,
@@ -106,6 +109,14 @@
         self
     }
 
+    /// Sets the time between two events above which the rest counts as a delay of
+    /// this process, and not as silence of the primary; a few ticks.
+    #[must_use]
+    pub const fn delay_limit(mut self, limit: Duration) -> Self {
+        self.delay_limit = limit;
+        self
+    }
+
     /// Sets how much later each agent acts than the agent with the next smaller
     /// rank.
     #[must_use]
@@ -214,6 +225,13 @@
         self.pause_limit
     }
 
+    /// Returns the time between two events above which the rest counts as a delay
+    /// of this process, and not as silence of the primary.
+    #[must_use]
+    pub const fn get_delay_limit(&self) -> Duration {
+        self.delay_limit
+    }
+
     /// Returns how much later each agent acts than the agent with the next
     /// smaller rank.
     #[must_use]
--- a/crates/mustardhinge-core/src/failover/group_monitor.rs
+++ b/crates/mustardhinge-core/src/failover/group_monitor.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::ids::{InstanceId, TargetId};
 use crate::replication::{GroupMembers, GroupView, ServerReport, ServerRole};
@@ -112,6 +113,14 @@
         }
     }
 
+    /// Leaves a delay of this process out of the failure detection.
+    pub(super) fn discount_delay(&mut self, delay: Duration) {
+        self.diagnosis.discount_delay(delay);
+        if let Some(watch) = &mut self.watch {
+            watch.discount_delay(delay);
+        }
+    }
+
     /// Restarts the diagnosis after an attempt has ended.
     pub(super) fn restart_diagnosis(&mut self) {
         self.diagnosis.restart();
--- a/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
+++ b/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
@@ -37,6 +37,11 @@
         *self = Self::default();
     }
 
+    /// Leaves a delay of this process out of the time without a primary.
+    pub(super) fn discount_delay(&mut self, delay: Duration) {
+        self.missing_since = self.missing_since.map(|since| since + delay);
+    }
+
     /// Returns whether there is a cause for a new term.
     pub(super) fn is_suspecting(&self) -> bool {
         self.suspected.is_some()
--- a/crates/mustardhinge-core/src/failover/primary_watch.rs
+++ b/crates/mustardhinge-core/src/failover/primary_watch.rs
@@ -94,6 +94,21 @@
         self.ahead_since = None;
     }
 
+    /// Leaves a delay of this process out of all times without a sign of life.
+    ///
+    /// A process that is short of processor time sends its probes late and handles
+    /// the responses late. Several such delays would add up to the unresponsive
+    /// limit although none of them is long enough to count as a pause.
+    pub(super) fn discount_delay(&mut self, delay: Duration) {
+        self.last_response_at = self.last_response_at + delay;
+        self.refused_at = self.refused_at.map(|at| at + delay);
+        self.replicated_at = self.replicated_at + delay;
+        self.ahead_since = self.ahead_since.map(|since| since + delay);
+        for reached_at in self.peer_reached_at.values_mut() {
+            *reached_at = *reached_at + delay;
+        }
+    }
+
     /// Returns when the primary last responded to this agent.
     pub(super) fn last_response_at(&self) -> MonotonicTime {
         self.last_response_at
--- a/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
@@ -107,6 +107,47 @@
     assert!(!rig.has_requested(is_claim));
 }
 
+/// Lets the agent be delayed several times, by less than a pause each, and report the
+/// replicas after each delay.
+fn delay_repeatedly(rig: &mut FailoverRig, millis: u64) {
+    for _ in 0..4 {
+        rig.pause(millis);
+        for replica in 1..3 {
+            let report = rig.group.report(replica);
+            let requested_at = rig.now;
+            rig.handle_event(FailoverEvent::Reported {
+                report,
+                requested_at,
+            });
+        }
+    }
+}
+
+/// Guards against a busy machine on which the agent replaces a primary that had no
+/// time to respond: 420 ms passed, but the agent itself ran for 20 ms of them.
+#[test]
+fn delays_of_the_agent_do_not_add_up_to_silence_of_the_primary() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    rig.run(20);
+    delay_repeatedly(&mut rig, 100);
+    assert!(!rig.has_requested(is_claim));
+    rig.recover(0);
+    rig.run(1_000);
+    assert!(!rig.has_requested(is_claim));
+}
+
+/// Guards against an agent on a busy machine that never replaces a silent primary.
+#[test]
+fn a_silent_primary_is_replaced_by_a_delayed_agent() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    rig.run(20);
+    delay_repeatedly(&mut rig, 100);
+    let waited = rig.run_until(is_claim);
+    assert!((100..200).contains(&waited), "{waited} ms");
+}
+
 #[test]
 fn an_agent_without_a_majority_claims_no_term() {
     let mut rig = FailoverRig::new(3, 0);
