--- a/crates/mustardhinge-core/tests/suite/budget_fleet/invariants.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_fleet/invariants.rs
@@ -9,6 +9,7 @@
 use super::history::PlainLimit;
 use super::plan::WorldPlan;
 use super::world::World;
+use crate::property_cases::scaled_cases;
 
 const SECOND: u64 = 1_000_000;
 /// The greatest clock skew, in thousandths; less than the margin of grants and leases.
@@ -112,7 +113,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(scaled_cases(24))]
 
     #[test]
     fn no_window_holds_more_than_burst_and_rate(
--- a/crates/mustardhinge-core/tests/suite/budget_window.rs
+++ b/crates/mustardhinge-core/tests/suite/budget_window.rs
@@ -12,6 +12,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::property_cases::scaled_cases;
+
 const ENTRIES: usize = 3;
 const STEPS: usize = 1_500;
 const RATE: u64 = 4;
@@ -247,7 +249,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(100))]
+    #![proptest_config(scaled_cases(100))]
 
     #[test]
     fn no_window_holds_more_than_burst_and_rate(seed in any::<u64>()) {
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod priority_queue;
 mod priority_replay;
 mod probe_trust;
+mod property_cases;
 mod queue;
 mod rate_limit;
 mod rate_release;
--- a/crates/mustardhinge-core/tests/suite/safety.rs
+++ b/crates/mustardhinge-core/tests/suite/safety.rs
@@ -1,9 +1,11 @@
 //! Randomized tests of the invariants of acknowledgement, promotion and read floors.
 
-use proptest::strategy::{Strategy, ValueTree};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, TestCaseError, TestRng, TestRunner};
 
 use crate::group::{GroupHarness, InjectedFault, ScheduleStep, schedule};
+use crate::property_cases::scaled_cases;
 
 /// Part of the violation message for a lost acknowledged write.
 const LOST_WRITE: &str = "was lost";
@@ -43,6 +45,20 @@
     assert_eq!(find_violation(5, InjectedFault::None, 200, ""), None);
 }
 
+proptest! {
+    #![proptest_config(scaled_cases(50))]
+
+    /// Draws other schedules than the tests above, whose seed is fixed.
+    #[test]
+    fn no_schedule_violates_an_invariant(
+        servers in prop_oneof![Just(3_usize), Just(5)],
+        steps in schedule(160),
+    ) {
+        let run = GroupHarness::new(servers, InjectedFault::None).run(&steps);
+        prop_assert_eq!(run.err(), None);
+    }
+}
+
 #[test]
 fn the_schedules_promote_and_acknowledge() {
     let mut runner = TestRunner::deterministic();
