Determine overload control before the first operation is admitted

Cause: the table of allowances holds the setting of overload control, which is off until something asks the node for it and outdated after each change of the list of targets.

Change: NodeState::try_admit determines overload control first.

--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod node_gateways;
 mod node_limits;
 mod node_process;
+mod node_rates;
 mod node_settings;
 mod node_state;
 mod wait_metric;
--- a/crates/mustardhinge-resident/src/session/rate_admission.rs
+++ b/crates/mustardhinge-resident/src/session/rate_admission.rs
@@ -29,7 +29,7 @@
     let mut loan = None;
     loop {
         let now = node.clock.now();
-        let (admitted, leader) = try_admit(node, request, now);
+        let (admitted, leader) = node.try_admit(&request.customer, now);
         let (wait, retry_after) = match admitted {
             Ok(source) => return Ok(Some(source)),
             Err(refusal) => {
@@ -111,18 +111,6 @@
     }
 }
 
-/// Tries to admit an operation, and returns the result and when the leader's next response is
-/// expected.
-fn try_admit(
-    node: &NodeState,
-    request: &SessionRequest,
-    now: MonotonicTime,
-) -> (Result<AllowanceSource, RateRefusal>, LeaderDelays) {
-    let mut allowances = node.allowances.borrow_mut();
-    let admitted = allowances.admit(&request.customer, node.instances(), now);
-    (admitted, allowances.leader_delays(now))
-}
-
 /// Returns how long an operation that has `waited` still waits for a larger allowance.
 fn allowance_wait(waited: Duration) -> Option<Duration> {
     let rest = ALLOWANCE_TIMEOUT.checked_sub(waited)?;
