Check the fields of PostgreSQL messages before they are decoded

A caller's truncated message ended the task of its session without an error. Counts in Parse and Bind were allocated before the values that they announce were checked.

Change: WireFrame::decode accepts only messages with a check of their fields (CheckedMessage), which also refuses bytes after the last field, as PostgreSQL does. The caller gets 08P01 and the session stays usable.

--- a/crates/mustardhinge-entry/src/group/row_columns.rs
+++ b/crates/mustardhinge-entry/src/group/row_columns.rs
@@ -1,8 +1,7 @@
-use pgwire::messages::Message;
 use pgwire::messages::response::ErrorResponse;
 
 use crate::target::ConnectionError;
-use crate::wire::{FrameError, WireFrame, tags};
+use crate::wire::{CheckedMessage, FrameError, WireFrame, tags};
 
 /// Size of a column's length field, in bytes. A length of -1 means NULL.
 const COLUMN_LENGTH_BYTES: usize = 4;
@@ -30,7 +29,7 @@
     Ok(None)
 }
 
-fn decode<M: Message>(frame: &WireFrame) -> Result<M, FrameError> {
+fn decode<M: CheckedMessage>(frame: &WireFrame) -> Result<M, FrameError> {
     frame.decode()
 }
 
--- a/crates/mustardhinge-entry/src/request/batch_plan.rs
+++ b/crates/mustardhinge-entry/src/request/batch_plan.rs
@@ -8,7 +8,7 @@
 
 use super::{PreparedStatement, ReplyStep, StatementCache};
 use crate::target::TargetConnection;
-use crate::wire::{ErrorReply, FrameError, WireFrame, tags};
+use crate::wire::{CheckedMessage, ErrorReply, FrameError, WireFrame, tags};
 
 /// SQLSTATE of an unknown prepared statement.
 const NO_STATEMENT_SQLSTATE: &str = "26000";
@@ -245,7 +245,7 @@
     })
 }
 
-fn decode<M: Message>(frame: &WireFrame) -> Result<M, ErrorReply> {
+fn decode<M: CheckedMessage>(frame: &WireFrame) -> Result<M, ErrorReply> {
     frame.decode().map_err(|error| malformed(&error))
 }
 
--- a/crates/mustardhinge-entry/src/wire/wire_frame.rs
+++ b/crates/mustardhinge-entry/src/wire/wire_frame.rs
@@ -1,7 +1,7 @@
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
 
-use super::FrameError;
+use super::{BodyReader, CheckedMessage, FrameError};
 
 /// Size of the type byte and the length field, in bytes.
 const HEADER_BYTES: usize = 5;
@@ -34,7 +34,13 @@
     /// # Errors
     ///
     /// Returns an error if the frame is not a valid message of this type.
-    pub fn decode<M: Message>(&self) -> Result<M, FrameError> {
+    pub fn decode<M: CheckedMessage>(&self) -> Result<M, FrameError> {
+        let mut body = BodyReader::new(self.body());
+        M::check_fields(&mut body)?;
+        if !body.is_empty() {
+            let message = "a frame goes on after its last field".to_owned();
+            return Err(FrameError::Malformed(message));
+        }
         let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
         let mut buffer = BytesMut::from(&self.0[..]);
         let message = M::decode(&mut buffer, &context)?;
--- a/crates/mustardhinge-entry/tests/suite/main.rs
+++ b/crates/mustardhinge-entry/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod encryption;
 mod faults;
 mod keys;
+mod malformed_frames;
 mod priorities;
 mod request_queue;
 mod sessions;
