--- a/crates/mustardhinge-agent/src/platform/platform_client.rs
+++ b/crates/mustardhinge-agent/src/platform/platform_client.rs
@@ -12,6 +12,9 @@
 
 /// Maximum number of idle connections to the platform.
 const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Maximum size of a response in bytes: many documents of the maximum size. A platform that sends
+/// without an end must not use up the memory.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Client of the platform's object API.
 #[derive(Clone, Debug)]
@@ -171,6 +174,14 @@
     decode(response).await
 }
 
-async fn decode<T: DeserializeOwned>(response: Response) -> Result<T, PlatformError> {
-    response.json().await.map_err(PlatformError::from)
+/// Decodes a response of at most [`MAX_BODY_BYTES`].
+async fn decode<T: DeserializeOwned>(mut response: Response) -> Result<T, PlatformError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(PlatformError::InvalidResponse);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body).map_err(|_| PlatformError::InvalidResponse)
 }
--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod documents;
 mod escrow;
 mod failover;
+mod malformed_input;
 mod operator_api;
 mod peers;
 mod process;
--- a/crates/mustardhinge-core/src/primary_lease/leader_record.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_record.rs
@@ -33,3 +33,9 @@
     #[serde(default)]
     pub era: StoreEra,
 }
+
+impl LeaderRecord {
+    /// Maximum fence, above those of [`StoreEra::MAX`]. Only a malformed message names a higher
+    /// one; a fence at the end of the type's range would leave no room for the next leader.
+    pub const MAX_FENCE: u64 = 1 << 61;
+}
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -65,7 +65,7 @@
         let ratio = (limits.allowances() / self.limits.allowances()).min(1.0);
         // The value is small and not negative.
         let left = self.ceiling.saturating_sub(self.spent) as f64 * ratio;
-        self.ceiling = self.spent + left.floor() as u64;
+        self.ceiling = self.spent.saturating_add(left.floor() as u64);
         self.limits = limits;
     }
 
--- a/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
+++ b/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
@@ -135,7 +135,7 @@
         let allowance = Self::allowance(bucket.fill, limits, instances);
         AllowanceGrant {
             customer: report.customer.clone(),
-            ceiling: spent + allowance,
+            ceiling: spent.saturating_add(allowance),
             // The share is at most one.
             share: (share * 1_000_000.0) as u32,
             fill: bucket.fill.floor() as i64,
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -19,13 +19,15 @@
 use crate::adapter::PlatformClient;
 use crate::group::GroupState;
 
-/// Applies a grant of the leader. Ignores a grant of a leader that has been replaced, and one with
-/// an invalid era.
+/// Applies a grant of the leader. Ignores a grant of a leader that has been replaced, one with an
+/// invalid era, and one whose request is yet to be sent: its lease would last beyond the time that
+/// the leader waits for it.
 pub(super) fn handle_grant<P: PlatformClient>(control: &Rc<ControlState<P>>, grant: &GrantMessage) {
     let node = &control.node;
     let now = node.clock.now();
     let is_outdated = grant.record.fence < node.election.borrow().highest_fence();
-    if is_outdated || grant.revision.era() > StoreEra::MAX {
+    let requested_at = MonotonicTime::from_micros(grant.requested_at);
+    if is_outdated || requested_at > now || grant.revision.era() > StoreEra::MAX {
         return;
     }
     if grant.revision.era() > StoreEra::default() {
@@ -41,7 +43,6 @@
     if before.is_none_or(|before| before.fence != grant_ack.fence) {
         node.allowances.borrow_mut().resend_all();
     }
-    let requested_at = MonotonicTime::from_micros(grant.requested_at);
     let granted_lease = Duration::from_millis(grant.lease_ms);
     let lease = (requested_at, node.lease_settings.lease.min(granted_lease));
     node.election.borrow_mut().observe_leader(
@@ -160,17 +161,18 @@
     }
 }
 
-/// Applies allowances that were granted between two leases.
+/// Applies allowances that were granted between two leases. Ignores a response to a request that is
+/// yet to be sent, as all later responses would count as outdated.
 pub(super) fn handle_allowance_response<P>(
     control: &ControlState<P>,
     response: &AllowanceResponse,
 ) {
     let node = &control.node;
-    if response.fence < node.election.borrow().highest_fence() {
-        return;
-    }
     let requested_at = MonotonicTime::from_micros(response.requested_at);
     let now = node.clock.now();
+    if response.fence < node.election.borrow().highest_fence() || requested_at > now {
+        return;
+    }
     node.allowances
         .borrow_mut()
         .apply_grants(&response.allowances, requested_at, now);
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -43,7 +43,10 @@
         };
         match PeerMessage::decode(&buffer[..length]) {
             Ok(message) => handle_message(&control, message, from),
-            Err(error) => log::warn!("invalid datagram from {from} ignored: {error}"),
+            Err(error) => {
+                metrics::counter!("resident_invalid_datagrams_total").increment(1);
+                log::warn!("invalid datagram from {from} ignored: {error}");
+            }
         }
     }
 }
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -59,11 +59,30 @@
     ///
     /// # Errors
     ///
-    /// Fails if the message has another format version or is malformed.
+    /// Fails if the message has another format version, is malformed or names a fence above
+    /// [`LeaderRecord::MAX_FENCE`].
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        match bytes.split_first() {
-            Some((&MESSAGE_FORMAT, fields)) => postcard::from_bytes(fields),
-            _ => Err(postcard::Error::DeserializeBadEncoding),
+        let Some((&MESSAGE_FORMAT, fields)) = bytes.split_first() else {
+            return Err(postcard::Error::DeserializeBadEncoding);
+        };
+        let message: Self = postcard::from_bytes(fields)?;
+        if message.fence() > LeaderRecord::MAX_FENCE {
+            return Err(postcard::Error::DeserializeBadVarint);
+        }
+        Ok(message)
+    }
+
+    /// Returns the fence that the message names, or 0 if it names none.
+    const fn fence(&self) -> u64 {
+        match self {
+            Self::LeaseRequest(request) => request.fence,
+            Self::Grant(grant) => grant.record.fence,
+            Self::AllowanceRequest(request) => request.fence,
+            Self::AllowanceResponse(response) => response.fence,
+            Self::Stop(stop) => stop.fence,
+            Self::LeaderHint(hint) => hint.record.fence,
+            Self::Gateways(update) => update.version.fence,
+            Self::WhoLeads(_) | Self::ShareDeposit(_) | Self::ShareLoan(_) => 0,
         }
     }
 }
