--- a/crates/mustardhinge-core/src/explain/gateway_state.rs
+++ b/crates/mustardhinge-core/src/explain/gateway_state.rs
@@ -14,6 +14,8 @@
     Unusable,
     /// The instance has not connected to it yet; it counts as usable.
     Unused,
+    /// The text of the request must not be sent to its region.
+    OutsideHome,
 }
 
 impl fmt::Display for GatewayState {
@@ -23,6 +25,7 @@
             Self::Usable => "usable",
             Self::Unusable => "unusable",
             Self::Unused => "unused",
+            Self::OutsideHome => "outside_home",
         })
     }
 }
--- a/crates/mustardhinge-core/src/ids/mod.rs
+++ b/crates/mustardhinge-core/src/ids/mod.rs
@@ -5,6 +5,6 @@
 
 pub use id_error::IdError;
 pub use text_id::{
-    CustomerId, GroupId, InstanceId, OperationId, RequestId, RouteName, ServiceId, SessionId,
-    TargetId, ZoneId,
+    CustomerId, GroupId, InstanceId, OperationId, RegionName, RequestId, RouteName, ServiceId,
+    SessionId, TargetId, ZoneId,
 };
--- a/crates/mustardhinge-core/src/ids/text_id.rs
+++ b/crates/mustardhinge-core/src/ids/text_id.rs
@@ -83,6 +83,10 @@
     /// response.
     OperationId
 }
+text_id! {
+    /// Identifies a region, which has one or more availability zones.
+    RegionName
+}
 text_id! {
     /// Identifies a request of a caller, so that a retry finds the recorded response.
     RequestId
--- a/crates/mustardhinge-core/src/outcome/refusal_reason.rs
+++ b/crates/mustardhinge-core/src/outcome/refusal_reason.rs
@@ -18,6 +18,8 @@
     NoPrimary,
     /// No target of the group responds.
     NoTarget,
+    /// No target that could run the request is in one of its home regions.
+    OutsideHome,
     /// The request would wait in the target's queue beyond its deadline.
     QueueFull,
     /// The deadline passed before the request left the queue.
@@ -45,6 +47,7 @@
             Self::FloorNotReached => "floor_not_reached",
             Self::NoPrimary => "no_primary",
             Self::NoTarget => "no_target",
+            Self::OutsideHome => "outside_home",
             Self::QueueFull => "queue_full",
             Self::DeadlinePassed => "deadline_passed",
             Self::InstanceDraining => "instance_draining",
@@ -63,7 +66,7 @@
             Self::KeyRejected => "28P01",
             Self::KeyUnproven => "28000",
             Self::FloorNotReached | Self::DeadlinePassed => "57014",
-            Self::NoPrimary | Self::NoTarget => "57P03",
+            Self::NoPrimary | Self::NoTarget | Self::OutsideHome => "57P03",
             Self::InstanceDraining => "57P01",
             Self::ServiceUnknown => "3D000",
             Self::Unsupported => "0A000",
--- a/crates/mustardhinge-core/src/placement/mod.rs
+++ b/crates/mustardhinge-core/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod cold_choice;
 mod cold_period;
 mod customer_share;
+mod home_regions;
 mod latency_estimate;
 mod load_estimate;
 mod placement_candidate;
@@ -19,9 +20,11 @@
 mod spread_range;
 mod target_affinity;
 mod target_load;
+mod zone_regions;
 
 pub use cold_period::ColdPeriod;
 pub use customer_share::CustomerShare;
+pub use home_regions::HomeRegions;
 pub use latency_estimate::LatencyEstimate;
 pub use load_estimate::LoadEstimate;
 pub use placement_candidate::PlacementCandidate;
@@ -37,3 +40,4 @@
 pub use spread_range::SpreadRange;
 pub use target_affinity::TargetAffinity;
 pub use target_load::TargetLoad;
+pub use zone_regions::ZoneRegions;
--- a/crates/mustardhinge-core/src/placement/placement_exclusion.rs
+++ b/crates/mustardhinge-core/src/placement/placement_exclusion.rs
@@ -10,6 +10,8 @@
     Tried,
     /// Its zone is evacuated.
     Evacuated,
+    /// Its region is not a home of the request.
+    OutsideHome,
     /// It is known to lag by more than the read allows.
     TooStale,
     /// It is leaving, and other targets are not.
@@ -27,6 +29,7 @@
         f.pad(match self {
             Self::Tried => "tried",
             Self::Evacuated => "evacuated",
+            Self::OutsideHome => "outside_home",
             Self::TooStale => "too_stale",
             Self::Leaving => "leaving",
             Self::OtherZone => "other_zone",
--- a/crates/mustardhinge-core/src/prelude.rs
+++ b/crates/mustardhinge-core/src/prelude.rs
@@ -1,8 +1,8 @@
 //! Re-exports of the identifiers, outcomes and units that most modules use.
 
 pub use crate::ids::{
-    CustomerId, GroupId, InstanceId, OperationId, RequestId, RouteName, ServiceId, SessionId,
-    TargetId, ZoneId,
+    CustomerId, GroupId, InstanceId, OperationId, RegionName, RequestId, RouteName, ServiceId,
+    SessionId, TargetId, ZoneId,
 };
 pub use crate::outcome::{RefusalReason, RetryDelay, StatementOutcome};
 pub use crate::units::{
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod failover;
 mod gateway;
 mod group;
+mod home_regions;
 mod idle_transactions;
 mod key;
 mod membership;
--- a/crates/mustardhinge-ctl/tests/suite/explain.rs
+++ b/crates/mustardhinge-ctl/tests/suite/explain.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::thread;
 
+use mustardhinge_core::placement::ZoneRegions;
 use mustardhinge_core::prelude::InstanceId;
 use mustardhinge_core::primary_lease::LeaderElection;
 use mustardhinge_ctl::args::{CtlCommand, CtlInvocation};
@@ -38,7 +39,7 @@
         let election = LeaderElection::new(instance, 1, unused, 0);
         let node = Rc::new(NodeState::new(settings, election, 1));
         if has_configuration {
-            let plan = read_config(configuration().as_bytes()).unwrap();
+            let plan = read_config(configuration().as_bytes(), &ZoneRegions::default()).unwrap();
             node.adopt_plan(plan, "test");
         }
         let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/mustardhinge-resident/src/explain/explain_context.rs
+++ b/crates/mustardhinge-resident/src/explain/explain_context.rs
@@ -31,6 +31,7 @@
         let group = node.find_group(&route.service);
         // The request path creates a missing group. Here it stays detached from the node.
         let group = group.unwrap_or_else(|| Rc::new(GroupState::new(route.service.clone())));
+        let homes = node.plan().home_regions(&route, &query.customer);
         let request = SessionRequest {
             id: Bytes::new(),
             text: Bytes::new(),
@@ -38,6 +39,7 @@
             writes: query.kind == RequestKind::Write,
             route,
             customer: query.customer.clone(),
+            homes,
             session: 0,
             received_at: now,
             last_attempt: RefCell::new(None),
--- a/crates/mustardhinge-resident/src/explain/primary_choice.rs
+++ b/crates/mustardhinge-resident/src/explain/primary_choice.rs
@@ -7,7 +7,10 @@
 use super::step_decision::StepDecision;
 use super::target_choice::TargetChoice;
 use super::target_rows::candidate_row;
-use crate::session::{BUSY_RETRY_AFTER, EVACUATED_RETRY_AFTER, PrimaryDecision, decide_primary};
+use crate::session::{
+    BUSY_RETRY_AFTER, EVACUATED_RETRY_AFTER, OUTSIDE_HOME_RETRY_AFTER, PrimaryDecision,
+    decide_primary,
+};
 use crate::target::LinkAdmission;
 
 /// Returns the choice of a request that only the primary can run.
@@ -47,6 +50,9 @@
             choice.effect = "refused, since the zone of the primary is evacuated".to_owned();
             choice.decision = StepDecision::Refuse(RefusalReason::NoPrimary, EVACUATED_RETRY_AFTER);
         }
+        PrimaryDecision::OutsideHome => {
+            (choice.effect, choice.decision) = refuse_outside_home();
+        }
         PrimaryDecision::Unusable(WaitDecision::Wait(wait)) => {
             let wait = millis(wait);
             choice.effect = format!("waits for a usable primary, at most {wait} ms");
@@ -69,3 +75,9 @@
     }
     choice
 }
+
+fn refuse_outside_home() -> (String, StepDecision) {
+    let effect = "refused, since the primary is outside the home regions";
+    let refused = StepDecision::Refuse(RefusalReason::OutsideHome, OUTSIDE_HOME_RETRY_AFTER);
+    (effect.to_owned(), refused)
+}
--- a/crates/mustardhinge-resident/src/explain/read_choice.rs
+++ b/crates/mustardhinge-resident/src/explain/read_choice.rs
@@ -10,7 +10,7 @@
 use super::step_decision::StepDecision;
 use super::target_choice::TargetChoice;
 use super::target_rows::candidate_row;
-use crate::session::{BUSY_RETRY_AFTER, retry_without_target, usable_targets};
+use crate::session::{BUSY_RETRY_AFTER, refusal_without_target, usable_targets};
 use crate::target::{LinkAdmission, LinkPreview, TargetHandle};
 
 /// Returns the choice of a read that replicas can serve.
@@ -19,7 +19,7 @@
     max_staleness: Duration,
 ) -> TargetChoice {
     let (node, group, now) = (context.node, &context.group, context.now);
-    let targets = usable_targets(group, now);
+    let targets = usable_targets(node, group, &context.request, now);
     let candidates = ReadCandidates::new(context, &targets, max_staleness);
     let need = context.request.connection_request(now);
     let links: Vec<_> = targets
@@ -47,11 +47,14 @@
             "every target that may be used is tried",
             "refused, since it would wait too long at each of them",
         ),
-        (None, None) => (
-            StepDecision::Refuse(RefusalReason::NoTarget, retry_without_target(group, now)),
-            "refused, since no target can be used",
-            "no target to be admitted at",
-        ),
+        (None, None) => {
+            let (reason, after) = refusal_without_target(node, group, &context.request, now);
+            (
+                StepDecision::Refuse(reason, after),
+                "refused, since no target can be used",
+                "no target to be admitted at",
+            )
+        }
     };
     TargetChoice {
         candidates: candidate_rows(context, &candidates, &links, &walk),
--- a/crates/mustardhinge-resident/src/explain/target_rows.rs
+++ b/crates/mustardhinge-resident/src/explain/target_rows.rs
@@ -20,10 +20,12 @@
     let (node, now) = (context.node, context.now);
     let (entry, health) = (target.entry(), target.health());
     let primary = node.usable_primary(&context.group, now);
-    let exclusion = target
-        .target_use(now)
-        .is_evacuated()
-        .then_some(PlacementExclusion::Evacuated);
+    let exclusion = if target.target_use(now).is_evacuated() {
+        Some(PlacementExclusion::Evacuated)
+    } else {
+        let is_home = node.allows_target(context.request.homes.as_deref(), target);
+        (!is_home).then_some(PlacementExclusion::OutsideHome)
+    };
     CandidateReport {
         target: entry.target.clone(),
         zone: entry.zone.clone(),
@@ -52,6 +54,12 @@
         });
         match peers.is_usable(address, context.now) {
             _ if is_own => GatewayState::Own,
+            _ if !context
+                .node
+                .may_forward_to(address, context.request.homes.as_deref()) =>
+            {
+                GatewayState::OutsideHome
+            }
             Some(true) => GatewayState::Usable,
             Some(false) => GatewayState::Unusable,
             None => GatewayState::Unused,
--- a/crates/mustardhinge-resident/src/gateway/forward_frame.rs
+++ b/crates/mustardhinge-resident/src/gateway/forward_frame.rs
@@ -1,3 +1,5 @@
+use mustardhinge_core::placement::HomeRegions;
+use mustardhinge_core::prelude::ZoneId;
 use serde::{Deserialize, Serialize};
 
 use super::{ForwardedOutcome, ForwardedStatement, GatewayLoad};
@@ -19,6 +21,15 @@
     },
     /// Requests a [`GatewayFrame::Pong`].
     Ping,
+    /// A statement to run at a target in one of these home regions only.
+    HomeWork {
+        /// The regions.
+        homes: HomeRegions,
+        /// The statement.
+        statement: Box<ForwardedStatement>,
+    },
+    /// Requests a [`GatewayFrame::Zone`].
+    RequestZone,
 }
 
 /// A message from a gateway to an origin.
@@ -37,4 +48,6 @@
     Pong,
     /// The gateway is stopping. It completes pending statements and accepts no new ones.
     Leaving,
+    /// The response to [`OriginFrame::RequestZone`]: the gateway's availability zone.
+    Zone(ZoneId),
 }
--- a/crates/mustardhinge-resident/src/gateway/forwarded_connection.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_connection.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::placement::HomeRegions;
 use tokio::time::timeout;
 
 use super::gateway_peer::GatewayResponse;
@@ -72,15 +73,16 @@
         &self.peer
     }
 
-    /// Runs a statement. With `may_abandon`, stops waiting once the gateway is unresponsive.
+    /// Runs a statement, which may be restricted to home regions. With `may_abandon`, stops waiting once the gateway is unresponsive.
     pub async fn run(
         &mut self,
         statement: ForwardedStatement,
+        homes: Option<&HomeRegions>,
         limit: Duration,
         may_abandon: bool,
     ) -> ForwardResult {
         let (number, step) = (statement.number, statement.step);
-        let response = self.peer.send(statement);
+        let response = self.peer.send(statement, homes);
         let connection_number = self.peer.connection_number();
         if matches!(step, ForwardedStep::Begin { .. }) {
             self.transaction = Some(PinnedTransaction {
--- a/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_run.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime};
 use mustardhinge_core::primary_lease::GroupEpoch;
 
 use super::origin_session::OriginSession;
 use super::{ForwardedOutcome, ForwardedStatement, ForwardedStep, NotRunCause};
 use crate::adapter::{SessionCodec, TargetFault, TransactionState};
-use crate::node::{DrainPhase, NodeState};
+use crate::node::{DrainPhase, NodeState, record_outside_home};
 use crate::plan::{PlanRoute, ReadRule};
 use crate::session::{
     EpochGuard, ExecutionError, SessionRequest, SessionValues, StatementExecution, TransactionStep,
@@ -61,6 +62,7 @@
             objective: Duration::from_millis(statement.objective_ms.into()),
             priority: statement.priority,
             is_public: false,
+            home_regions: None,
         };
         Self {
             number: statement.number,
@@ -72,6 +74,7 @@
                 writes: statement.writes,
                 route: Rc::new(route),
                 customer: statement.customer,
+                homes: None,
                 session,
                 received_at: sent_at - Duration::from_micros(statement.waited),
                 last_attempt: RefCell::new(None),
@@ -86,6 +89,12 @@
         }
     }
 
+    /// Restricts the statement to home regions.
+    pub(super) fn home_regions(mut self, homes: Option<Rc<HomeRegions>>) -> Self {
+        self.request.homes = homes;
+        self
+    }
+
     /// Runs the statement at the target.
     ///
     /// A statement within a transaction is interrupted when the origin cancels it: the origin has
@@ -140,6 +149,9 @@
             Err(ExecutionError::NotRun(ConnectionError::Evacuated)) => {
                 ForwardedOutcome::NotRun(NotRunCause::Evacuated)
             }
+            Err(ExecutionError::NotRun(ConnectionError::OutsideHome)) => {
+                ForwardedOutcome::NotRun(NotRunCause::OutsideHome)
+            }
             Err(ExecutionError::NotRun(_)) => ForwardedOutcome::NotRun(failure_cause(target)),
             Err(ExecutionError::Lost(error)) => ForwardedOutcome::Lost {
                 is_silent: matches!(error, ConnectionError::Silent),
@@ -184,6 +196,10 @@
         if *node.subscribe_drain().borrow() >= DrainPhase::Closing {
             return Err(NotRunCause::Leaving);
         }
+        if !node.allows_target(self.request.homes.as_deref(), target) {
+            record_outside_home("gateway");
+            return Err(NotRunCause::OutsideHome);
+        }
         let request = self.request.connection_request(node.clock.now());
         let request = node.with_customer_weight(request);
         let acquired = target.acquire_lease::<W>(&request, &node.clock).await;
--- a/crates/mustardhinge-resident/src/gateway/gateway_peer.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_peer.rs
@@ -2,12 +2,15 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use mustardhinge_core::gateway::GatewayHealth;
-use mustardhinge_core::prelude::MonotonicTime;
+use mustardhinge_core::placement::HomeRegions;
+use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
 use mustardhinge_process::{BootClock, event};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use super::peer_connection::{ConnectionEnd, run_connection};
 use super::{ForwardedOutcome, ForwardedStatement, GatewayLoad, NotRunCause, OriginFrame};
@@ -38,6 +41,11 @@
     pending: RefCell<HashMap<u64, PendingStatement>>,
     next_number: Cell<u64>,
     connection_number: Cell<u64>,
+    /// The gateway's zone, if the gateway was asked for it on the present connection.
+    zone: RefCell<Option<ZoneId>>,
+    /// Whether a request for the zone has no response yet.
+    awaits_zone: Cell<bool>,
+    zone_changed: Notify,
     became_unresponsive: Notify,
     became_pending: Notify,
 }
@@ -55,6 +63,9 @@
             pending: RefCell::default(),
             next_number: Cell::new(1),
             connection_number: Cell::new(0),
+            zone: RefCell::new(None),
+            awaits_zone: Cell::new(false),
+            zone_changed: Notify::new(),
             became_unresponsive: Notify::new(),
             became_pending: Notify::new(),
         }
@@ -75,7 +86,7 @@
     /// Returns whether responses are pending.
     #[must_use]
     pub fn has_pending(&self) -> bool {
-        !self.pending.borrow().is_empty()
+        self.awaits_zone.get() || !self.pending.borrow().is_empty()
     }
 
     /// Allocates the number of the next statement.
@@ -96,14 +107,23 @@
         self.incarnation
     }
 
-    /// Sends a statement and returns the receiver of its response.
+    /// Sends a statement, which may be restricted to home regions, and returns the receiver of its
+    /// response.
     pub(super) fn send(
         self: &Rc<Self>,
         statement: ForwardedStatement,
+        homes: Option<&HomeRegions>,
     ) -> oneshot::Receiver<GatewayResponse> {
         let (response_sender, response) = oneshot::channel();
         let number = statement.number;
-        self.send_frame(OriginFrame::Work(Box::new(statement)));
+        let statement = Box::new(statement);
+        self.send_frame(match homes {
+            Some(homes) => OriginFrame::HomeWork {
+                homes: homes.clone(),
+                statement,
+            },
+            None => OriginFrame::Work(statement),
+        });
         let pending = PendingStatement {
             connection_number: self.connection_number.get(),
             response: response_sender,
@@ -115,6 +135,36 @@
         response
     }
 
+    /// Returns the gateway's zone, if it was asked for it on the present connection.
+    pub(crate) fn zone(&self) -> Option<ZoneId> {
+        self.zone.borrow().clone()
+    }
+
+    /// Returns the gateway's zone, which is requested once per connection, or `None` if it doesn't
+    /// respond within `wait`.
+    pub(crate) async fn await_zone(self: &Rc<Self>, wait: Duration) -> Option<ZoneId> {
+        if let Some(zone) = self.zone() {
+            return Some(zone);
+        }
+        let changed = self.zone_changed.notified();
+        if !self.awaits_zone.replace(true) {
+            self.send_frame(OriginFrame::RequestZone);
+            let now = self.clock.now();
+            self.update_health(|health| health.record_request(now));
+            self.became_pending.notify_waiters();
+        }
+        // After a timeout, the zone isn't known.
+        let _ = timeout(wait, changed).await;
+        self.zone()
+    }
+
+    /// Records the gateway's zone.
+    pub(super) fn record_zone(&self, zone: ZoneId) {
+        self.zone.replace(Some(zone));
+        self.awaits_zone.set(false);
+        self.zone_changed.notify_waiters();
+    }
+
     /// Cancels a pending statement, since its caller no longer waits.
     pub(super) fn cancel(self: &Rc<Self>, number: u64) {
         if self.pending.borrow_mut().remove(&number).is_some() {
@@ -165,6 +215,7 @@
         let _ = sender.send(unsent);
         self.sender.replace(Some(sender));
         self.connection_number.set(self.connection_number.get() + 1);
+        self.zone.replace(None);
         let number = self.connection_number.get();
         spawn_local(run_connection(Rc::clone(self), number, frames));
     }
@@ -221,6 +272,7 @@
         if self.connection_number.get() == connection_number {
             self.sender.replace(None);
             self.connection_number.set(connection_number + 1);
+            self.forget_zone();
             self.update_health(|health| health.record_failure(now));
         }
         let pending: Vec<_> = self
@@ -247,6 +299,13 @@
         }
     }
 
+    /// Forgets the zone with the connection, and ends the wait for it.
+    fn forget_zone(&self) {
+        self.zone.replace(None);
+        self.awaits_zone.set(false);
+        self.zone_changed.notify_waiters();
+    }
+
     fn update_health(&self, change: impl FnOnce(&mut GatewayHealth)) {
         let mut health = self.health.get();
         change(&mut health);
--- a/crates/mustardhinge-resident/src/gateway/gateway_peers.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_peers.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use mustardhinge_core::gateway::{GatewayPair, GatewayRank, GatewayRoute};
-use mustardhinge_core::prelude::MonotonicTime;
+use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
 
 use super::GatewayPeer;
 
@@ -43,7 +43,19 @@
     /// directly.
     #[must_use]
     pub fn choose(&self, pair: &GatewayPair, now: MonotonicTime) -> Option<Rc<GatewayPeer>> {
-        let is_usable = |address| self.peer(address).is_usable(now);
+        self.choose_among(pair, |_| true, now)
+    }
+
+    /// Returns the gateway to forward to like [`choose`](Self::choose), without those that aren't
+    /// allowed.
+    #[must_use]
+    pub fn choose_among(
+        &self,
+        pair: &GatewayPair,
+        is_allowed: impl Fn(SocketAddr) -> bool,
+        now: MonotonicTime,
+    ) -> Option<Rc<GatewayPeer>> {
+        let is_usable = |address| is_allowed(address) && self.peer(address).is_usable(now);
         match pair.route(self.own_address, is_usable) {
             GatewayRoute::Forward(address) => Some(self.peer(address)),
             GatewayRoute::Own => None,
@@ -54,14 +66,26 @@
         }
     }
 
-    /// Returns the route that [`choose`](Self::choose) would take now.
+    /// Returns the route that [`choose_among`](Self::choose_among) would take now.
     #[must_use]
-    pub fn route(&self, pair: &GatewayPair, now: MonotonicTime) -> GatewayRoute {
+    pub fn route(
+        &self,
+        pair: &GatewayPair,
+        is_allowed: impl Fn(SocketAddr) -> bool,
+        now: MonotonicTime,
+    ) -> GatewayRoute {
         pair.route(self.own_address, |address| {
-            self.is_usable(address, now).unwrap_or(true)
+            is_allowed(address) && self.is_usable(address, now).unwrap_or(true)
         })
     }
 
+    /// Returns the zone of the gateway at `address`, if this instance has asked for it.
+    #[must_use]
+    pub fn zone_of(&self, address: SocketAddr) -> Option<ZoneId> {
+        let peers = self.peers.borrow();
+        peers.get(&address).and_then(|peer| peer.zone())
+    }
+
     /// Returns whether statements may be forwarded to the gateway at `address`, or `None` if this
     /// instance has not used it yet, in which case they may.
     #[must_use]
--- a/crates/mustardhinge-resident/src/gateway/not_run_cause.rs
+++ b/crates/mustardhinge-resident/src/gateway/not_run_cause.rs
@@ -28,4 +28,6 @@
     Unreachable,
     /// The target's zone is evacuated.
     Evacuated,
+    /// The target's region is not a home of the statement.
+    OutsideHome,
 }
--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::gateway::DelayEstimator;
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::MonotonicTime;
 use mustardhinge_process::event;
 use tokio::sync::{Notify, mpsc};
@@ -120,7 +121,13 @@
             OriginFrame::Ping => self.send(GatewayFrame::Pong),
             OriginFrame::Cancel { number } => self.cancel(number),
             OriginFrame::Release { pin } => self.release(pin),
-            OriginFrame::Work(statement) => self.handle_statement::<W>(*statement),
+            OriginFrame::Work(statement) => self.handle_statement::<W>(*statement, None),
+            OriginFrame::HomeWork { homes, statement } => {
+                self.handle_statement::<W>(*statement, Some(Rc::new(homes)));
+            }
+            OriginFrame::RequestZone => {
+                self.send(GatewayFrame::Zone(self.node.settings.zone.clone()));
+            }
         }
     }
 
@@ -149,7 +156,11 @@
         }
     }
 
-    fn handle_statement<W: SessionCodec>(self: &Rc<Self>, statement: ForwardedStatement) {
+    fn handle_statement<W: SessionCodec>(
+        self: &Rc<Self>,
+        statement: ForwardedStatement,
+        homes: Option<Rc<HomeRegions>>,
+    ) {
         let now = self.node.clock.now();
         let sent_at = MonotonicTime::from_micros(statement.sent_at);
         let delay = self.delay_estimator.borrow_mut().delay(sent_at, now);
@@ -169,6 +180,7 @@
             let outcome = match &target {
                 Some(target) => {
                     let run = ForwardedRun::new(statement, session.incarnation, now - delay);
+                    let run = run.home_regions(homes);
                     run.run::<W>(&session, target).await
                 }
                 None => ForwardedOutcome::NotRun(NotRunCause::TargetUnknown),
--- a/crates/mustardhinge-resident/src/gateway/peer_connection.rs
+++ b/crates/mustardhinge-resident/src/gateway/peer_connection.rs
@@ -117,6 +117,7 @@
         } => peer.complete(number, answer, load),
         GatewayFrame::Pong => {}
         GatewayFrame::Leaving => peer.mark_stopping(),
+        GatewayFrame::Zone(zone) => peer.record_zone(zone),
     }
 }
 
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod lost_targets;
 mod node_evacuations;
 mod node_gateways;
+mod node_homes;
 mod node_limits;
 mod node_process;
 mod node_settings;
@@ -13,6 +14,7 @@
 mod wait_metric;
 
 pub use drain_phase::DrainPhase;
+pub(crate) use node_homes::record_outside_home;
 pub use node_limits::NodeLimits;
 pub use node_process::NodeProcess;
 pub use node_settings::{NodeSettings, NodeSettingsBuilder};
--- a/crates/mustardhinge-resident/src/node/node_gateways.rs
+++ b/crates/mustardhinge-resident/src/node/node_gateways.rs
@@ -87,9 +87,11 @@
     ) -> Result<TargetLease, ConnectionError> {
         self.wait_for_gateways(target, need).await;
         let need = self.with_customer_weight(need.clone());
-        let peer = target
-            .gateways()
-            .and_then(|pair| self.peers.choose(&pair, self.clock.now()));
+        let peer = match (target.gateways(), &need.homes) {
+            (Some(pair), None) => self.peers.choose(&pair, self.clock.now()),
+            (Some(pair), Some(homes)) => self.choose_home_gateway(&pair, homes).await,
+            (None, _) => None,
+        };
         match peer {
             Some(peer) => {
                 target.admit_by_report(&need, self.clock.now())?;
@@ -132,7 +134,9 @@
     ) -> LinkPreview {
         let mut need = need.clone();
         need.weight = self.customer_weight(&need.customer, self.current_overload_control());
-        let route = target.gateways().map(|pair| self.peers.route(&pair, now));
+        let is_allowed = |address| self.may_forward_to(address, need.homes.as_deref());
+        let pair = target.gateways();
+        let route = pair.map(|pair| self.peers.route(&pair, is_allowed, now));
         let admission = match route {
             _ if self.awaits_gateways(target) => LinkAdmission::Wait(need.wait.min(GATEWAYS_WAIT)),
             Some(GatewayRoute::Forward(_)) => target.preview_report(&need, now),
--- a/crates/mustardhinge-resident/src/node/node_settings.rs
+++ b/crates/mustardhinge-resident/src/node/node_settings.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mustardhinge_core::placement::ZoneRegions;
 use mustardhinge_core::prelude::{InstanceId, ZoneId};
 
 use super::NodeLimits;
@@ -30,6 +31,8 @@
     pub follows_evacuations: bool,
     /// All availability zones of the deployment.
     pub zones: Vec<ZoneId>,
+    /// The regions of the availability zones.
+    pub zone_regions: ZoneRegions,
     /// Limits that can change at run time.
     pub limits: NodeLimits,
 }
@@ -60,6 +63,7 @@
                 requests_overload_control: false,
                 follows_evacuations: false,
                 zones: Vec::new(),
+                zone_regions: ZoneRegions::default(),
                 limits: NodeLimits::default(),
             },
         }
@@ -95,6 +99,12 @@
         self
     }
 
+    /// Sets the regions of the availability zones.
+    pub fn zone_regions(mut self, zone_regions: ZoneRegions) -> Self {
+        self.settings.zone_regions = zone_regions;
+        self
+    }
+
     /// Sets the maximum number of concurrent caller sessions.
     pub const fn max_callers(mut self, max_callers: usize) -> Self {
         self.settings.limits.max_callers = max_callers;
--- a/crates/mustardhinge-resident/src/plan/plan_customer.rs
+++ b/crates/mustardhinge-resident/src/plan/plan_customer.rs
@@ -1,3 +1,6 @@
+use std::rc::Rc;
+
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::CustomerId;
 use mustardhinge_core::rate_limit::CustomerRate;
 
@@ -8,4 +11,6 @@
     pub customer: CustomerId,
     /// The rate of its requests.
     pub limits: CustomerRate,
+    /// The regions to which its requests are restricted, if they are.
+    pub home_regions: Option<Rc<HomeRegions>>,
 }
--- a/crates/mustardhinge-resident/src/plan/plan_route.rs
+++ b/crates/mustardhinge-resident/src/plan/plan_route.rs
@@ -1,5 +1,7 @@
+use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::{RouteName, RoutePriority, ServiceId};
 
 use super::ReadRule;
@@ -21,4 +23,6 @@
     pub priority: RoutePriority,
     /// Whether callers without a key are accepted.
     pub is_public: bool,
+    /// The regions to which its requests are restricted, if they are.
+    pub home_regions: Option<Rc<HomeRegions>>,
 }
--- a/crates/mustardhinge-resident/src/plan/serving_plan.rs
+++ b/crates/mustardhinge-resident/src/plan/serving_plan.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use mustardhinge_core::key::{KeyDigest, KeyTable};
-use mustardhinge_core::placement::CustomerShare;
+use mustardhinge_core::placement::{CustomerShare, HomeRegions};
 use mustardhinge_core::prelude::{CustomerId, DocumentVersion, RouteName, ServiceId};
 use mustardhinge_core::queue::CustomerWeight;
 
@@ -34,6 +34,8 @@
 pub struct ServingPlan {
     parts: PlanParts,
     customer_shares: HashMap<CustomerId, CustomerShare>,
+    /// The home regions of the customers that have some.
+    customer_homes: HashMap<CustomerId, Rc<HomeRegions>>,
     total_weight: u64,
 }
 
@@ -50,12 +52,17 @@
                 (limits.customer.clone(), share)
             })
             .collect();
+        let customers = parts.customers.iter();
+        let customer_homes = customers
+            .filter_map(|known| Some((known.customer.clone(), known.home_regions.clone()?)))
+            .collect();
         let weights = parts.customers.iter();
         let weights = weights.map(|limits| CustomerWeight::from_rate(limits.limits.rate).get());
         let total_weight = weights.map(u64::from).sum();
         Self {
             parts,
             customer_shares,
+            customer_homes,
             total_weight,
         }
     }
@@ -107,6 +114,22 @@
         share.copied().unwrap_or_default()
     }
 
+    /// Returns the regions to which the requests of a customer on a route are restricted, or `None`
+    /// if they aren't.
+    #[must_use]
+    pub fn home_regions(
+        &self,
+        route: &PlanRoute,
+        customer: &CustomerId,
+    ) -> Option<Rc<HomeRegions>> {
+        match (&route.home_regions, self.customer_homes.get(customer)) {
+            (Some(of_route), Some(of_customer)) => {
+                Some(Rc::new(of_route.intersection(of_customer)))
+            }
+            (of_route, of_customer) => of_route.as_ref().or(of_customer).cloned(),
+        }
+    }
+
     /// Returns the services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
         self.parts.connection_limits.keys()
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mustardhinge_core::prelude::CustomerId;
 use mustardhinge_process::event;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -16,7 +15,9 @@
 use super::retry_spread::spread_retry;
 use super::transaction_path::{commit, roll_back, run_in_transaction};
 use super::write_path::run_write;
-use super::{OpenTransaction, SessionAccess, SessionRequest, SessionValues, StatementResponse};
+use super::{
+    CheckedAccess, OpenTransaction, SessionAccess, SessionRequest, SessionValues, StatementResponse,
+};
 use crate::adapter::{
     CallerMessage, CallerStatement, SessionCodec, SessionRefusal, TransactionState,
 };
@@ -66,9 +67,9 @@
             self.serve_requests().await;
         }
         if let Some(transaction) = self.transaction.take()
-            && let Some((route, customer)) = self.access.last_checked()
+            && let Some(access) = self.access.last_checked()
         {
-            let request = self.new_request(Bytes::new(), Bytes::new(), route, customer);
+            let request = self.new_request(Bytes::new(), Bytes::new(), access);
             roll_back::<W>(&self.node, &request, transaction).await;
         }
         self.node
@@ -152,7 +153,7 @@
     }
 
     async fn handle_statement(&mut self, id: Bytes, text: Bytes, statement: CallerStatement) {
-        let (route, customer) = match self.access.check(&self.node.plan()) {
+        let access = match self.access.check(&self.node.plan()) {
             Ok(found) => found,
             Err(refusal) => {
                 self.fail_transaction();
@@ -161,7 +162,7 @@
                 return;
             }
         };
-        let mut request = self.new_request(id, text, route, customer);
+        let mut request = self.new_request(id, text, access);
         match statement {
             CallerStatement::Begin { read_only } => self.begin(read_only, request.route),
             CallerStatement::SetValue { name } => {
@@ -308,20 +309,15 @@
         }
     }
 
-    fn new_request(
-        &self,
-        id: Bytes,
-        text: Bytes,
-        route: Rc<PlanRoute>,
-        customer: CustomerId,
-    ) -> SessionRequest {
+    fn new_request(&self, id: Bytes, text: Bytes, access: CheckedAccess) -> SessionRequest {
         SessionRequest {
             id,
             text,
             name: None,
             writes: false,
-            route,
-            customer,
+            route: access.route,
+            customer: access.customer,
+            homes: access.homes,
             session: self.number,
             received_at: self.node.clock.now(),
             last_attempt: RefCell::new(None),
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller_channel;
 mod caller_session;
+mod checked_access;
 mod last_attempt;
 mod open_transaction;
 mod primary_decision;
@@ -24,10 +25,13 @@
 mod write_path;
 
 pub use caller_session::CallerSession;
+pub use checked_access::CheckedAccess;
 pub use last_attempt::LastAttempt;
 pub use open_transaction::OpenTransaction;
 pub(crate) use primary_decision::PrimaryDecision;
-pub(crate) use primary_wait::{EVACUATED_RETRY_AFTER, decide_primary, retry_without_target};
+pub(crate) use primary_wait::{
+    EVACUATED_RETRY_AFTER, OUTSIDE_HOME_RETRY_AFTER, decide_primary, refusal_without_target,
+};
 pub(crate) use rate_admission::decide_wait;
 pub(crate) use read_candidates::{plain_candidates, spread_candidates, usable_targets};
 pub(crate) use read_floor::await_floor;
--- a/crates/mustardhinge-resident/src/session/primary_decision.rs
+++ b/crates/mustardhinge-resident/src/session/primary_decision.rs
@@ -11,6 +11,8 @@
     Serve(GroupEpoch, Rc<TargetHandle>),
     /// The primary is not used because its zone is evacuated.
     Evacuated,
+    /// The primary is not used because its region is not a home of the statement.
+    OutsideHome,
     /// The primary can't be used now.
     Unusable(WaitDecision),
 }
--- a/crates/mustardhinge-resident/src/session/primary_wait.rs
+++ b/crates/mustardhinge-resident/src/session/primary_wait.rs
@@ -8,7 +8,7 @@
 use super::read_path::BUSY_RETRY_AFTER;
 use super::{PrimaryDecision, SessionRequest, StatementResponse};
 use crate::group::GroupState;
-use crate::node::{NodeState, record_wait};
+use crate::node::{NodeState, record_outside_home, record_wait};
 use crate::target::TargetHandle;
 
 /// Interval at which a wait checks the primary without a notification.
@@ -18,14 +18,58 @@
 /// returning target ends this, within seconds at best.
 pub(crate) const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Returns the retry delay of a statement for which the group has no target.
-pub(crate) fn retry_without_target(group: &GroupState, now: MonotonicTime) -> Duration {
-    let targets = group.targets();
+/// Retry delay if the targets that could run a statement are outside its home regions: a change of
+/// the primary or of the configuration ends this, within seconds at best.
+pub(crate) const OUTSIDE_HOME_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns the refusal of a statement for which the group has no target.
+pub(crate) fn refuse_without_target(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> StatementResponse {
+    let (reason, retry_after) = refusal_without_target(node, group, request, now);
+    StatementResponse::not_run(reason, retry_after)
+}
+
+/// Returns the reason and the retry delay of a statement for which the group has no target.
+pub(crate) fn refusal_without_target(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> (RefusalReason, Duration) {
+    let mut targets = group.targets();
+    let has_targets = !targets.is_empty();
+    targets.retain(|target| node.allows_target(request.homes.as_deref(), target));
     let is_evacuated = |target: &Rc<TargetHandle>| target.target_use(now).is_evacuated();
-    if !targets.is_empty() && targets.iter().all(is_evacuated) {
-        EVACUATED_RETRY_AFTER
+    if has_targets && targets.is_empty() {
+        (RefusalReason::OutsideHome, OUTSIDE_HOME_RETRY_AFTER)
+    } else if has_targets && targets.iter().all(is_evacuated) {
+        (RefusalReason::NoTarget, EVACUATED_RETRY_AFTER)
     } else {
-        BUSY_RETRY_AFTER
+        (RefusalReason::NoTarget, BUSY_RETRY_AFTER)
+    }
+}
+
+/// Returns whether the request must not reach the group's primary, or none of the targets that could
+/// become it, since their regions are not its homes.
+fn is_outside_home(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> bool {
+    let Some(homes) = request.homes.as_deref() else {
+        return false;
+    };
+    match node.usable_primary(group, now) {
+        Some((_, primary)) => !node.allows_target(Some(homes), &primary),
+        None => {
+            let (reason, _) = refusal_without_target(node, group, request, now);
+            reason == RefusalReason::OutsideHome
+        }
     }
 }
 
@@ -42,6 +86,9 @@
     request: &SessionRequest,
     now: MonotonicTime,
 ) -> PrimaryDecision {
+    if is_outside_home(node, group, request, now) {
+        return PrimaryDecision::OutsideHome;
+    }
     if let Some((epoch, target)) = node.serving_primary(group, now) {
         return PrimaryDecision::Serve(epoch, target);
     }
@@ -91,6 +138,10 @@
                     EVACUATED_RETRY_AFTER,
                 ));
             }
+            PrimaryDecision::OutsideHome => {
+                record_outside_home("primary");
+                return Err(StatementResponse::outside_home());
+            }
             PrimaryDecision::Unusable(decision) => decision,
         };
         group.set_usable(false, now);
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -57,10 +57,19 @@
     }
 }
 
-/// Returns the targets of a group whose zones aren't evacuated.
-pub(crate) fn usable_targets(group: &GroupState, now: MonotonicTime) -> Vec<Rc<TargetHandle>> {
+/// Returns the targets of a group whose zones aren't evacuated and whose regions are homes of the
+/// request.
+pub(crate) fn usable_targets(
+    node: &NodeState,
+    group: &GroupState,
+    request: &SessionRequest,
+    now: MonotonicTime,
+) -> Vec<Rc<TargetHandle>> {
+    let homes = request.homes.as_deref();
     let mut targets = group.targets();
-    targets.retain(|target| !target.target_use(now).is_evacuated());
+    targets.retain(|target| {
+        !target.target_use(now).is_evacuated() && node.allows_target(homes, target)
+    });
     targets
 }
 
@@ -145,7 +154,7 @@
     (max_staleness, tried): (Duration, &[TargetId]),
 ) -> Option<Rc<TargetHandle>> {
     let now = node.clock.now();
-    let targets = usable_targets(group, now);
+    let targets = usable_targets(node, group, request, now);
     let skipped = indices_of(tried, &targets);
     let (candidates, limits) =
         spread_candidates(node, (group, &targets), request, (max_staleness, now));
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -6,7 +6,7 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
-use super::primary_wait::{await_primary, retry_without_target};
+use super::primary_wait::{await_primary, refuse_without_target};
 use super::read_candidates::{choose_by_capacity, indices_of, plain_candidates, usable_targets};
 use super::read_floor::await_floor;
 use super::retry_gate::{admit_retry, record_operation};
@@ -83,8 +83,7 @@
     record_operation(node, request);
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
-    let retry_after = retry_without_target(&group, node.clock.now());
-    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
+    let mut last = refuse_without_target(node, &group, request, node.clock.now());
     let mut failed = None;
     let mut was_full = false;
     for attempt in 0..MAX_READ_ATTEMPTS {
@@ -296,22 +295,7 @@
         Ok(reply) => reply,
         Err(error) => {
             probe_if_failing::<W>(node, &target);
-            return Err(match error {
-                ExecutionError::NotRun(ConnectionError::EpochEnded)
-                | ExecutionError::Lost(ConnectionError::EpochEnded) => {
-                    not_run(RefusalReason::NoPrimary)
-                }
-                ExecutionError::NotRun(ConnectionError::Full(after)) => {
-                    ReadFailure::permanent(StatementResponse::not_run(
-                        RefusalReason::QueueFull,
-                        after.max(BUSY_RETRY_AFTER),
-                    ))
-                }
-                ExecutionError::NotRun(_) => not_run(RefusalReason::NoTarget),
-                ExecutionError::Lost(_) => {
-                    ReadFailure::transient(StatementResponse::Refused(SessionRefusal::TimedOut))
-                }
-            });
+            return Err(read_failure(&error));
         }
     };
     lease.release(now);
@@ -334,6 +318,28 @@
     }
 }
 
+/// Returns the failure of a read that got no response from its target.
+fn read_failure(error: &ExecutionError) -> ReadFailure {
+    let not_run =
+        |reason| ReadFailure::transient(StatementResponse::not_run(reason, BUSY_RETRY_AFTER));
+    match error {
+        ExecutionError::NotRun(ConnectionError::EpochEnded)
+        | ExecutionError::Lost(ConnectionError::EpochEnded) => not_run(RefusalReason::NoPrimary),
+        ExecutionError::NotRun(ConnectionError::Full(after)) => {
+            let after = (*after).max(BUSY_RETRY_AFTER);
+            let response = StatementResponse::not_run(RefusalReason::QueueFull, after);
+            ReadFailure::permanent(response)
+        }
+        ExecutionError::NotRun(ConnectionError::OutsideHome) => {
+            ReadFailure::permanent(StatementResponse::outside_home())
+        }
+        ExecutionError::NotRun(_) => not_run(RefusalReason::NoTarget),
+        ExecutionError::Lost(_) => {
+            ReadFailure::transient(StatementResponse::Refused(SessionRefusal::TimedOut))
+        }
+    }
+}
+
 /// Records the log position that a response reports.
 ///
 /// A position of the leased primary raises the floor of later reads; a position of another
@@ -371,7 +377,7 @@
         return choose_by_capacity(node, group, request, (max_staleness, tried));
     }
     let now = node.clock.now();
-    let targets = usable_targets(group, now);
+    let targets = usable_targets(node, group, request, now);
     let skipped = indices_of(tried, &targets);
     let candidates = plain_candidates(node, (group, &targets), request, (max_staleness, now));
     let index = ReadPlacement::choose(&candidates, &skipped)?;
--- a/crates/mustardhinge-resident/src/session/refusal_log.rs
+++ b/crates/mustardhinge-resident/src/session/refusal_log.rs
@@ -26,10 +26,15 @@
     } else {
         String::new()
     };
+    // The field is left out where no homes apply.
+    let homes = match &request.homes {
+        Some(homes) => format!(" homes={homes}"),
+        None => String::new(),
+    };
     let attempt_epoch = attempt.as_ref().and_then(|attempt| attempt.epoch);
     event.log(format_args!(
         "request={} reason={reason} customer={} service={service} writes={} waited_ms={} \
-         target={} epoch={} leased={} position_age_ms={position_age:?} version={}{priority}",
+         target={} epoch={} leased={} position_age_ms={position_age:?} version={}{priority}{homes}",
         String::from_utf8_lossy(&request.id),
         request.customer,
         request.writes,
--- a/crates/mustardhinge-resident/src/session/session_access.rs
+++ b/crates/mustardhinge-resident/src/session/session_access.rs
@@ -1,11 +1,10 @@
-use std::rc::Rc;
-
 use bytes::Bytes;
 use mustardhinge_core::key::KeyDigest;
 use mustardhinge_core::prelude::{CustomerId, DocumentVersion, RefusalReason};
 
+use super::CheckedAccess;
 use crate::adapter::SessionRefusal;
-use crate::plan::{PlanRoute, ServingPlan};
+use crate::plan::ServingPlan;
 
 /// Customer name sent to targets for callers without a known key, on public routes.
 const PUBLIC_CUSTOMER: &str = "public";
@@ -15,7 +14,7 @@
 pub struct SessionAccess {
     database: Bytes,
     digest: Option<KeyDigest>,
-    checked: Option<(DocumentVersion, Rc<PlanRoute>, CustomerId)>,
+    checked: Option<(DocumentVersion, CheckedAccess)>,
 }
 
 impl SessionAccess {
@@ -29,21 +28,18 @@
         }
     }
 
-    /// Returns the route and the customer according to `plan`.
+    /// Returns the route, the customer and their home regions according to `plan`.
     ///
     /// A successful result is cached until the version of the plan changes.
     ///
     /// # Errors
     ///
     /// Returns a refusal if the database or the key is not known.
-    pub fn check(
-        &mut self,
-        plan: &ServingPlan,
-    ) -> Result<(Rc<PlanRoute>, CustomerId), SessionRefusal> {
-        if let Some((version, route, customer)) = &self.checked
+    pub fn check(&mut self, plan: &ServingPlan) -> Result<CheckedAccess, SessionRefusal> {
+        if let Some((version, access)) = &self.checked
             && *version == plan.version()
         {
-            return Ok((Rc::clone(route), customer.clone()));
+            return Ok(access.clone());
         }
         self.checked = None;
         let refused = |reason| SessionRefusal::NotRun {
@@ -63,15 +59,20 @@
                 .map_err(|_| refused(RefusalReason::KeyRejected))?,
             None => return Err(refused(RefusalReason::KeyRejected)),
         };
-        self.checked = Some((plan.version(), Rc::clone(&route), customer.clone()));
-        Ok((route, customer))
+        let access = CheckedAccess {
+            homes: plan.home_regions(&route, &customer),
+            route,
+            customer,
+        };
+        self.checked = Some((plan.version(), access.clone()));
+        Ok(access)
     }
 
     /// Returns the result of the last check, if it succeeded.
     #[must_use]
-    pub fn last_checked(&self) -> Option<(Rc<PlanRoute>, CustomerId)> {
-        let (_, route, customer) = self.checked.as_ref()?;
-        Some((Rc::clone(route), customer.clone()))
+    pub fn last_checked(&self) -> Option<CheckedAccess> {
+        let (_, access) = self.checked.as_ref()?;
+        Some(access.clone())
     }
 
     /// Returns whether `customer` is the one shared by all callers without a key, which has no
--- a/crates/mustardhinge-resident/src/session/session_request.rs
+++ b/crates/mustardhinge-resident/src/session/session_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_core::queue::WorkKind;
@@ -35,6 +36,8 @@
     pub route: Rc<PlanRoute>,
     /// Customer of the caller.
     pub customer: CustomerId,
+    /// The regions to which the statement is restricted, if it is.
+    pub homes: Option<Rc<HomeRegions>>,
     /// Number of the session.
     pub session: u64,
     /// When the statement was received.
@@ -86,6 +89,7 @@
             priority: self.route.priority,
             kind: self.work_kind(),
             weight: None,
+            homes: self.homes.clone(),
         }
     }
 
--- a/crates/mustardhinge-resident/src/session/statement_execution.rs
+++ b/crates/mustardhinge-resident/src/session/statement_execution.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime};
 use mustardhinge_core::primary_lease::GroupEpoch;
 
@@ -10,7 +11,7 @@
 use crate::gateway::{
     ForwardResult, ForwardedOutcome, ForwardedStatement, ForwardedStep, NotRunCause,
 };
-use crate::node::NodeState;
+use crate::node::{NodeState, record_outside_home};
 use crate::target::{
     ConnectionError, ResponseTimeouts, TargetHandle, TargetLease, TargetReply, UnansweredStatement,
 };
@@ -92,6 +93,9 @@
     if target_use.is_evacuated() {
         return Err(ExecutionError::NotRun(ConnectionError::Evacuated));
     }
+    if let Some(homes) = &execution.request.homes {
+        check_homes(node, lease, homes)?;
+    }
     if lease.forwarded_mut().is_some() {
         execute_forwarded(node, lease, execution).await
     } else {
@@ -99,6 +103,29 @@
     }
 }
 
+/// Returns an error if the statement must not reach the target, or its text the gateway.
+fn check_homes(
+    node: &NodeState,
+    lease: &mut TargetLease,
+    homes: &HomeRegions,
+) -> Result<(), ExecutionError> {
+    let is_allowed = node.allows_target(Some(homes), lease.target())
+        && match lease.forwarded_mut().map(|gateway| gateway.peer().zone()) {
+            None => true,
+            Some(Some(zone)) => node.allows_instance(homes, &zone),
+            // The connection on which the gateway told its zone has ended.
+            Some(None) => {
+                let cause = ConnectionError::GatewayRefused(NotRunCause::Unreachable);
+                return Err(ExecutionError::NotRun(cause));
+            }
+        };
+    if is_allowed {
+        return Ok(());
+    }
+    record_outside_home("execution");
+    Err(ExecutionError::NotRun(ConnectionError::OutsideHome))
+}
+
 async fn execute_direct<W: SessionCodec>(
     node: &Rc<NodeState>,
     lease: &mut TargetLease,
@@ -206,7 +233,7 @@
     let unanswered = UnansweredStatement::new(&target, sent_at);
     let end = tokio::select! {
         biased;
-        end = gateway.run(forwarded, limit, can_abandon) => end,
+        end = gateway.run(forwarded, request.homes.as_deref(), limit, can_abandon) => end,
         () = epoch_ended => return Err(ExecutionError::Lost(ConnectionError::EpochEnded)),
     };
     drop(unanswered);
@@ -315,6 +342,7 @@
                     ConnectionError::Full(Duration::from_millis(u64::from(retry_ms)))
                 }
                 NotRunCause::EpochOver => ConnectionError::EpochEnded,
+                NotRunCause::OutsideHome => ConnectionError::OutsideHome,
                 cause => ConnectionError::GatewayRefused(cause),
             }))
         }
--- a/crates/mustardhinge-resident/src/session/statement_response.rs
+++ b/crates/mustardhinge-resident/src/session/statement_response.rs
@@ -2,6 +2,7 @@
 
 use mustardhinge_core::prelude::RefusalReason;
 
+use super::OUTSIDE_HOME_RETRY_AFTER;
 use crate::adapter::SessionRefusal;
 use crate::target::TargetReply;
 
@@ -24,6 +25,12 @@
         })
     }
 
+    /// Creates the refusal of a statement whose target is outside its home regions.
+    #[must_use]
+    pub const fn outside_home() -> Self {
+        Self::not_run(RefusalReason::OutsideHome, OUTSIDE_HOME_RETRY_AFTER)
+    }
+
     /// Returns a one-word reason for logs and metrics.
     #[must_use]
     pub const fn reason(&self) -> &'static str {
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -4,7 +4,7 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
-use super::primary_wait::retry_without_target;
+use super::primary_wait::refuse_without_target;
 use super::read_path::{
     BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read, record_position,
 };
@@ -185,8 +185,7 @@
     record_operation(node, request);
     let group = node.group(&request.route.service);
     let mut tried = Vec::new();
-    let retry_after = retry_without_target(&group, node.clock.now());
-    let mut last = StatementResponse::not_run(RefusalReason::NoTarget, retry_after);
+    let mut last = refuse_without_target(node, &group, request, node.clock.now());
     let mut failed = None;
     let at_primary = !read_only || request.route.read_rule == ReadRule::Primary;
     for attempt in 0..MAX_BEGIN_ATTEMPTS {
@@ -269,6 +268,9 @@
                     ),
                     is_final: at_primary,
                 },
+                ExecutionError::NotRun(ConnectionError::OutsideHome) => {
+                    BeginFailure::transient(StatementResponse::outside_home())
+                }
                 _ => not_run(RefusalReason::NoTarget),
             });
         }
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -105,6 +105,9 @@
                     let response = StatementResponse::not_run(RefusalReason::QueueFull, after);
                     WriteCompletion::Done(response, None)
                 }
+                ExecutionError::NotRun(ConnectionError::OutsideHome) => {
+                    WriteCompletion::Done(StatementResponse::outside_home(), None)
+                }
                 ExecutionError::NotRun(_) => retry(RefusalReason::NoPrimary),
                 ExecutionError::Lost(_) => {
                     WriteCompletion::Done(StatementResponse::Refused(SessionRefusal::Unknown), None)
--- a/crates/mustardhinge-resident/src/target/connection_error.rs
+++ b/crates/mustardhinge-resident/src/target/connection_error.rs
@@ -39,6 +39,9 @@
     /// The target's zone is evacuated.
     #[error("zone of the target is evacuated")]
     Evacuated,
+    /// The target's region, or that of the gateway, is not a home of the statement.
+    #[error("target is outside the home regions of the statement")]
+    OutsideHome,
     /// The target failed or was removed while the session was queued.
     #[error("target failed or was removed while the session was queued")]
     Dissolved,
@@ -53,6 +56,7 @@
             Self::Full(_)
                 | Self::Dissolved
                 | Self::Evacuated
+                | Self::OutsideHome
                 | Self::EpochEnded
                 | Self::TurnedAway(_)
                 | Self::GatewayLost
--- a/crates/mustardhinge-resident/src/target/connection_request.rs
+++ b/crates/mustardhinge-resident/src/target/connection_request.rs
@@ -1,5 +1,7 @@
+use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::placement::HomeRegions;
 use mustardhinge_core::prelude::{CustomerId, RoutePriority};
 use mustardhinge_core::queue::{CustomerWeight, WaitLimits, WorkKind};
 
@@ -19,6 +21,8 @@
     /// The weight of the customer, or `None` without overload control: the request then waits in
     /// the fair queue without priorities.
     pub weight: Option<CustomerWeight>,
+    /// The regions to which the statement is restricted, if it is.
+    pub homes: Option<Rc<HomeRegions>>,
 }
 
 impl ConnectionRequest {
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -461,6 +461,7 @@
                 priority: RoutePriority::HIGHEST,
                 kind: WorkKind::Read,
                 weight: None,
+                homes: None,
             };
             let Some(grant) = self.try_grant(&request, now) else {
                 return;
