Merge home regions of routes and customers

Statements reach only targets and instances in the homes of their route and customer, where the configuration names any.

--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod lost_targets;
 mod node_evacuations;
 mod node_gateways;
+mod node_homes;
 mod node_limits;
 mod node_process;
 mod node_rates;
@@ -16,6 +17,7 @@
 mod wait_metric;
 
 pub use drain_phase::DrainPhase;
+pub(crate) use node_homes::record_outside_home;
 pub use node_limits::NodeLimits;
 pub use node_process::NodeProcess;
 pub use node_settings::{NodeSettings, NodeSettingsBuilder};
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -472,6 +472,7 @@
                 priority: RoutePriority::HIGHEST,
                 kind: WorkKind::Read,
                 weight: None,
+                homes: None,
             };
             let Some(grant) = self.try_grant(&request, now) else {
                 return;
