Repeat messages to share pools that have no response

Cause: an instance neither deposited nor borrowed for its other operations while a lost message was in flight (100 ms), lost the deposits and loans in it, and made no deposit for 1 s.

Change: after 15, 30 and 45 ms without a response, a message is sent again under the same number, with its requests and without its deposits. The pool keeps its last response to each process and sends it again, once for each attempt, so a duplicate still has no response. If the pool has not received the deposits, they are put back, unless its term has changed. Only a message without any response within 100 ms counts as lost. ShareDeposit gains `attempt`, MESSAGE_FORMAT rises to 11, and resident_share_repeats_total counts the repeated messages.

--- a/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
+++ b/crates/mustardhinge-core/src/rate_limit/allowance_table.rs
@@ -306,6 +306,18 @@
         }
     }
 
+    /// Puts back deposits that the share pool has not received.
+    pub fn restore<'a>(
+        &mut self,
+        deposits: impl IntoIterator<Item = &'a (CustomerId, ShareAmount)>,
+    ) {
+        for (customer, amount) in deposits {
+            if let Some(entry) = self.entries.get_mut(customer) {
+                entry.allowance.restore(*amount);
+            }
+        }
+    }
+
     /// Adds operations borrowed from the share pool.
     pub fn add_loan(&mut self, customer: &CustomerId, operations: u32) {
         if let Some(entry) = self.entries.get_mut(customer) {
--- a/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
+++ b/crates/mustardhinge-core/src/rate_limit/customer_allowance.rs
@@ -246,6 +246,13 @@
         }
     }
 
+    /// Puts back a deposit that the share pool has not received.
+    pub(super) fn restore(&mut self, amount: ShareAmount) {
+        if let Some(bucket) = &mut self.isolated {
+            bucket.restore(amount, self.limits);
+        }
+    }
+
     /// Adds operations borrowed from the share pool.
     pub(super) fn add_loan(&mut self, operations: u32) {
         if let Some(bucket) = &mut self.isolated {
--- a/crates/mustardhinge-core/src/rate_limit/isolated_bucket.rs
+++ b/crates/mustardhinge-core/src/rate_limit/isolated_bucket.rs
@@ -89,6 +89,12 @@
         self.level = (self.level + 1.0).min(self.capacity(limits));
     }
 
+    /// Puts back a deposit that the share pool has not received.
+    pub(super) fn restore(&mut self, amount: ShareAmount, limits: CustomerRate) {
+        let level = self.level + amount.as_operations();
+        self.level = level.min(self.capacity(limits).max(self.level));
+    }
+
     /// Adds operations borrowed from the share pool.
     pub(super) fn add_loan(&mut self, operations: u32) {
         self.borrowed = self.borrowed.saturating_add(operations);
--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -10,6 +10,7 @@
 mod allowance_preview;
 mod allowance_source;
 mod allowance_table;
+mod answered_message;
 mod bucket_generation;
 mod customer_allowance;
 mod customer_deposit;
--- a/crates/mustardhinge-core/src/rate_limit/share_deposit.rs
+++ b/crates/mustardhinge-core/src/rate_limit/share_deposit.rs
@@ -18,4 +18,7 @@
     pub deposits: Vec<CustomerDeposit>,
     /// The numbers of operations requested, by customer.
     pub requests: Vec<(CustomerId, u32)>,
+    /// How often the message was sent before. Repeated messages carry the requests without the
+    /// deposits.
+    pub attempt: u32,
 }
--- a/crates/mustardhinge-core/src/rate_limit/share_exchange.rs
+++ b/crates/mustardhinge-core/src/rate_limit/share_exchange.rs
@@ -12,10 +12,16 @@
 const DEPOSIT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a response after which a message or its response counts as lost.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time without deposits after a lost message, which may have cost a deposit.
+/// Time without a response after which a message is repeated: half of the time for which an
+/// operation waits for a loan, and several round trips within a zone.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(15);
+/// Maximum number of repeated messages. With 1 % of the messages lost, one in six million exchanges
+/// fails after three.
+const MAX_REPEATS: u32 = 3;
+/// Time without deposits after a message without any response, which may have cost a deposit.
 const DEPOSIT_PAUSE: Duration = Duration::from_secs(1);
-/// Lost messages in a row after which the pool counts as unreachable, so that operations don't
-/// wait for it in vain.
+/// Messages in a row without any response after which the pool counts as unreachable, so that
+/// operations don't wait for it in vain.
 const MAX_LOST: u32 = 2;
 /// Time without requests for a customer of which the pool has held too little. Without it, each
 /// operation of a flood is held for a round trip and sends a message.
@@ -30,8 +36,10 @@
 
 /// An isolated instance's exchange with the share pool of its zone.
 ///
-/// A single message is in flight at a time. The exchange does nothing until an operation requests
-/// a loan or the instance is isolated.
+/// A single message is in flight at a time. It is repeated while it has no response: the pool
+/// answers each message once and repeats that response, so neither a lost message nor a lost
+/// response loses deposits or loans. The exchange does nothing until an operation requests a loan
+/// or the instance is isolated.
 #[derive(Clone, Debug)]
 pub struct ShareExchange {
     instance: InstanceId,
@@ -41,6 +49,8 @@
     sequence: u64,
     /// When the last message was sent, unless it was answered or has timed out.
     in_flight_since: Option<MonotonicTime>,
+    /// How often the message in flight was repeated.
+    repeats: u32,
     lost: u32,
     paused_until: MonotonicTime,
     deposited_at: MonotonicTime,
@@ -50,8 +60,8 @@
     requested: HashMap<CustomerId, u32>,
     /// Until when no loan is requested for a customer of which the pool has held too little.
     short_until: HashMap<CustomerId, MonotonicTime>,
-    /// The customers of the deposits in flight.
-    deposited: Vec<CustomerId>,
+    /// The deposits in flight.
+    deposited: Vec<(CustomerId, ShareAmount)>,
 }
 
 impl ShareExchange {
@@ -64,6 +74,7 @@
             term: None,
             sequence: 0,
             in_flight_since: None,
+            repeats: 0,
             lost: 0,
             paused_until: MonotonicTime::default(),
             deposited_at: MonotonicTime::default(),
@@ -129,9 +140,12 @@
         now: MonotonicTime,
     ) -> Option<ShareDeposit> {
         self.expire(now);
-        if self.in_flight_since.is_some() || !table.uses_shares(now) {
+        if !table.uses_shares(now) {
             return None;
         }
+        if let Some(since) = self.in_flight_since {
+            return self.repeat(since, now);
+        }
         let is_due = self.deposit_wait(now).is_zero();
         let deposits = match self.term {
             Some(_) if is_due => self.withdraw(table, instances, now),
@@ -144,20 +158,44 @@
         if !has_content && (self.term.is_some() || !is_due) {
             return None;
         }
-        let customers = deposits.iter().map(|deposit| deposit.customer.clone());
-        self.deposited = customers.collect();
+        let amounts = deposits.iter();
+        self.deposited = amounts
+            .map(|deposit| (deposit.customer.clone(), deposit.amount))
+            .collect();
         self.requested = std::mem::take(&mut self.requests);
-        let requested = self.requested.clone().into_iter();
         self.sequence += 1;
         self.in_flight_since = Some(now);
-        Some(ShareDeposit {
+        self.repeats = 0;
+        Some(self.message(deposits))
+    }
+
+    /// Repeats the message in flight if its response is late.
+    ///
+    /// The deposits are left out: if the pool has not received them, its response says so, and they
+    /// are put back.
+    fn repeat(&mut self, since: MonotonicTime, now: MonotonicTime) -> Option<ShareDeposit> {
+        if self.repeats >= MAX_REPEATS || now < self.repeat_at(since) {
+            return None;
+        }
+        self.repeats += 1;
+        Some(self.message(Vec::new()))
+    }
+
+    fn repeat_at(&self, since: MonotonicTime) -> MonotonicTime {
+        since + REPEAT_INTERVAL * (self.repeats + 1)
+    }
+
+    fn message(&self, deposits: Vec<CustomerDeposit>) -> ShareDeposit {
+        let requested = self.requested.clone().into_iter();
+        ShareDeposit {
             from: self.instance.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
             term: self.term,
             deposits,
             requests: requested.collect(),
-        })
+            attempt: self.repeats,
+        }
     }
 
     /// Applies the response to the message in flight to the `table` and returns the outcome. Any
@@ -174,8 +212,14 @@
             return None;
         }
         self.lost = 0;
+        let deposited = std::mem::take(&mut self.deposited);
+        // A pool of another term may have accepted the deposits before it ended.
+        if loan.accepted.is_empty() && loan.term == self.term {
+            table.restore(&deposited);
+        }
         self.term = loan.term;
-        table.record_accepted(self.deposited.iter().zip(loan.accepted.iter().copied()));
+        let customers = deposited.iter().map(|(customer, _)| customer);
+        table.record_accepted(customers.zip(loan.accepted.iter().copied()));
         let mut missing = std::mem::take(&mut self.requested);
         let mut lent = 0;
         for (customer, operations) in &loan.loans {
@@ -205,7 +249,15 @@
     #[must_use]
     pub fn wait(&self, now: MonotonicTime) -> Duration {
         match self.in_flight_since {
-            Some(since) => (since + RESPONSE_TIMEOUT).saturating_since(now),
+            Some(since) => {
+                let timeout_at = since + RESPONSE_TIMEOUT;
+                let next_at = if self.repeats < MAX_REPEATS {
+                    timeout_at.min(self.repeat_at(since))
+                } else {
+                    timeout_at
+                };
+                next_at.saturating_since(now)
+            }
             None if !self.requests.is_empty() => Duration::ZERO,
             None => self.deposit_wait(now).max(Duration::from_millis(1)),
         }
--- a/crates/mustardhinge-core/src/rate_limit/share_pool.rs
+++ b/crates/mustardhinge-core/src/rate_limit/share_pool.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 
+use super::answered_message::AnsweredMessage;
 use super::pooled_share::PooledShare;
 use super::{PoolTerm, ShareAmount, ShareDeposit, ShareLoan};
 use crate::ids::{CustomerId, InstanceId};
@@ -13,9 +14,9 @@
 pub struct SharePool {
     term: PoolTerm,
     shares: HashMap<CustomerId, PooledShare>,
-    /// The sequence number of the last message of each process. Incarnations are random, so they
-    /// don't order the processes of an instance.
-    last_messages: HashMap<(InstanceId, u64), u64>,
+    /// The last message of each process. Incarnations are random, so they don't order the processes
+    /// of an instance.
+    last_messages: HashMap<(InstanceId, u64), AnsweredMessage>,
 }
 
 impl SharePool {
@@ -46,14 +47,22 @@
     /// duplicate or older than the last one of its sender.
     ///
     /// The deposits count only if the message names the current term. Loans need no term: a
-    /// borrower accepts a single response to each of its messages.
+    /// borrower accepts a single response to each of its messages. A repeated message that was
+    /// answered before gets the same response again and changes nothing.
     pub fn exchange(&mut self, message: &ShareDeposit, now: MonotonicTime) -> Option<ShareLoan> {
         let process = (message.from.clone(), message.incarnation);
-        let last = self.last_messages.get(&process);
-        if last.is_some_and(|last| *last >= message.sequence) {
-            return None;
+        if let Some(last) = self.last_messages.get_mut(&process)
+            && !last.precedes(message)
+        {
+            return last.repeat(message);
         }
-        self.last_messages.insert(process, message.sequence);
+        let loan = self.answer(message, now);
+        let answered = AnsweredMessage::new(message, loan.clone());
+        self.last_messages.insert(process, answered);
+        Some(loan)
+    }
+
+    fn answer(&mut self, message: &ShareDeposit, now: MonotonicTime) -> ShareLoan {
         let mut loan = ShareLoan {
             incarnation: message.incarnation,
             sequence: message.sequence,
@@ -74,7 +83,7 @@
                 loan.loans.push((customer.clone(), lent));
             }
         }
-        Some(loan)
+        loan
     }
 
     /// Returns what the pool holds for a customer.
--- a/crates/mustardhinge-core/tests/suite/share_pool.rs
+++ b/crates/mustardhinge-core/tests/suite/share_pool.rs
@@ -3,8 +3,8 @@
 use mustardhinge_core::overload::OverloadControl;
 use mustardhinge_core::prelude::{CustomerId, MonotonicTime};
 use mustardhinge_core::rate_limit::{
-    AllowanceGrant, AllowanceTable, CustomerRate, LoanOutcome, ShareDeposit, ShareExchange,
-    ShareLoan, SharePool,
+    AllowanceGrant, AllowanceTable, CustomerRate, LoanOutcome, ShareAmount, ShareDeposit,
+    ShareExchange, ShareLoan, SharePool,
 };
 use proptest::prelude::*;
 
@@ -269,6 +269,99 @@
     assert_eq!(member.exchange.request(&customer(), at(zone.now)), None);
 }
 
+/// Time after which a message without a response is repeated, in milliseconds.
+const REPEAT_AFTER: u64 = STEP;
+
+impl Zone {
+    /// Sends a message of instance 1 and returns it.
+    fn take_message(&mut self) -> Message {
+        self.send(1);
+        self.sent.pop().expect("a message is due")
+    }
+
+    /// Returns what the pool holds.
+    fn balance(&self) -> ShareAmount {
+        self.members[0].pool.balance(&customer())
+    }
+}
+
+/// Guards against a lost response that loses the loan in it, and against a repeated message that
+/// counts again.
+#[test]
+fn a_lost_response_is_sent_again() {
+    let mut zone = fractions();
+    zone.exchange(400);
+    assert!(!zone.operate(1));
+    let message = zone.take_message();
+    zone.deliver(message);
+    zone.sent.clear();
+    let balance = zone.balance();
+    zone.now += REPEAT_AFTER;
+    let repeated = zone.take_message();
+    zone.deliver(repeated.clone());
+    assert_eq!(zone.balance(), balance);
+    let loan = zone.sent.pop().expect("the response again");
+    zone.deliver(repeated);
+    assert!(zone.sent.is_empty(), "a duplicate has no response");
+    zone.deliver(loan);
+    assert!(zone.operate(1));
+    assert!(!zone.operate(1));
+}
+
+/// Guards against a deposit that is lost with its message, and against one that counts when its
+/// message arrives after it was put back.
+#[test]
+fn a_deposit_that_did_not_arrive_is_put_back() {
+    let mut zone = fractions();
+    zone.exchange(100);
+    zone.now += 100;
+    let lost = zone.take_message();
+    let Message::Deposit(_, deposit) = &lost else {
+        unreachable!()
+    };
+    let amount = deposit.deposits[0].amount;
+    assert!(!amount.is_zero());
+    zone.now += REPEAT_AFTER;
+    let repeated = zone.take_message();
+    zone.deliver(repeated);
+    let response = zone.sent.pop().unwrap();
+    zone.deliver(response);
+    let balance = zone.balance();
+    zone.deliver(lost);
+    assert_eq!(zone.balance(), balance, "the message arrives late");
+    zone.now += 100;
+    let Message::Deposit(_, next) = zone.take_message() else {
+        unreachable!()
+    };
+    assert!(next.deposits[0].amount >= amount);
+}
+
+/// Guards against a deposit that is put back although a pool which has ended since accepted it.
+#[test]
+fn a_deposit_to_an_ended_pool_is_not_put_back() {
+    let mut zone = fractions();
+    zone.exchange(100);
+    zone.now += 100;
+    let message = zone.take_message();
+    let Message::Deposit(_, deposit) = &message else {
+        unreachable!()
+    };
+    let amount = deposit.deposits[0].amount;
+    zone.deliver(message);
+    zone.sent.clear();
+    zone.members[0].pool.end();
+    zone.now += REPEAT_AFTER;
+    let repeated = zone.take_message();
+    zone.deliver(repeated);
+    let response = zone.sent.pop().unwrap();
+    zone.deliver(response);
+    zone.now += 100;
+    let Message::Deposit(_, next) = zone.take_message() else {
+        unreachable!()
+    };
+    assert!(next.deposits[0].amount < amount);
+}
+
 /// Guards against exchanges by instances that have a leader.
 #[test]
 fn an_instance_with_a_leader_sends_nothing() {
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -14,7 +14,7 @@
 use crate::plan::TargetsDigest;
 
 /// Version of the message format. Instances ignore messages of another version.
-const MESSAGE_FORMAT: u8 = 10;
+const MESSAGE_FORMAT: u8 = 11;
 
 /// A message between instances, sent as one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/mustardhinge-resident/src/control/share_pooling.rs
+++ b/crates/mustardhinge-resident/src/control/share_pooling.rs
@@ -62,6 +62,9 @@
     if !deposit.deposits.is_empty() {
         metrics::counter!("resident_share_deposits_total").increment(1);
     }
+    if deposit.attempt > 0 {
+        metrics::counter!("resident_share_repeats_total").increment(1);
+    }
     send_deposit(control, deposit, now);
     wait
 }
