--- a/crates/mustardhinge-core/src/membership/state_search.rs
+++ b/crates/mustardhinge-core/src/membership/state_search.rs
@@ -72,8 +72,11 @@
     }
 
     /// Goes on at the leader, which is the last one to be queried.
-    pub fn continue_at_leader(&mut self, leader: A) -> SearchStep<A> {
+    ///
+    /// The time for the search begins again, so that a referral of the leader is followed.
+    pub fn continue_at_leader(&mut self, leader: A, now: MonotonicTime) -> SearchStep<A> {
         self.first = leader;
+        self.began_at = now;
         self.is_relay = false;
         self.is_at_leader = true;
         self.queried.clear();
@@ -91,7 +94,7 @@
         let is_late = now.saturating_since(self.began_at) >= MAX_SEARCH_TIME;
         match outcome {
             QueryOutcome::Adopted => SearchStep::Done,
-            _ if is_late => self.leave_first(),
+            _ if is_late => self.end_or_query_leader(),
             QueryOutcome::Busy(sources) => {
                 let unqueried = sources
                     .into_iter()
@@ -105,19 +108,19 @@
                 }
             }
             _ if address != self.first => self.retry_first(random),
-            QueryOutcome::Unreachable => self.leave_first(),
+            QueryOutcome::Unreachable => self.end_or_query_leader(),
             QueryOutcome::NothingNew => {
                 self.fruitless_queries += 1;
                 if self.is_relay && self.fruitless_queries < MAX_FRUITLESS_QUERIES {
                     SearchStep::Query(self.first, RETRY_DELAY)
                 } else {
-                    self.leave_first()
+                    self.end_or_query_leader()
                 }
             }
         }
     }
 
-    const fn leave_first(&self) -> SearchStep<A> {
+    const fn end_or_query_leader(&self) -> SearchStep<A> {
         if self.is_at_leader {
             SearchStep::Done
         } else {
--- a/crates/mustardhinge-core/src/placement/cold_choice.rs
+++ b/crates/mustardhinge-core/src/placement/cold_choice.rs
@@ -1,7 +1,17 @@
+use std::collections::BTreeMap;
+
 use rand::{Rng, RngExt};
 
 use super::{SpreadCandidate, SpreadChoice, SpreadLimits, SpreadPlacement, SpreadRange};
 
+/// Maximum number of sets of passed-over targets that are followed. Groups have about three targets,
+/// whose sets are all followed; the limit bounds the work for a group with many cold targets, whose
+/// probabilities are then approximate.
+const MAX_OPEN_SETS: usize = 64;
+
+/// Probabilities by the targets that were passed over, sorted, and the first of them.
+type OpenSets = BTreeMap<(Vec<usize>, Option<usize>), f64>;
+
 impl SpreadPlacement {
     /// Returns the chosen candidate like [`choose`](Self::choose), but a cold target gets only the
     /// part `share(index)` of the reads that it would get; the others go to targets that are
@@ -48,35 +58,59 @@
         share: impl Fn(usize) -> f64,
     ) -> Vec<(usize, f64)> {
         let mut totals = vec![0.0; candidates.len()];
-        // Each entry has the targets that were passed over, the first of them, and how probable
-        // it is that the choice gets there.
-        let mut open = vec![(tried.to_vec(), None, 1.0)];
-        while let Some((passed_over, usual, reached)) = open.pop() {
-            let drawn = usual_probabilities(candidates, limits, &passed_over);
-            if let (Some(usual), true) = (usual, drawn.is_empty()) {
-                totals[usual] += reached;
-            }
-            for (index, probability) in drawn {
-                let probability = reached * probability;
-                match usual {
-                    Some(usual) if !is_sound(&candidates[index]) => totals[usual] += probability,
-                    _ => {
-                        let kept = share(index).clamp(0.0, 1.0);
-                        totals[index] += probability * kept;
-                        if kept < 1.0 {
-                            let passed_over = [&passed_over[..], &[index]].concat();
-                            let usual = usual.or(Some(index));
-                            open.push((passed_over, usual, probability * (1.0 - kept)));
+        // How probable it is that the choice passes over a set of targets, by the first of them.
+        let mut open = BTreeMap::from([((tried.to_vec(), None), 1.0)]);
+        while !open.is_empty() {
+            let mut next = BTreeMap::new();
+            for ((passed_over, usual), reached) in keep_first(open, &mut totals) {
+                let drawn = usual_probabilities(candidates, limits, &passed_over);
+                if let (Some(usual), true) = (usual, drawn.is_empty()) {
+                    totals[usual] += reached;
+                }
+                for (index, probability) in drawn {
+                    let probability = reached * probability;
+                    match usual {
+                        Some(usual) if !is_sound(&candidates[index]) => {
+                            totals[usual] += probability
+                        }
+                        _ => {
+                            let kept = share(index).clamp(0.0, 1.0);
+                            totals[index] += probability * kept;
+                            if kept < 1.0 {
+                                let mut passed_over = [&passed_over[..], &[index]].concat();
+                                passed_over.sort_unstable();
+                                let key = (passed_over, usual.or(Some(index)));
+                                *next.entry(key).or_insert(0.0) += probability * (1.0 - kept);
+                            }
                         }
                     }
                 }
             }
+            open = next;
         }
         let chosen = totals.into_iter().enumerate();
         chosen.filter(|(_, total)| *total > 0.0).collect()
     }
 }
 
+/// Returns the sets to follow. Beyond [`MAX_OPEN_SETS`], the read counts for the first target that
+/// was passed over.
+fn keep_first(open: OpenSets, totals: &mut [f64]) -> OpenSets {
+    if open.len() <= MAX_OPEN_SETS {
+        return open;
+    }
+    let mut kept = OpenSets::new();
+    for ((passed_over, usual), reached) in open {
+        match usual {
+            Some(usual) if kept.len() == MAX_OPEN_SETS => totals[usual] += reached,
+            _ => {
+                kept.insert((passed_over, usual), reached);
+            }
+        }
+    }
+    kept
+}
+
 /// Returns the probabilities of a choice that doesn't take cold targets into account.
 fn usual_probabilities(
     candidates: &[SpreadCandidate],
--- a/crates/mustardhinge-core/tests/suite/cold_targets.rs
+++ b/crates/mustardhinge-core/tests/suite/cold_targets.rs
@@ -1,5 +1,6 @@
 //! Targets that are slow for some time after their start.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use mustardhinge_core::placement::{
@@ -150,6 +151,26 @@
     }
 }
 
+/// Guards against work that grows with the orders of all cold targets: 16 of them would take longer
+/// than the instance's leases last.
+#[test]
+fn many_cold_targets_need_little_work() {
+    let candidates = vec![candidate(false); 16];
+    let limits = SpreadLimits {
+        max_wait: Duration::from_millis(400),
+        senders: 10,
+    };
+    let shares = Cell::new(0);
+    let share = |_| {
+        shares.set(shares.get() + 1);
+        0.25
+    };
+    let expected = SpreadPlacement::probabilities_with_cold(&candidates, limits, &[], share);
+    let total: f64 = expected.iter().map(|(_, probability)| probability).sum();
+    assert!((total - 1.0).abs() < 1e-9, "{total}");
+    assert!(shares.get() <= 16 * 16 * 64, "{}", shares.get());
+}
+
 fn replica(name: &str, offset: u64) -> ServerStatus {
     let term = LeaderTerm::new(3);
     ServerStatus {
--- a/crates/mustardhinge-core/tests/suite/state_transfer.rs
+++ b/crates/mustardhinge-core/tests/suite/state_transfer.rs
@@ -223,7 +223,7 @@
     };
     let step = next(&mut search, 5, QueryOutcome::Unreachable);
     assert_eq!(step, SearchStep::QueryLeader);
-    let step = search.continue_at_leader(9);
+    let step = search.continue_at_leader(9, now);
     assert_eq!(step, SearchStep::Query(9, Duration::ZERO));
     let step = next(&mut search, 9, QueryOutcome::Busy(vec![7]));
     assert_eq!(step, SearchStep::Query(7, Duration::ZERO));
--- a/crates/mustardhinge-resident/src/control/state_fetch.rs
+++ b/crates/mustardhinge-resident/src/control/state_fetch.rs
@@ -70,7 +70,7 @@
                 let Some(leader) = leader.filter(|leader| leader.address != address) else {
                     return;
                 };
-                step = search.continue_at_leader(leader.address);
+                step = search.continue_at_leader(leader.address, control.node.clock.now());
             }
             SearchStep::Done => return,
         }
