--- a/crates/mustardhinge-core/src/placement/cold_choice.rs
+++ b/crates/mustardhinge-core/src/placement/cold_choice.rs
@@ -69,20 +69,15 @@
                 }
                 for (index, probability) in drawn {
                     let probability = reached * probability;
-                    match usual {
-                        Some(usual) if !is_sound(&candidates[index]) => {
-                            totals[usual] += probability
-                        }
-                        _ => {
-                            let kept = share(index).clamp(0.0, 1.0);
-                            totals[index] += probability * kept;
-                            if kept < 1.0 {
-                                let mut passed_over = [&passed_over[..], &[index]].concat();
-                                passed_over.sort_unstable();
-                                let key = (passed_over, usual.or(Some(index)));
-                                *next.entry(key).or_insert(0.0) += probability * (1.0 - kept);
-                            }
-                        }
+                    if let Some(usual) = usual.filter(|_| !is_sound(&candidates[index])) {
+                        totals[usual] += probability;
+                        continue;
+                    }
+                    let kept = share(index).clamp(0.0, 1.0);
+                    totals[index] += probability * kept;
+                    if kept < 1.0 {
+                        let key = (with_index(&passed_over, index), usual.or(Some(index)));
+                        *next.entry(key).or_insert(0.0) += probability * (1.0 - kept);
                     }
                 }
             }
@@ -93,6 +88,12 @@
     }
 }
 
+fn with_index(passed_over: &[usize], index: usize) -> Vec<usize> {
+    let mut passed_over = [passed_over, &[index]].concat();
+    passed_over.sort_unstable();
+    passed_over
+}
+
 /// Returns the sets to follow. Beyond [`MAX_OPEN_SETS`], the read counts for the first target that
 /// was passed over.
 fn keep_first(open: OpenSets, totals: &mut [f64]) -> OpenSets {
