--- a/crates/mustardhinge-core/src/overload/peer_comparison.rs
+++ b/crates/mustardhinge-core/src/overload/peer_comparison.rs
@@ -17,6 +17,10 @@
 const ASSUMED_STATEMENTS: u32 = 20;
 /// Factor by which the failure rate must exceed that of the peers.
 const PEER_FACTOR: f64 = 2.0;
+/// Standard deviations by which the failure rate must exceed that of the peers. The comparison is made
+/// with each failed read, and chance exceeds 3 often: at a natural rate of 5 %, 18 instead of 5 reductions
+/// in eight replays of 14 s.
+const MIN_DEVIATIONS: f64 = 3.5;
 
 /// The recent outcomes at one target compared with those at its peers in the group.
 pub(super) struct PeerComparison<'a> {
@@ -69,14 +73,26 @@
                 own += *counts;
             }
         }
-        // A customer none of whose statements the peers serve doesn't count against them either.
-        let served = self.elsewhere.values().filter(|counts| counts.served > 0);
-        served.for_each(|counts| peers += *counts);
+        // A customer none of whose statements are served anywhere doesn't count against the peers either.
+        for (customer, counts) in &self.elsewhere {
+            let is_served_here = self.here.get(customer).is_some_and(|here| here.served > 0);
+            if counts.served > 0 || is_served_here {
+                peers += *counts;
+            }
+        }
         let peer_rate = f64::from(peers.failed + 1) / f64::from(peers.total() + ASSUMED_STATEMENTS);
         let rate = own.failure_rate();
         customers >= MIN_CUSTOMERS
             && own.failed >= MIN_FAILURES
             && rate >= MIN_FAILURE_RATE
             && rate > PEER_FACTOR * peer_rate
+            && rate >= peer_rate + MIN_DEVIATIONS * deviation(own, peers)
     }
 }
+
+/// Returns the standard deviation of the target's failure rate if it fails no more than its peers.
+fn deviation(own: OutcomeCounts, peers: OutcomeCounts) -> f64 {
+    let failed = own.failed + peers.failed + 1;
+    let rate = f64::from(failed) / f64::from(own.total() + peers.total() + ASSUMED_STATEMENTS);
+    (rate * (1.0 - rate) / f64::from(own.total().max(1))).sqrt()
+}
--- a/crates/mustardhinge-core/tests/suite/capacity_replay/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/capacity_replay/mod.rs
@@ -23,6 +23,16 @@
     ..SOUND
 };
 
+/// All targets, if one of 20 statements has an error of its own.
+const ERRING: Fault = Fault {
+    fails: 0.05,
+    ..SOUND
+};
+const FAILING_AND_ERRING: Fault = Fault {
+    fails: 1.0 / 3.0 + 0.05,
+    ..SOUND
+};
+
 fn during(fault: Fault, target: usize, now: u64) -> Fault {
     let is_faulty = target == 0 && FAULT.contains(&((now / 1_000) as usize));
     if is_faulty { fault } else { SOUND }
@@ -150,3 +160,31 @@
     );
     assert!(sums.shed <= MAX_SHED, "{sums:?}");
 }
+
+/// Guards against reductions by chance where the statements of all customers fail at a natural rate, and
+/// against a margin that hides a faulty target.
+#[test]
+fn natural_errors_reduce_few_targets() {
+    let reductions = |fault: fn(usize, u64) -> Fault| {
+        let case = CapacityCase {
+            load: 0.6,
+            fault,
+            has_bad_customer: false,
+        };
+        let replays = (0..2 * SEEDS).map(|seed| CapacityModel::replay(case, 14, seed));
+        let sums = replays.map(|seconds| seconds.iter().fold(Sums::default(), Sums::add));
+        sums.map(|sums| sums.reduced).collect::<Vec<_>>()
+    };
+    let natural = reductions(|_, _| ERRING);
+    let faulty = reductions(|target, now| match target {
+        0 => during(FAILING_AND_ERRING, 0, now),
+        _ => ERRING,
+    });
+    eprintln!("natural errors: {natural:?}, with a faulty target: {faulty:?}");
+    // Of 21 targets of instances in each replay.
+    assert!(
+        natural.iter().sum::<usize>() <= natural.len(),
+        "{natural:?}"
+    );
+    assert!(faulty.iter().all(|count| *count >= 5), "{faulty:?}");
+}
--- a/crates/mustardhinge-core/tests/suite/observed_failures.rs
+++ b/crates/mustardhinge-core/tests/suite/observed_failures.rs
@@ -80,6 +80,20 @@
     }
 }
 
+/// Guards against a comparison that counts a customer's failures at the target but not at its peers:
+/// each customer has a failed read at one of two targets and a served one at the other.
+#[test]
+fn failures_at_the_peers_count_if_the_target_serves_the_customer() {
+    let mut records = Records::default();
+    for number in 0..24 {
+        for (failing, serving) in [("a", "b"), ("b", "a")] {
+            let customer = format!("{failing}-{number}");
+            records.run(("s", serving, AMPLE), &customer, (1, 0));
+            assert!(!records.run(("s", failing, AMPLE), &customer, (1, 1)));
+        }
+    }
+}
+
 /// Guards against reduced shares for more than a third of a zone, or for the last target of a group
 /// that has its full one.
 #[test]
