Learn effective slots from all known statements in flight

An instance with one statement at a target learned one slot of five when it was shed, and needed a statement for each slot to return. A single own statement without a report shows nothing now, and the slots rise with time after a completed one. The tests shed one of two statements accordingly.

Apply the queue limit when the capacity is reset or its evidence expires, and show the listed slots after a reset.

--- a/crates/mustardhinge-core/src/overload/observed_capacity.rs
+++ b/crates/mustardhinge-core/src/overload/observed_capacity.rs
@@ -5,7 +5,8 @@
 /// Time without a shed statement after which one more slot is tried. A target that sheds all the
 /// time at its limit then sheds about two statements a second.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(500);
-/// Time after which the next slot is tried. From 1 to 5 slots it takes 1.25 s.
+/// Time after which the next slot is tried, also without completed statements: on an instance with one a
+/// second, the listed slots would otherwise be back only after 5 s. From 1 to 5 slots it takes 1.25 s.
 const NEXT_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// Age at which evidence expires.
 const EVIDENCE_MAX_AGE: Duration = Duration::from_secs(10);
@@ -31,9 +32,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ObservedCapacity {
     listed: usize,
+    /// The slots after the last shed statement.
     slots: usize,
     shed_at: Option<MonotonicTime>,
-    next_probe_at: MonotonicTime,
+    /// When the first more slot was tried since.
+    raised_at: Option<MonotonicTime>,
 }
 
 impl ObservedCapacity {
@@ -45,7 +48,7 @@
             listed,
             slots: listed,
             shed_at: None,
-            next_probe_at: MonotonicTime::default(),
+            raised_at: None,
         }
     }
 
@@ -54,15 +57,17 @@
         let known = self.slots(now);
         self.slots = known.min(in_flight.saturating_sub(1)).max(1);
         self.shed_at = Some(now);
-        self.next_probe_at = now + FIRST_PROBE_DELAY;
+        self.raised_at = None;
     }
 
-    /// Records a statement that the target completed. Allows one more slot if none was shed for
-    /// long enough.
+    /// Records a statement that the target completed. If none was shed for long enough, the slots
+    /// rise from now on.
     pub fn record_completed(&mut self, now: MonotonicTime) {
-        if self.slots(now) < self.listed && now >= self.next_probe_at {
-            self.slots += 1;
-            self.next_probe_at = now + NEXT_PROBE_DELAY;
+        let is_due = self
+            .shed_at
+            .is_some_and(|at| now.saturating_since(at) >= FIRST_PROBE_DELAY);
+        if is_due {
+            self.raised_at.get_or_insert(now);
         }
     }
 
@@ -72,7 +77,14 @@
         let is_known = self
             .shed_at
             .is_some_and(|at| now.saturating_since(at) < EVIDENCE_MAX_AGE);
-        if is_known { self.slots } else { self.listed }
+        if !is_known {
+            return self.listed;
+        }
+        let raised = self.raised_at.map_or(0, |at| {
+            1 + now.saturating_since(at).as_millis() / NEXT_PROBE_DELAY.as_millis()
+        });
+        let raised = usize::try_from(raised).unwrap_or(usize::MAX);
+        self.slots.saturating_add(raised).min(self.listed)
     }
 
     /// Returns the listed number of slots.
--- a/crates/mustardhinge-core/tests/suite/observed_failures.rs
+++ b/crates/mustardhinge-core/tests/suite/observed_failures.rs
@@ -146,6 +146,16 @@
         capacity.record_completed(at(now));
         assert_eq!(capacity.slots(at(now)), slots, "at {now} ms");
     }
+    // On an instance with few statements, one that is completed shows that the target runs them again.
+    capacity.record_shed(2, at(1_600));
+    assert_eq!(capacity.slots(at(1_999)), 1);
+    capacity.record_completed(at(2_100));
+    assert_eq!(capacity.slots(at(2_600)), 4);
+    capacity.record_shed(4, at(2_600));
+    assert_eq!(capacity.slots(at(2_600)), 3);
+    capacity.record_completed(at(3_100));
+    assert_eq!(capacity.slots(at(4_600)), 5);
+    let mut capacity = ObservedCapacity::new(5);
     capacity.record_shed(9, at(2_000));
     assert_eq!(capacity.slots(at(2_000)), 5);
     capacity.record_shed(3, at(2_000));
--- a/crates/mustardhinge-resident/src/target/target_handle.rs
+++ b/crates/mustardhinge-resident/src/target/target_handle.rs
@@ -112,7 +112,7 @@
             )
         };
         if moved || restarted || has_other_slots {
-            self.queue.reset_capacity(entry.slots);
+            self.reset_capacity(entry.slots);
         }
         self.entry.replace(Rc::new(entry));
         self.is_marked_leaving.set(false);
@@ -206,7 +206,7 @@
     pub fn set_overload_control(&self, overload_control: OverloadControl) {
         self.overload_control.set(overload_control);
         if !overload_control.is_on() {
-            self.queue.reset_capacity(self.entry().slots);
+            self.reset_capacity(self.entry().slots);
         }
     }
 
--- a/crates/mustardhinge-resident/src/target/target_queue.rs
+++ b/crates/mustardhinge-resident/src/target/target_queue.rs
@@ -61,6 +61,8 @@
     window: Cell<SlotWindow>,
     /// What the target can run as observed; without evidence unless overload control is in force.
     capacity: Cell<ObservedCapacity>,
+    /// The limit that the queues use for the expected waits.
+    applied_limit: Cell<usize>,
     running: Cell<usize>,
     reserved: Cell<usize>,
 }
@@ -78,6 +80,7 @@
             costs: RefCell::default(),
             window: Cell::new(SlotWindow::new(slots)),
             capacity: Cell::new(ObservedCapacity::new(slots)),
+            applied_limit: Cell::new(slots),
             running: Cell::new(0),
             reserved: Cell::new(0),
         }
@@ -114,10 +117,15 @@
         }
     }
 
-    /// Records that the target shed a statement, which still counts as running.
-    pub(super) fn record_shed(&self, now: MonotonicTime) {
+    /// Returns the number of statements that this instance runs at the target.
+    pub(super) const fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Records that the target shed a statement while `in_flight` were there, including this one.
+    pub(super) fn record_shed(&self, in_flight: usize, now: MonotonicTime) {
         let mut capacity = self.capacity.get();
-        capacity.record_shed(self.running.get(), now);
+        capacity.record_shed(in_flight, now);
         self.capacity.set(capacity);
         self.apply_limit(now);
     }
@@ -138,6 +146,8 @@
     /// Forgets what was observed of a target that runs `slots` statements according to its entry.
     pub(super) fn reset_capacity(&self, slots: usize) {
         self.capacity.set(ObservedCapacity::new(slots));
+        // Without evidence, the limit doesn't depend on the time.
+        self.apply_limit(MonotonicTime::default());
     }
 
     /// Reserves a slot for a granted lease.
@@ -176,8 +186,14 @@
         self.apply_limit(now);
     }
 
+    /// Applies the limit to the expected waits. It also changes with time, as the observed capacity
+    /// rises and its evidence expires.
     fn apply_limit(&self, now: MonotonicTime) {
-        let slots = u32::try_from(self.limit(now)).unwrap_or(u32::MAX);
+        let limit = self.limit(now);
+        if self.applied_limit.replace(limit) == limit {
+            return;
+        }
+        let slots = u32::try_from(limit).unwrap_or(u32::MAX);
         self.waiting.borrow_mut().set_slots(slots);
         self.by_priority.borrow_mut().set_slots(slots);
     }
@@ -221,6 +237,7 @@
 
     /// Returns the expected wait of an arrival, by priority.
     pub(super) fn reported_waits(&self, now: MonotonicTime) -> PriorityWaits {
+        self.apply_limit(now);
         self.by_priority.borrow().reported_waits(now)
     }
 
@@ -256,6 +273,7 @@
         has_idle: bool,
         now: MonotonicTime,
     ) -> Result<PendingGrant, Duration> {
+        self.apply_limit(now);
         match request.weight {
             Some(weight) => self.push_by_priority((request, weight), has_idle, now),
             None => self.push_fair(request, now),
@@ -328,6 +346,7 @@
         has_idle: bool,
         now: MonotonicTime,
     ) -> Result<Duration, Duration> {
+        self.apply_limit(now);
         let preview = match request.weight {
             Some(weight) => {
                 let (item, _) = self.priority_item((request, weight), has_idle, now);
