Drop outcomes of removed targets, and scan targets for reductions only

Reads that end after the removal of their target no longer count, targets without an outcome in the last 10 s are dropped, and the numbers of listed targets are determined only if the comparison calls for a reduction.

--- a/crates/mustardhinge-core/src/overload/failure_table.rs
+++ b/crates/mustardhinge-core/src/overload/failure_table.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::ReductionLimits;
 use super::peer_comparison::PeerComparison;
@@ -6,6 +7,9 @@
 use crate::ids::{CustomerId, ServiceId, TargetId, ZoneId};
 use crate::units::MonotonicTime;
 
+/// Time between removals of targets without recent outcomes, so that few reads scan all targets.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The targets that fail a part of the reads of one instance, and therefore get a reduced share.
 ///
 /// Failure: a target breaks off or rejects a part of its statements and serves the others, so that
@@ -28,7 +32,7 @@
 ///     let customer: CustomerId = format!("c{}", at % 4).parse().unwrap();
 ///     table.record_served((&service, &good), &zone, &customer, now);
 ///     if at % 5 < 2 {
-///         table.record_failed((&service, &bad), &zone, (&customer, limits), now);
+///         table.record_failed((&service, &bad), &zone, (&customer, || limits), now);
 ///     } else {
 ///         table.record_served((&service, &bad), &zone, &customer, now);
 ///     }
@@ -40,6 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FailureTable {
     groups: BTreeMap<ServiceId, BTreeMap<TargetId, TargetFailures>>,
+    cleaned_at: MonotonicTime,
 }
 
 impl FailureTable {
@@ -51,20 +56,22 @@
         customer: &CustomerId,
         now: MonotonicTime,
     ) -> bool {
+        self.remove_expired(now);
         let target = self.entry(place, zone);
         target.record(customer, true, now);
         target.record_recovery()
     }
 
     /// Records a read of a customer that the target failed. Returns whether this reduces the
-    /// target's share.
+    /// target's share. Calls `limits` only if the target fails much more than its peers.
     pub fn record_failed(
         &mut self,
         (service, target): (&ServiceId, &TargetId),
         zone: &ZoneId,
-        (customer, limits): (&CustomerId, ReductionLimits),
+        (customer, limits): (&CustomerId, impl FnOnce() -> ReductionLimits),
         now: MonotonicTime,
     ) -> bool {
+        self.remove_expired(now);
         let entry = self.entry((service, target), zone);
         entry.record(customer, false, now);
         let is_reduced = entry.reduction(now).is_some();
@@ -78,7 +85,7 @@
             }
             return false;
         }
-        if !comparison.is_excessive() || !self.may_reduce(service, zone, limits, now) {
+        if !comparison.is_excessive() || !self.may_reduce(service, zone, limits(), now) {
             return false;
         }
         self.entry((service, target), zone).reduce(now);
@@ -100,6 +107,24 @@
         reduction.map_or(1.0, |reduction| reduction.share())
     }
 
+    /// Returns the number of targets whose outcomes are kept.
+    #[must_use]
+    pub fn known_targets(&self) -> usize {
+        self.groups.values().map(BTreeMap::len).sum()
+    }
+
+    /// Drops targets without recent outcomes, such as those that have left since.
+    fn remove_expired(&mut self, now: MonotonicTime) {
+        if now.saturating_since(self.cleaned_at) < CLEANUP_INTERVAL {
+            return;
+        }
+        self.cleaned_at = now;
+        self.groups.retain(|_, group| {
+            group.retain(|_, known| known.has_evidence(now));
+            !group.is_empty()
+        });
+    }
+
     fn may_reduce(
         &self,
         service: &ServiceId,
--- a/crates/mustardhinge-core/src/overload/target_failures.rs
+++ b/crates/mustardhinge-core/src/overload/target_failures.rs
@@ -60,6 +60,12 @@
         counts
     }
 
+    /// Returns whether any outcome is unexpired.
+    pub(super) fn has_evidence(&self, now: MonotonicTime) -> bool {
+        let newest = self.outcomes.back();
+        newest.is_some_and(|outcome| now.saturating_since(outcome.at) < EVIDENCE_MAX_AGE)
+    }
+
     /// Reduces the target's share.
     pub(super) const fn reduce(&mut self, now: MonotonicTime) {
         self.reduction = Some(ShareReduction::new(now));
--- a/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
+++ b/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
@@ -293,7 +293,7 @@
         let customer = &self.customers[read.customer];
         let failures = &mut self.instances[read.instance].failures;
         if fails {
-            let limits = ReductionLimits {
+            let limits = || ReductionLimits {
                 zone_targets: TARGETS,
                 group_targets: TARGETS,
             };
--- a/crates/mustardhinge-core/tests/suite/observed_failures.rs
+++ b/crates/mustardhinge-core/tests/suite/observed_failures.rs
@@ -35,7 +35,7 @@
         for number in 1..=count {
             if fails_every > 0 && number % fails_every == 0 {
                 self.0
-                    .record_failed(place, &zone, (&customer, limits), at(number));
+                    .record_failed(place, &zone, (&customer, || limits), at(number));
             } else {
                 self.0.record_served(place, &zone, &customer, at(number));
             }
@@ -126,6 +126,39 @@
     assert!(records.0.share(place, at(13)) >= 1.0);
 }
 
+/// Guards against targets that are kept for good after they have left.
+#[test]
+fn targets_without_recent_reads_are_dropped() {
+    let mut records = Records::default();
+    records.run(("s1", "gone", AMPLE), "c1", (40, 3));
+    records.run(("s2", "a", AMPLE), "c1", (9_000, 3));
+    assert_eq!(records.0.known_targets(), 2);
+    records.run(("s2", "a", AMPLE), "c1", (11_100, 0));
+    assert_eq!(records.0.known_targets(), 1);
+}
+
+/// Guards against a scan of all targets with each failed read.
+#[test]
+fn limits_are_determined_for_reductions_only() {
+    let (service, target): (ServiceId, TargetId) = (id("s"), id("a"));
+    let (zone, place) = (id("north"), (&service, &target));
+    let (mut records, mut calls) = (Records::default(), 0);
+    records.run(("s", "peer", AMPLE), "c1", (40, 0));
+    let mut is_reduced = false;
+    for number in 0..40 {
+        let customer: CustomerId = id(["c1", "c2"][number as usize % 2]);
+        let table = &mut records.0;
+        table.record_served(place, &zone, &customer, at(40 + number));
+        let limits = || {
+            calls += 1;
+            AMPLE
+        };
+        is_reduced |= table.record_failed(place, &zone, (&customer, limits), at(40 + number));
+    }
+    assert!(is_reduced);
+    assert_eq!(calls, 1);
+}
+
 /// Guards against a target that is never given a statement, one that keeps a limit for good, and a
 /// limit that rises while statements are shed.
 #[test]
--- a/crates/mustardhinge-resident/src/node/read_failures.rs
+++ b/crates/mustardhinge-resident/src/node/read_failures.rs
@@ -9,6 +9,7 @@
 
 impl NodeState {
     /// Records whether a target served a customer's read, which matters only with overload control.
+    /// Reads that end after the removal of their target don't count.
     pub(crate) fn record_read_outcome(
         &self,
         target: &TargetHandle,
@@ -16,7 +17,7 @@
         is_served: bool,
         now: MonotonicTime,
     ) {
-        if !self.overload_control().is_on() {
+        if !self.overload_control().is_on() || target.is_removed() {
             return;
         }
         let entry = target.entry();
@@ -25,7 +26,7 @@
         let has_changed = if is_served {
             failures.record_served(place, &entry.zone, customer, now)
         } else {
-            let limits = self.reduction_limits(target);
+            let limits = || self.reduction_limits(target);
             failures.record_failed(place, &entry.zone, (customer, limits), now)
         };
         if !has_changed {
