Limit the delays left out of failure detection

On a saturated host with 120 ms between events, 90 ms of each gap were left out without a total limit, so that a dead primary was replaced after 1,320 ms instead of about 300 ms. At most one unresponsive limit is left out since the last response, and likewise of a stall and of the time without a primary.

--- a/crates/mustardhinge-core/src/failover/failover_machine.rs
+++ b/crates/mustardhinge-core/src/failover/failover_machine.rs
@@ -120,7 +120,8 @@
             self.monitor.restart(now);
         } else {
             let delay = paused.saturating_sub(self.settings.get_delay_limit());
-            self.monitor.discount_delay(delay);
+            let limit = self.settings.get_unresponsive_limit();
+            self.monitor.discount_delay(delay, limit);
         }
         if paused < self.settings.get_step_timeout() {
             return Vec::new();
--- a/crates/mustardhinge-core/src/failover/group_monitor.rs
+++ b/crates/mustardhinge-core/src/failover/group_monitor.rs
@@ -113,11 +113,12 @@
         }
     }
 
-    /// Leaves a delay of this process out of the failure detection.
-    pub(super) fn discount_delay(&mut self, delay: Duration) {
-        self.diagnosis.discount_delay(delay);
+    /// Leaves a delay of this process out of the failure detection, up to `limit` in total for
+    /// each condition.
+    pub(super) fn discount_delay(&mut self, delay: Duration, limit: Duration) {
+        self.diagnosis.discount_delay(delay, limit);
         if let Some(watch) = &mut self.watch {
-            watch.discount_delay(delay);
+            watch.discount_delay(delay, limit);
         }
     }
 
--- a/crates/mustardhinge-core/src/failover/mod.rs
+++ b/crates/mustardhinge-core/src/failover/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_progress;
 mod attempt_step;
 mod claim_outcome;
+mod delay_discount;
 mod election_attempt;
 mod election_context;
 mod election_driver;
--- a/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
+++ b/crates/mustardhinge-core/src/failover/primary_diagnosis.rs
@@ -3,6 +3,7 @@
 use crate::replication::{GroupView, TimedReport};
 use crate::units::MonotonicTime;
 
+use super::delay_discount::DelayDiscount;
 use super::{FailoverCause, FailoverSettings, PrimaryWatch};
 
 /// Detects conditions that require a new term and records when they started.
@@ -10,6 +11,7 @@
 pub(super) struct PrimaryDiagnosis {
     suspected: Option<(FailoverCause, MonotonicTime)>,
     missing_since: Option<MonotonicTime>,
+    missing_discount: DelayDiscount,
     stranded_since: Option<MonotonicTime>,
     leaving_since: Option<MonotonicTime>,
 }
@@ -37,9 +39,11 @@
         *self = Self::default();
     }
 
-    /// Leaves a delay of this process out of the time without a primary.
-    pub(super) fn discount_delay(&mut self, delay: Duration) {
-        self.missing_since = self.missing_since.map(|since| since + delay);
+    /// Leaves a delay of this process out of the time without a primary, up to `limit` in total.
+    pub(super) fn discount_delay(&mut self, delay: Duration, limit: Duration) {
+        if let Some(since) = &mut self.missing_since {
+            *since = *since + self.missing_discount.take(delay, limit);
+        }
     }
 
     /// Returns whether there is a cause for a new term.
@@ -64,6 +68,9 @@
         let limit = settings.get_unresponsive_limit();
         let is_lost = is_missing && !view.has_unreported_primary(now, limit);
         let missing = track_duration(&mut self.missing_since, is_lost, now);
+        if !is_lost {
+            self.missing_discount = DelayDiscount::default();
+        }
         if !has_majority_reported(view, limit, now) {
             return None;
         }
--- a/crates/mustardhinge-core/src/failover/primary_watch.rs
+++ b/crates/mustardhinge-core/src/failover/primary_watch.rs
@@ -6,6 +6,7 @@
 use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
 
 use super::FailoverSettings;
+use super::delay_discount::DelayDiscount;
 
 /// Detects the failure of one primary in one term.
 ///
@@ -21,6 +22,10 @@
     replicated_at: MonotonicTime,
     written: LogPosition,
     ahead_since: Option<MonotonicTime>,
+    /// Delays left out since the last response.
+    silence_discount: DelayDiscount,
+    /// Delays left out of the time since `ahead_since`.
+    stall_discount: DelayDiscount,
     peer_reached_at: BTreeMap<InstanceId, MonotonicTime>,
 }
 
@@ -36,6 +41,8 @@
             replicated_at: now,
             written: LogPosition::default(),
             ahead_since: None,
+            silence_discount: DelayDiscount::default(),
+            stall_discount: DelayDiscount::default(),
             peer_reached_at: BTreeMap::new(),
         }
     }
@@ -44,13 +51,13 @@
     pub(super) fn observe(&mut self, report: &ServerReport, now: MonotonicTime) {
         let held = report.held_in(self.term).unwrap_or_default();
         if report.target == self.target {
-            self.last_response_at = now;
-            self.refused_at = None;
+            self.record_response(now);
             self.written = self.written.max(held);
         } else if held > self.replicated {
             self.replicated = held;
             self.replicated_at = now;
             self.ahead_since = None;
+            self.stall_discount = DelayDiscount::default();
         }
         if self.written > self.replicated {
             self.ahead_since.get_or_insert(now);
@@ -60,11 +67,16 @@
     /// Records that a server rejected a connection and is alive.
     pub(super) fn set_declined(&mut self, target: &TargetId, now: MonotonicTime) {
         if *target == self.target {
-            self.last_response_at = now;
-            self.refused_at = None;
+            self.record_response(now);
         }
     }
 
+    fn record_response(&mut self, now: MonotonicTime) {
+        self.last_response_at = now;
+        self.refused_at = None;
+        self.silence_discount = DelayDiscount::default();
+    }
+
     /// Records that a server's host refused a connection.
     pub(super) fn record_refusal(&mut self, target: &TargetId, now: MonotonicTime) {
         if *target == self.target {
@@ -88,24 +100,27 @@
 
     /// Restarts the failure detection after this process was paused.
     pub(super) fn restart(&mut self, now: MonotonicTime) {
-        self.last_response_at = now;
-        self.refused_at = None;
+        self.record_response(now);
         self.replicated_at = now;
         self.ahead_since = None;
+        self.stall_discount = DelayDiscount::default();
     }
 
-    /// Leaves a delay of this process out of all times without a sign of life.
+    /// Leaves a delay of this process out of the times without a response or replication.
     ///
     /// A process that is short of processor time sends its probes late and handles
     /// the responses late. Several such delays would add up to the unresponsive
-    /// limit although none of them is long enough to count as a pause.
-    pub(super) fn discount_delay(&mut self, delay: Duration) {
-        self.last_response_at = self.last_response_at + delay;
-        self.refused_at = self.refused_at.map(|at| at + delay);
-        self.replicated_at = self.replicated_at + delay;
-        self.ahead_since = self.ahead_since.map(|since| since + delay);
-        for reached_at in self.peer_reached_at.values_mut() {
-            *reached_at = *reached_at + delay;
+    /// limit although none of them is long enough to count as a pause. At most `limit` is left
+    /// out since the last response, so that a failed primary is replaced on a saturated host too.
+    ///
+    /// Refusals and the observations of other instances are evidence that does not depend on
+    /// the punctuality of this process, so their times stay as they are.
+    pub(super) fn discount_delay(&mut self, delay: Duration, limit: Duration) {
+        let silence = self.silence_discount.take(delay, limit);
+        self.last_response_at = self.last_response_at + silence;
+        self.replicated_at = self.replicated_at + silence;
+        if let Some(since) = &mut self.ahead_since {
+            *since = *since + self.stall_discount.take(delay, limit);
         }
     }
 
--- a/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
+++ b/crates/mustardhinge-core/tests/suite/failover/suspicion.rs
@@ -1,5 +1,7 @@
 //! Tests of failure detection: when a failover starts and when it does not.
 
+use std::ops::Range;
+
 use mustardhinge_core::failover::{FailoverCause, FailoverEvent, FailoverPhase};
 
 use super::FailoverRig;
@@ -111,15 +113,20 @@
 /// replicas after each delay.
 fn delay_repeatedly(rig: &mut FailoverRig, millis: u64) {
     for _ in 0..4 {
-        rig.pause(millis);
-        for replica in 1..3 {
-            let report = rig.group.report(replica);
-            let requested_at = rig.now;
-            rig.handle_event(FailoverEvent::Reported {
-                report,
-                requested_at,
-            });
-        }
+        delay_once(rig, millis, 1..3);
+    }
+}
+
+/// Lets the agent be delayed and report `servers` afterwards.
+fn delay_once(rig: &mut FailoverRig, millis: u64, servers: Range<usize>) {
+    rig.pause(millis);
+    for server in servers {
+        let report = rig.group.report(server);
+        let requested_at = rig.now;
+        rig.handle_event(FailoverEvent::Reported {
+            report,
+            requested_at,
+        });
     }
 }
 
@@ -148,6 +155,51 @@
     assert!((100..200).contains(&waited), "{waited} ms");
 }
 
+/// Returns after how many milliseconds with delays of 120 ms the agent claims a term, if it does
+/// so within `millis`. `servers` report after each delay.
+fn claimed_after_delays(rig: &mut FailoverRig, servers: Range<usize>, millis: u64) -> Option<u64> {
+    (1..=millis / 120).map(|count| count * 120).find(|_| {
+        delay_once(rig, 120, servers.clone());
+        rig.has_requested(is_claim)
+    })
+}
+
+/// Guards against a saturated host on which most of the silence of a dead primary is left out: of
+/// each gap of 120 ms only 30 ms counted. The limit is 300 ms; a claim needs an event, so it comes
+/// up to one gap later than twice the limit.
+#[test]
+fn a_silent_primary_is_replaced_while_delays_go_on() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.freeze(0);
+    let claimed = claimed_after_delays(&mut rig, 1..3, 2_000);
+    assert!(claimed.is_some_and(|after| after <= 720), "{claimed:?}");
+}
+
+/// Guards against a limit that is used up once: after each response of the primary, delays are
+/// left out again.
+#[test]
+fn delays_are_left_out_again_after_each_response() {
+    let mut rig = FailoverRig::new(3, 0);
+    for _ in 0..5 {
+        assert_eq!(claimed_after_delays(&mut rig, 1..3, 480), None);
+        delay_once(&mut rig, 1, 0..3);
+    }
+}
+
+/// Guards against a primary that responds but doesn't replicate, and is kept for four times the
+/// stall limit of 5 s on a saturated host.
+#[test]
+fn a_stalled_primary_is_replaced_while_delays_go_on() {
+    let mut rig = FailoverRig::new(3, 0);
+    rig.is_replicating = false;
+    rig.group.write(0).unwrap();
+    let claimed = claimed_after_delays(&mut rig, 0..3, 20_000);
+    assert!(
+        claimed.is_some_and(|after| (5_000..=5_600).contains(&after)),
+        "{claimed:?}"
+    );
+}
+
 #[test]
 fn an_agent_without_a_majority_claims_no_term() {
     let mut rig = FailoverRig::new(3, 0);
