Reject relayed state of an invalid era

After a response with an era above StoreEra::MAX, all later lists of targets and evacuations counted as older until the restart. Such responses are now logged and counted in resident_invalid_states_total.

The cache key of compressed responses now contains the revision of the list, which can advance while the list stays equal.

--- a/crates/mustardhinge-resident/src/control/state_fetch.rs
+++ b/crates/mustardhinge-resident/src/control/state_fetch.rs
@@ -7,7 +7,7 @@
 
 use flate2::read::DeflateDecoder;
 use mustardhinge_core::membership::{QueryOutcome, SearchStep, StateSearch};
-use mustardhinge_core::primary_lease::RecordRevision;
+use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -109,6 +109,11 @@
                 return QueryOutcome::Unreachable;
             }
         };
+        if let Err(error) = check_eras(&state) {
+            log::warn!("invalid state from {address} ignored: {error}");
+            metrics::counter!("resident_invalid_states_total").increment(1);
+            return QueryOutcome::Unreachable;
+        }
         if let Some(sources) = state.busy {
             return QueryOutcome::Busy(sources);
         }
@@ -133,6 +138,17 @@
     }
 }
 
+/// Fails if a revision in a response belongs to an invalid era. Compared with it, all later lists
+/// and evacuations would count as older until the restart.
+fn check_eras(state: &RelayedState) -> anyhow::Result<()> {
+    let evacuations = state.evacuations.as_ref();
+    let evacuations = evacuations.map(|evacuations| evacuations.revision.era());
+    for era in [Some(state.era), evacuations].into_iter().flatten() {
+        anyhow::ensure!(era <= StoreEra::MAX, "invalid era {era}");
+    }
+    Ok(())
+}
+
 /// Applies the changes in the response to `query`. Returns whether the list then has the announced
 /// version; otherwise the whole list must be fetched.
 fn adopt_changes<P>(
--- a/crates/mustardhinge-resident/src/control/state_relay.rs
+++ b/crates/mustardhinge-resident/src/control/state_relay.rs
@@ -201,6 +201,7 @@
     let key = ResponseKey {
         plan_version: plan.version(),
         targets: node.list_version(),
+        targets_revision: node.targets_revision().number(),
         has_plan,
         has_targets: state.targets.is_some(),
         changes_since: state.changes.as_ref().map(|_| query.list_version()),
@@ -315,6 +316,8 @@
 pub(super) struct ResponseKey {
     plan_version: DocumentVersion,
     targets: ListVersion,
+    /// The number of the revision of the list, which can advance while the list stays equal.
+    targets_revision: u64,
     has_plan: bool,
     has_targets: bool,
     /// The version of the list since which the response contains the changes.
