Reserve a minimum of first grants in each response

While more than 400 known groups stayed mismatched, an instance never got a lease on the others. The minimum consists of whole parts of the digest, since the rest of a part would count as changed and could be left out again.

--- a/crates/mustardhinge-core/src/primary_lease/epoch_digest.rs
+++ b/crates/mustardhinge-core/src/primary_lease/epoch_digest.rs
@@ -71,8 +71,13 @@
 
     /// Returns the index of the part that contains the group.
     pub(super) fn part_index(&self, service: &ServiceId) -> usize {
+        self.part_of_key(Self::sort_key(service))
+    }
+
+    /// Returns the index of the part that contains the group with this sort key.
+    pub(super) fn part_of_key(&self, key: u64) -> usize {
         // The result is less than the number of parts. Doubling that number splits each part.
-        ((u128::from(Self::sort_key(service)) * self.0.len() as u128) >> 64) as usize
+        ((u128::from(key) * self.0.len() as u128) >> 64) as usize
     }
 
     /// Returns the sort key by which groups of the same part are adjacent, for any number of
--- a/crates/mustardhinge-core/src/primary_lease/grant_limit.rs
+++ b/crates/mustardhinge-core/src/primary_lease/grant_limit.rs
@@ -9,6 +9,9 @@
 const FIRST_PER_SECOND: f64 = 24_000.0;
 /// Minimum number of such groups in a response, so that thousands of instances make progress.
 const MIN_FIRST: usize = 16;
+/// Maximum of that minimum when it is extended to whole parts, which have about 8 groups: the digest of
+/// an instance without groups may have a single part.
+const MAX_RESERVED: usize = 2 * MIN_FIRST;
 
 /// How many groups a leader names in one response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,29 @@
         }
     }
 
+    /// Returns how many groups are sent of `known` changed ones and of those of which the instance
+    /// knows nothing, if `left` of the total limit are left. `first_parts` are the parts of the
+    /// latter, in the order in which they are sent.
+    ///
+    /// A minimum of the latter is always sent, even above the total limit: a few hundred bytes, for
+    /// which a datagram has room. It consists of whole parts, since the rest of a part would count
+    /// as changed in the next response, and might then not be sent for a long time.
+    pub(super) fn split(
+        self,
+        left: usize,
+        known: usize,
+        first_parts: impl ExactSizeIterator<Item = usize> + Clone,
+    ) -> (usize, usize) {
+        let first = first_parts.len();
+        let last_part = first_parts.clone().nth(MIN_FIRST - 1);
+        let rest = first_parts.skip(MIN_FIRST);
+        let rest = rest.take_while(|part| Some(*part) == last_part).count();
+        let reserved = first.min(MIN_FIRST + rest).min(MAX_RESERVED);
+        let known = known.min(left.saturating_sub(reserved));
+        let first = first.min(self.first.min(left - known).max(reserved));
+        (known, first)
+    }
+
     /// Returns the number of groups in a response of which the instance knows nothing.
     #[must_use]
     pub const fn first_groups(self) -> usize {
--- a/crates/mustardhinge-core/src/primary_lease/lease_response.rs
+++ b/crates/mustardhinge-core/src/primary_lease/lease_response.rs
@@ -23,7 +23,8 @@
     /// included, since the instance would otherwise consider their leases renewed.
     ///
     /// Changed groups come before those of which the instance knows nothing: leases that it holds
-    /// would otherwise expire. Of the others, those with wanted groups come first.
+    /// would otherwise expire. A minimum is reserved for the others, so that changes that don't end
+    /// can't exclude them. Of these, those with wanted groups come first.
     ///
     /// Load pattern: hundreds of instances are started together and request the leases of hundreds
     /// of groups. Whole responses would occupy the leader's network link for seconds.
@@ -55,10 +56,14 @@
         }
         // Groups of the same part are sent together, so that their digests match next time.
         outdated.sort_unstable_by_key(|(order, _)| *order);
-        let known_groups = outdated.iter().filter(|((is_first, ..), _)| !is_first);
-        let limit = known_groups.count().saturating_add(demand.limit.first);
-        let limit = limit.min(demand.limit.changed.saturating_sub(changed.len()));
-        let sent = outdated.into_iter().take(limit);
+        let known_count = outdated.partition_point(|((is_first, ..), _)| !is_first);
+        let first_groups = outdated.split_off(known_count);
+        let left = demand.limit.changed.saturating_sub(changed.len());
+        let parts = first_groups.iter();
+        let parts = parts.map(|((.., key), _)| known.part_of_key(*key));
+        let (known_limit, first_limit) = demand.limit.split(left, known_count, parts);
+        let first_sent = first_groups.into_iter().take(first_limit);
+        let sent = outdated.into_iter().take(known_limit).chain(first_sent);
         changed.extend(sent.map(|(_, group)| group.to_grant()));
         // The other parts would renew nothing, or leases on groups that are in `changed`.
         digest.retain_matching(known);
--- a/crates/mustardhinge-core/tests/suite/primary_lease/lease_response.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/lease_response.rs
@@ -150,6 +150,46 @@
     assert_eq!(response.changed.len(), 400);
 }
 
+/// Guards against groups that an instance never gets a lease on, because more than 400 others change
+/// again and again.
+#[test]
+fn unknown_groups_are_sent_while_many_known_ones_change() {
+    let mut groups = groups(1_000);
+    let mut leases = HeldLeases::default();
+    let mut first_parts = EpochDigest::for_groups(1_000);
+    for index in 0..6 {
+        let group = &groups[&service(index)];
+        first_parts.add(&service(index), group.epoch(), group.primary());
+    }
+    let (known, first): (Vec<_>, Vec<_>) =
+        (0..1_000).partition(|index| first_parts.is_part_empty(&service(*index)));
+    assert!(known.len() > 400 && !first.is_empty());
+    for index in &known {
+        let grant = groups[&service(*index)].to_grant();
+        leases.accept(&grant, at(1_000), LEASE, at(1_000));
+    }
+    for request in 0..10 {
+        let now = at(1_100 + request * 100);
+        for index in &known {
+            let group = groups.get_mut(&service(*index)).unwrap();
+            group.begin_epoch(
+                GroupEpoch::new(2 + request),
+                id("t-new"),
+                LeaderTerm::new(2),
+            );
+        }
+        let response = grant(&mut groups, &leases.request_digest(1_000), &[], now);
+        assert!(response.changed.len() <= 400, "{}", response.changed.len());
+        apply_response(&mut leases, &response, now, now);
+    }
+    for index in first {
+        assert!(
+            leases.usable(&service(index), at(2_100)).is_some(),
+            "{index}"
+        );
+    }
+}
+
 /// Guards against a leader that needs many requests to itself for its own leases.
 #[test]
 fn the_leader_gets_all_groups_at_once() {
