--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -280,6 +280,7 @@
     let not_run =
         |reason| ReadFailure::transient(StatementResponse::not_run(reason, BUSY_RETRY_AFTER));
     let sent_at = node.clock.now();
+    let born_ms = target.entry().born_ms;
     let execution = StatementExecution {
         request,
         values,
@@ -291,7 +292,10 @@
     };
     let result = execute::<W>(node, &mut lease, execution).await;
     let now = node.clock.now();
-    record_outcome(node, (&target, request), &result, now);
+    // A restart of the target in the meantime has cleared the evidence.
+    if target.entry().born_ms == born_ms {
+        record_outcome(node, (&target, request), &result, now);
+    }
     let reply = match result {
         Ok(reply) => reply,
         Err(error) => {
