Explain the shares of reads that the request path uses

Cause: the request path combines the share of a cold target with that of one that fails some reads; explain used the first only.

Change: NodeState::read_share is used by both. The choice with shares is named after them, since cold targets are one of two causes.

--- a/crates/mustardhinge-core/src/placement/cold_choice.rs
+++ b/crates/mustardhinge-core/src/placement/choice_with_shares.rs
@@ -13,13 +13,13 @@
 type OpenSets = BTreeMap<(Vec<usize>, Option<usize>), f64>;
 
 impl SpreadPlacement {
-    /// Returns the chosen candidate like [`choose`](Self::choose), but a cold target gets only the
-    /// part `share(index)` of the reads that it would get; the others go to targets that are
-    /// sound, if there are any.
+    /// Returns the chosen candidate like [`choose`](Self::choose), but a target gets only the part
+    /// `share(index)` of the reads that it would get. The others go to targets that neither fail nor
+    /// leave, if there are any.
     ///
-    /// Without cold targets, the same random numbers are drawn as by [`choose`](Self::choose).
+    /// If all shares are 1, the same random numbers are drawn as by [`choose`](Self::choose).
     #[must_use]
-    pub fn choose_with_cold(
+    pub fn choose_with_shares(
         candidates: &[SpreadCandidate],
         limits: SpreadLimits,
         tried: &[usize],
@@ -36,7 +36,7 @@
             }
             passed_over.push(choice.index);
             let next = Self::choose(candidates, limits, &passed_over, rng);
-            match next.filter(|next| is_sound(&candidates[next.index])) {
+            match next.filter(|next| can_replace_choice(&candidates[next.index])) {
                 Some(next) => {
                     choice = SpreadChoice {
                         is_cheapest: false,
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Returns the probability with which [`choose_with_cold`](Self::choose_with_cold) returns each
+    /// Returns the probability with which [`choose_with_shares`](Self::choose_with_shares) returns each
     /// candidate, without drawing random numbers.
     #[must_use]
-    pub fn probabilities_with_cold(
+    pub fn probabilities_with_shares(
         candidates: &[SpreadCandidate],
         limits: SpreadLimits,
         tried: &[usize],
@@ -69,7 +69,7 @@
                 }
                 for (index, probability) in drawn {
                     let probability = reached * probability;
-                    if let Some(usual) = usual.filter(|_| !is_sound(&candidates[index])) {
+                    if let Some(usual) = usual.filter(|_| !can_replace_choice(&candidates[index])) {
                         totals[usual] += probability;
                         continue;
                     }
@@ -112,7 +112,7 @@
     kept
 }
 
-/// Returns the probabilities of a choice that doesn't take cold targets into account.
+/// Returns the probabilities of [`SpreadPlacement::choose`].
 fn usual_probabilities(
     candidates: &[SpreadCandidate],
     limits: SpreadLimits,
@@ -128,8 +128,8 @@
         .collect()
 }
 
-/// Returns whether a target can take a read that a cold target is spared.
-const fn is_sound(candidate: &SpreadCandidate) -> bool {
+/// Returns whether a target may take a read that one with a reduced share doesn't get.
+const fn can_replace_choice(candidate: &SpreadCandidate) -> bool {
     let target = &candidate.target;
     !target.is_failing && !target.is_leaving && !target.lacks_position && !candidate.is_silent
 }
--- a/crates/mustardhinge-core/src/placement/mod.rs
+++ b/crates/mustardhinge-core/src/placement/mod.rs
@@ -1,7 +1,7 @@
 //! The choice of a target for each statement, and the log position that the target must have
 //! applied, for groups whose primary is used under a lease.
 
-mod cold_choice;
+mod choice_with_shares;
 mod cold_period;
 mod customer_share;
 mod home_regions;
--- a/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
+++ b/crates/mustardhinge-core/tests/suite/capacity_replay/capacity_model.rs
@@ -212,7 +212,7 @@
             let share = |index: usize| failures.share((&self.service, &self.names[index]), at);
             let rng = &mut self.rng;
             let chosen =
-                SpreadPlacement::choose_with_cold(&candidates, limits, &read.tried, share, rng);
+                SpreadPlacement::choose_with_shares(&candidates, limits, &read.tried, share, rng);
             let Some(index) = chosen.map(|choice| choice.index) else {
                 return;
             };
--- a/crates/mustardhinge-core/tests/suite/cold_targets.rs
+++ b/crates/mustardhinge-core/tests/suite/cold_targets.rs
@@ -90,7 +90,7 @@
     let mut rng = SmallRng::seed_from_u64(7);
     let share = |index: usize| shares[index];
     let mut choose =
-        || SpreadPlacement::choose_with_cold(candidates, limits, &[], share, &mut rng).unwrap();
+        || SpreadPlacement::choose_with_shares(candidates, limits, &[], share, &mut rng).unwrap();
     let firsts = (0..4_000).filter(|_| choose().index == 0).count();
     firsts as f64 / 4_000.0
 }
@@ -130,12 +130,12 @@
         let tried: Vec<_> = tried.into_iter().collect();
         let share = |index: usize| targets[index].2;
         let expected =
-            SpreadPlacement::probabilities_with_cold(&candidates, limits, &tried, share);
+            SpreadPlacement::probabilities_with_shares(&candidates, limits, &tried, share);
         let mut counts = vec![0.0; candidates.len()];
         let mut rng = SmallRng::seed_from_u64(seed);
         for _ in 0..2_000 {
             let mut choose =
-                || SpreadPlacement::choose_with_cold(&candidates, limits, &tried, share, &mut rng);
+                || SpreadPlacement::choose_with_shares(&candidates, limits, &tried, share, &mut rng);
             let Some(choice) = choose() else {
                 prop_assert!(expected.is_empty());
                 return Ok(());
@@ -165,7 +165,7 @@
         shares.set(shares.get() + 1);
         0.25
     };
-    let expected = SpreadPlacement::probabilities_with_cold(&candidates, limits, &[], share);
+    let expected = SpreadPlacement::probabilities_with_shares(&candidates, limits, &[], share);
     let total: f64 = expected.iter().map(|(_, probability)| probability).sum();
     assert!((total - 1.0).abs() < 1e-9, "{total}");
     assert!(shares.get() <= 16 * 16 * 64, "{}", shares.get());
--- a/crates/mustardhinge-resident/src/explain/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/explain/read_candidates.rs
@@ -29,7 +29,8 @@
         let read = (max_staleness, context.now);
         if context.overload.is_on() {
             let (candidates, limits) = spread_candidates(node, group, request, read);
-            let shares = targets.iter().map(|target| target.cold_share(context.now));
+            let share = |target: &Rc<TargetHandle>| node.read_share(target, context.now);
+            let shares = targets.iter().map(share);
             Self::Spread(candidates, limits, shares.collect())
         } else {
             Self::Plain(plain_candidates(node, group, request, read))
@@ -45,7 +46,7 @@
             }
             Self::Spread(candidates, limits, shares) => {
                 let share = |index: usize| shares[index];
-                SpreadPlacement::probabilities_with_cold(candidates, *limits, tried, share)
+                SpreadPlacement::probabilities_with_shares(candidates, *limits, tried, share)
             }
         }
     }
--- a/crates/mustardhinge-resident/src/node/read_failures.rs
+++ b/crates/mustardhinge-resident/src/node/read_failures.rs
@@ -51,8 +51,12 @@
         }
     }
 
-    /// Returns the part of its usual reads that a target gets in spite of failed ones.
-    pub(crate) fn failure_share(&self, target: &TargetHandle, now: MonotonicTime) -> f64 {
+    /// Returns the part of its usual reads that a target gets while it is cold or fails some of them.
+    pub(crate) fn read_share(&self, target: &TargetHandle, now: MonotonicTime) -> f64 {
+        target.cold_share(now) * self.failure_share(target, now)
+    }
+
+    fn failure_share(&self, target: &TargetHandle, now: MonotonicTime) -> f64 {
         let entry = target.entry();
         let failures = self.failures.borrow();
         failures.share((&entry.service, &entry.target), now)
--- a/crates/mustardhinge-resident/src/session/read_candidates.rs
+++ b/crates/mustardhinge-resident/src/session/read_candidates.rs
@@ -159,12 +159,9 @@
     let (candidates, limits) =
         spread_candidates(node, (group, &targets), request, (max_staleness, now));
     let mut rng = node.placement_rng.borrow_mut();
-    let share = |index: usize| {
-        let target = &targets[index];
-        target.cold_share(now) * node.failure_share(target, now)
-    };
+    let share = |index: usize| node.read_share(&targets[index], now);
     let choice =
-        SpreadPlacement::choose_with_cold(&candidates, limits, &skipped, share, &mut *rng)?;
+        SpreadPlacement::choose_with_shares(&candidates, limits, &skipped, share, &mut *rng)?;
     let is_same_zone = candidates.get(choice.index)?.target.is_same_zone;
     metrics::counter!(
         "resident_reads_placed_total",
