--- a/crates/mustardhinge-core/src/membership/list_changes.rs
+++ b/crates/mustardhinge-core/src/membership/list_changes.rs
@@ -3,8 +3,7 @@
 use super::{ListUpdate, ListVersion};
 use crate::ids::TargetId;
 
-/// Number of versions whose changes are kept: half a minute of a list that changes all the time,
-/// since instances fetch it at most twice a second.
+/// Number of versions whose changes are kept: 32 s at the maximum rate of two fetches a second.
 const MAX_VERSIONS: usize = 64;
 /// Maximum memory of the kept changes in bytes. It bounds versions with thousands of changes each.
 const MAX_BYTES: usize = 256 * 1024;
--- a/crates/mustardhinge-core/src/membership/state_search.rs
+++ b/crates/mustardhinge-core/src/membership/state_search.rs
@@ -120,6 +120,7 @@
         }
     }
 
+    /// Ends the search at an instance that doesn't help. The leader is the last one.
     const fn end_or_query_leader(&self) -> SearchStep<A> {
         if self.is_at_leader {
             SearchStep::Done
--- a/crates/mustardhinge-core/src/primary_lease/grant_limit.rs
+++ b/crates/mustardhinge-core/src/primary_lease/grant_limit.rs
@@ -16,9 +16,9 @@
 /// How many groups a leader names in one response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GrantLimit {
-    /// Groups in all.
+    /// Maximum number of changed groups, those in `first` included.
     pub(super) changed: usize,
-    /// Groups of which the instance knows nothing.
+    /// Maximum number of groups in parts of the digest that are empty at the instance.
     pub(super) first: usize,
 }
 
--- a/crates/mustardhinge-core/src/primary_lease/lease_demand.rs
+++ b/crates/mustardhinge-core/src/primary_lease/lease_demand.rs
@@ -3,7 +3,7 @@
 use super::{EpochDigest, GrantLimit};
 use crate::ids::{InstanceId, ServiceId};
 
-/// What an instance requests leases for.
+/// The input of a lease response: what the requester knows and uses, and the limit.
 #[derive(Clone, Debug)]
 pub struct LeaseDemand<'a> {
     /// The instance.
--- a/crates/mustardhinge-core/src/rate_limit/listed_instances.rs
+++ b/crates/mustardhinge-core/src/rate_limit/listed_instances.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::unheard_instances::UnheardInstances;
+use super::unreported_instances::UnreportedInstances;
 use crate::units::MonotonicTime;
 
 /// Time after its first request for which a leader counts the instances that its predecessor knew;
@@ -43,11 +43,11 @@
 
     /// Returns the instances without a request, of which `heard` others have sent one. There are
     /// none if no earlier leader has granted shares.
-    pub(super) fn unheard(&self, heard: usize, now: MonotonicTime) -> UnheardInstances {
+    pub(super) fn unreported(&self, heard: usize, now: MonotonicTime) -> UnreportedInstances {
         let is_valid = |since| now.saturating_since(since) < PREDECESSOR_VALIDITY;
         let is_reserved =
             self.has_predecessor && !self.is_unknown && self.first_request_at.is_some_and(is_valid);
-        UnheardInstances {
+        UnreportedInstances {
             listed: self.count.max(1),
             heard,
             count: if is_reserved {
--- a/crates/mustardhinge-core/src/rate_limit/mod.rs
+++ b/crates/mustardhinge-core/src/rate_limit/mod.rs
@@ -33,8 +33,8 @@
 mod share_ledger;
 mod share_loan;
 mod share_pool;
-mod unheard_instances;
 mod unreachable_instances;
+mod unreported_instances;
 mod usage_report;
 
 pub use admission_context::AdmissionContext;
--- a/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
+++ b/crates/mustardhinge-core/src/rate_limit/rate_limiter.rs
@@ -5,8 +5,8 @@
 use super::fill_recovery::FillRecovery;
 use super::listed_instances::ListedInstances;
 use super::share_ledger::ShareLedger;
-use super::unheard_instances::UnheardInstances;
 use super::unreachable_instances::UnreachableInstances;
+use super::unreported_instances::UnreportedInstances;
 use super::{AllowanceGrant, CustomerRate, UsageReport};
 use crate::ids::{CustomerId, InstanceId};
 use crate::overload::OverloadControl;
@@ -107,7 +107,7 @@
     /// let mut limiter = RateLimiter::without_predecessor();
     /// let instance: InstanceId = "i0".parse()?;
     /// limiter.record_request(&instance, 8, MonotonicTime::default());
-    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// # Ok::<(), mustardhinge_core::ids::IdError>(())
     /// ```
     #[must_use]
     pub fn without_predecessor() -> Self {
@@ -152,7 +152,7 @@
         if is_first && report.granted_fill.is_some() {
             self.listed.record_predecessor();
         }
-        let unheard = self.listed.unheard(self.unreachable.heard(), now);
+        let unreported = self.listed.unreported(self.unreachable.heard(), now);
         let unreachable = self.unreachable.current(now);
         let bucket = self
             .buckets
@@ -173,14 +173,14 @@
         let rate = limits.rate * (reachable - bucket.reserved_share).max(0.0);
         bucket.refill(rate, limits.burst, now);
         if overload.is_on() {
-            bucket.add_reported_fill(instance, report, (limits, unheard), now);
+            bucket.add_reported_fill(instance, report, (limits, unreported), now);
         } else {
             bucket.reserved_share = 0.0;
             bucket.recover_fill(instance, report.last_fill, now);
         }
         let spent = bucket.record_usage(instance, incarnation, report.spent, now);
         let share = if overload.is_on() {
-            bucket.grant_share(instance, (instances, unheard), limits, now)
+            bucket.grant_share(instance, (instances, unreported), limits, now)
         } else {
             bucket.update_share(instance, instances, now)
         };
@@ -236,12 +236,12 @@
     }
 
     /// Applies the level that an instance reports after it used its share without a leader, and
-    /// reserves the share of the `unheard` instances.
+    /// reserves the share of the `unreported` instances.
     fn add_reported_fill(
         &mut self,
         instance: &InstanceId,
         report: &UsageReport,
-        (limits, unheard): (CustomerRate, UnheardInstances),
+        (limits, unreported): (CustomerRate, UnreportedInstances),
         now: MonotonicTime,
     ) {
         let is_new = !self.usage.contains_key(instance);
@@ -258,7 +258,7 @@
             self.recovery.add(fills, share);
         }
         let reporting = self.usage.len() + usize::from(is_new);
-        let reserved = unheard.reserved_share((reporting, self.accounted_share), EVEN_FRACTION);
+        let reserved = unreported.reserved_share((reporting, self.accounted_share), EVEN_FRACTION);
         let released = (self.reserved_share - reserved).max(0.0);
         self.reserved_share = reserved;
         if is_recovering {
@@ -280,7 +280,7 @@
         }
     }
 
-    /// Returns the level for all instances, with the part that is reserved for the unheard ones
+    /// Returns the level for all instances, with the part that is reserved for the unreported ones
     /// while the others still report. An isolated instance takes its share of it.
     fn level_of_all(&self, limits: CustomerRate, now: MonotonicTime) -> f64 {
         if self.is_settling(now) {
@@ -377,11 +377,11 @@
 
     /// Returns the share of the rate that an instance may use while it is isolated, under
     /// overload control. The shares of all instances add up to at most the whole rate, with those
-    /// that `unheard` instances still hold.
+    /// that `unreported` instances still hold.
     fn grant_share(
         &mut self,
         instance: &InstanceId,
-        (instances, unheard): (usize, UnheardInstances),
+        (instances, unreported): (usize, UnreportedInstances),
         limits: CustomerRate,
         now: MonotonicTime,
     ) -> f64 {
@@ -400,8 +400,8 @@
         };
         let used = own.usage_rate.at(now) + assumed_own;
         let by_usage = (used / total).min(1.0) * (1.0 - EVEN_FRACTION);
-        // The unheard instances' parts of the even fraction remain theirs.
-        let reserved = (self.reserved_share - EVEN_FRACTION * unheard.fraction()).max(0.0);
+        // The unreported instances' parts of the even fraction remain theirs.
+        let reserved = (self.reserved_share - EVEN_FRACTION * unreported.fraction()).max(0.0);
         let wanted = (by_usage, 1.0 - EVEN_FRACTION - reserved);
         let granted = self.shares.grant(instance, wanted, SHARE_EXPIRY, now);
         own.share = EVEN_FRACTION * even_share + granted;
--- a/crates/mustardhinge-core/src/rate_limit/unheard_instances.rs
+++ b/crates/mustardhinge-core/src/rate_limit/unreported_instances.rs
@@ -1,7 +1,7 @@
 /// The numbers of instances that a leader has received a request from, and of those that may still
 /// use the shares of an earlier leader.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct UnheardInstances {
+pub(super) struct UnreportedInstances {
     /// The instances that may exist.
     pub(super) listed: usize,
     /// The instances that have sent a request.
@@ -10,7 +10,7 @@
     pub(super) count: usize,
 }
 
-impl UnheardInstances {
+impl UnreportedInstances {
     /// Returns the share of a customer's rate that these instances may use, if `reporting`
     /// instances have reported shares that add up to `reported`.
     ///
--- a/crates/mustardhinge-core/tests/suite/rate_reservation.rs
+++ b/crates/mustardhinge-core/tests/suite/rate_reservation.rs
@@ -104,7 +104,7 @@
 /// Guards against refusals after a change of leader that reaches all instances, and after a start
 /// of all instances, when there are no shares of an earlier leader.
 #[test]
-fn nothing_is_reserved_without_unheard_instances_or_an_earlier_leader() {
+fn nothing_is_reserved_without_unreported_instances_or_an_earlier_leader() {
     let unknown = {
         let mut limiter = RateLimiter::without_predecessor();
         limiter.set_overload_control(OverloadControl::On);
--- a/crates/mustardhinge-resident/src/gateway/forwarded_connection.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_connection.rs
@@ -73,7 +73,8 @@
         &self.peer
     }
 
-    /// Runs a statement, which may be restricted to home regions. With `may_abandon`, stops waiting once the gateway is unresponsive.
+    /// Runs a statement, which may be restricted to home regions. With `may_abandon`, stops waiting
+    /// once the gateway is unresponsive.
     pub async fn run(
         &mut self,
         statement: ForwardedStatement,
--- a/crates/mustardhinge-resident/src/target/target_gateways.rs
+++ b/crates/mustardhinge-resident/src/target/target_gateways.rs
@@ -12,8 +12,9 @@
 
 /// Maximum age of a load report from a gateway; a few service times.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(250);
-/// Maximum age of the latency and the effective slots in a load report. The speed of a target changes more slowly than its
-/// load, and each of 77 instances sends to a target less than once a second.
+/// Maximum age of the latency and the effective slots in a load report. The speed of a target
+/// changes more slowly than its load, and each of 77 instances sends to a target less than once a
+/// second.
 pub(super) const LATENCY_MAX_AGE: Duration = Duration::from_secs(2);
 
 impl TargetHandle {
