Log when each copy of the store's content was last known to be current

The lines about adopted configurations didn't show whether an instance was behind without knowing it: a watch without changes and a dead one look alike.

The format of messages between instances rises to 12. No decision uses the confirmations yet.

--- a/crates/mustardhinge-core/src/membership/mod.rs
+++ b/crates/mustardhinge-core/src/membership/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Membership is a hint: no safety property depends on it.
 
+mod confirmation_ages;
+mod confirmation_source;
+mod confirmation_table;
+mod copy_confirmation;
 mod instance_roster;
 mod instance_state;
 mod list_changes;
@@ -13,8 +17,13 @@
 mod relay_choice;
 mod rendezvous;
 mod state_search;
+mod store_part;
 mod transfer_sources;
 
+pub use confirmation_ages::ConfirmationAges;
+pub use confirmation_source::ConfirmationSource;
+pub use confirmation_table::ConfirmationTable;
+pub use copy_confirmation::CopyConfirmation;
 pub use instance_roster::{InstanceRoster, RosterEntry};
 pub use instance_state::InstanceState;
 pub use list_changes::ListChanges;
@@ -26,4 +35,5 @@
 pub use relay_choice::{RelayCandidate, RelayChoice};
 pub use rendezvous::choose_ranked;
 pub use state_search::{QueryOutcome, SearchStep, StateSearch};
+pub use store_part::StorePart;
 pub use transfer_sources::TransferSources;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -74,4 +74,6 @@
     TARGET_DISTRUSTED = 6028, Warn, "target fails statements but answers probes";
     TARGET_CAPACITY_CHANGED = 6029, Info, "effective slots of a target changed";
     TARGET_SHARE_CHANGED = 6030, Warn, "share of reads of a target that fails some changed";
+    COPY_UNCONFIRMED = 6031, Warn, "copy of the store's content not confirmed in time";
+    COPY_CONFIRMED = 6032, Info, "copy of the store's content confirmed again";
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -6,7 +6,7 @@
 
 use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{
-    InstanceRoster, ListFetchBackoff, RosterEntry, TransferSources,
+    ConfirmationSource, InstanceRoster, ListFetchBackoff, RosterEntry, StorePart, TransferSources,
 };
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
@@ -287,6 +287,12 @@
         }
     }
 
+    /// Records that the copy of a part is current as of a call to the store that was sent at `sent_at`.
+    pub fn confirm_by_store(&self, part: StorePart, sent_at: MonotonicTime) {
+        self.node
+            .confirm_copy(part, sent_at, ConfirmationSource::Store);
+    }
+
     /// Waits until an era of the store after `era` was seen.
     pub async fn wait_for_era_after(&self, era: StoreEra) {
         loop {
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -78,6 +78,7 @@
             maintain_groups::<W, P>(&control, &mut state, now);
         }
         check_leases(&control, now);
+        control.node.check_copies(now);
         fetch_newer_state(&control, now);
         let has_pending_request = state.has_urgent_request || state.needs_allowance;
         let flags = (is_closing, state.is_leader, has_pending_request);
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::evacuation::EvacuatedZones;
+use mustardhinge_core::membership::StorePart;
 use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
 use mustardhinge_core::primary_lease::RecordRevision;
 use tokio::time::sleep;
@@ -36,6 +37,7 @@
 }
 
 async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
+    let read_at = control.node.clock.now();
     let (zones, mut revision) = control.platform.list_evacuations().await?;
     control.record_store_result(Ok(()));
     control.update_store_era();
@@ -43,7 +45,9 @@
     let now = control.node.clock.now();
     let zones = zones.into_iter().map(|zone| (zone, now)).collect();
     control.node.adopt_evacuations(zones, revision, "store");
+    control.confirm_by_store(StorePart::Evacuations, read_at);
     loop {
+        let watched_at = control.node.clock.now();
         let update = tokio::select! {
             update = control.platform.watch_evacuations(revision) => update?,
             () = control.wait_until_relayed(true) => return Ok(()),
@@ -62,6 +66,7 @@
                     .node
                     .update_evacuations(|zones, now| apply(zones, changes, newest, now));
                 revision = newest;
+                control.confirm_by_store(StorePart::Evacuations, watched_at);
                 if !is_idle {
                     sleep(COALESCING_DELAY).await;
                 }
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::evacuation::EvacuationVersion;
+use mustardhinge_core::membership::{ConfirmationSource, StorePart};
 use mustardhinge_core::prelude::{DocumentVersion, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{GroupEpoch, ObservedRecord, StoreEra};
 use mustardhinge_process::event;
@@ -75,6 +76,7 @@
     let source = grant.relay.unwrap_or(grant.record.address);
     check_plan_version(control, grant.plan_version, source, now);
     check_evacuations(control, &grant.evacuations, source, now);
+    confirm_copies(control, grant, requested_at);
     let known = node.targets_digest();
     let mut backoff = control.list_fetch_backoff.get();
     let watches_store = control.is_store_available.get() && grant.relay.is_none();
@@ -84,6 +86,25 @@
     }
 }
 
+/// Confirms the copies that contain all changes that the leader knows. They are as current as the
+/// leader's were when the grant was requested, or more.
+fn confirm_copies<P>(control: &ControlState<P>, grant: &GrantMessage, requested_at: MonotonicTime) {
+    let node = &control.node;
+    for part in StorePart::ALL {
+        let is_complete = match part {
+            StorePart::Plan => node.plan().version() >= grant.plan_version,
+            StorePart::Targets => node.targets_digest() == grant.targets,
+            StorePart::Evacuations => {
+                let known = node.evacuation_version();
+                !grant.evacuations.is_newer_than(&known)
+            }
+        };
+        if let Some(age) = grant.confirmed.of(part).filter(|_| is_complete) {
+            node.confirm_copy(part, requested_at - age, ConfirmationSource::Leader);
+        }
+    }
+}
+
 /// Applies the grant for one group.
 fn apply_group_grant<P>(
     control: &ControlState<P>,
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -53,6 +53,7 @@
         gateways: control.gateways.borrow().update_since(request.gateways),
         evacuations: node.evacuation_version(),
         pool_keeper: roster.pool_keeper_for(&request.from, &request.zone),
+        confirmed: node.confirmation_ages(now),
     })
 }
 
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -2,6 +2,7 @@
 
 use mustardhinge_core::evacuation::EvacuationVersion;
 use mustardhinge_core::gateway::{GatewayUpdate, GatewayVersion};
+use mustardhinge_core::membership::ConfirmationAges;
 use mustardhinge_core::prelude::{
     DocumentVersion, InstanceId, LogPosition, ServiceId, TargetId, ZoneId,
 };
@@ -14,7 +15,7 @@
 use crate::plan::TargetsDigest;
 
 /// Version of the message format. Instances ignore messages of another version.
-const MESSAGE_FORMAT: u8 = 11;
+const MESSAGE_FORMAT: u8 = 12;
 
 /// A message between instances, sent as one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -201,6 +202,8 @@
     /// The instance that keeps the share pool of the requester's zone; none if that is the
     /// requester.
     pub pool_keeper: Option<SocketAddr>,
+    /// The ages of the confirmations that the leader's copies of the store's content are current.
+    pub confirmed: ConfirmationAges,
 }
 
 /// The leases on the groups' primaries for one instance.
--- a/crates/mustardhinge-resident/src/control/plan_feed.rs
+++ b/crates/mustardhinge-resident/src/control/plan_feed.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::membership::StorePart;
 use tokio::time::sleep;
 
 use super::ControlState;
@@ -26,6 +27,7 @@
 }
 
 async fn follow_once<P: PlatformClient>(control: &ControlState<P>) -> Result<(), PlatformError> {
+    let read_at = control.node.clock.now();
     let (plan, mut revision) = tokio::select! {
         read = control.platform.read_plan() => read?,
         () = control.wait_while_slow() => return Ok(()),
@@ -36,7 +38,9 @@
     if let Some(plan) = plan {
         control.node.adopt_plan(plan, "store");
     }
+    control.confirm_by_store(StorePart::Plan, read_at);
     loop {
+        let watched_at = control.node.clock.now();
         let update = tokio::select! {
             update = control.platform.watch_plan(revision) => update?,
             () = control.wait_until_relayed(true) => return Ok(()),
@@ -57,6 +61,7 @@
                     }
                 }
                 revision = newest;
+                control.confirm_by_store(StorePart::Plan, watched_at);
                 if !is_idle {
                     sleep(COALESCING_DELAY).await;
                 }
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mustardhinge_core::membership::StorePart;
 use mustardhinge_core::prelude::{MonotonicTime, TargetId};
 use mustardhinge_core::primary_lease::StoreEra;
 use tokio::time::sleep;
@@ -40,6 +41,7 @@
     control: &ControlState<P>,
     missing: &mut HashMap<TargetId, MonotonicTime>,
 ) -> Result<(), PlatformError> {
+    let read_at = control.node.clock.now();
     let (entries, mut revision) = tokio::select! {
         listed = control.platform.list_targets() => listed?,
         () = control.wait_while_slow() => return Ok(()),
@@ -59,8 +61,10 @@
         upsert(control, entry, era, missing);
     }
     control.node.advance_targets_revision(revision);
+    control.confirm_by_store(StorePart::Targets, read_at);
     loop {
         drop_expired(control, missing);
+        let watched_at = control.node.clock.now();
         let watch = control.platform.watch_targets(revision);
         let max_wait = if missing.is_empty() {
             None
@@ -85,6 +89,7 @@
                 let before = control.node.targets_digest();
                 apply_changes(control, changes, era, missing);
                 revision = newest;
+                control.confirm_by_store(StorePart::Targets, watched_at);
                 // Most changes of entries don't affect the fields that the digest covers.
                 if control.node.targets_digest() != before {
                     control.node.advance_targets_revision(newest);
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod departed_targets;
 mod drain_phase;
 mod lost_targets;
+mod node_confirmations;
 mod node_evacuations;
 mod node_gateways;
 mod node_homes;
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -6,7 +6,7 @@
 use mustardhinge_core::connection::ConnectionShare;
 use mustardhinge_core::evacuation::EvacuatedZones;
 use mustardhinge_core::gateway::GatewayView;
-use mustardhinge_core::membership::ListChanges;
+use mustardhinge_core::membership::{ConfirmationTable, ListChanges, StorePart};
 use mustardhinge_core::overload::{FailureTable, OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
@@ -22,6 +22,7 @@
 use super::cold_targets::EntrySource;
 use super::departed_targets::DepartedTargets;
 use super::lost_targets::LostTargets;
+use super::node_confirmations::age_millis;
 use super::{DrainPhase, NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
@@ -76,6 +77,7 @@
     pub(super) gateways: RefCell<GatewayView>,
     pub(super) gateways_changed: Notify,
     pub(super) evacuations: RefCell<EvacuatedZones>,
+    pub(super) confirmations: RefCell<ConfirmationTable>,
     plan: RefCell<Rc<ServingPlan>>,
     pub(super) groups: RefCell<HashMap<ServiceId, Rc<GroupState>>>,
     /// Service of each listed target.
@@ -115,6 +117,7 @@
             gateways: RefCell::default(),
             gateways_changed: Notify::new(),
             evacuations: RefCell::default(),
+            confirmations: RefCell::default(),
             forwarded_work: Cell::new(0),
             limits: Cell::new(settings.limits),
             settings,
@@ -167,10 +170,14 @@
         let customers = customers.map(|limits| (&limits.customer, limits.limits));
         self.allowances.borrow_mut().set_customers(customers, now);
         metrics::gauge!("resident_document_version").set(plan.version().get() as f64);
+        let confirmation = self.confirmations().of(StorePart::Plan);
         event::DOCUMENT_ADOPTED.log(format_args!(
-            "version={} before={known} origin={origin}",
-            plan.version()
+            "version={} before={known} origin={origin} confirmed_ms={} by={}",
+            plan.version(),
+            age_millis(confirmation.age(now)),
+            confirmation.source()
         ));
+        self.begin_copy(StorePart::Plan, now);
         for service in plan.services() {
             self.group(service);
         }
