Read the store if no copy of its content is confirmed in time

Cause: what an instance had was taken to be current as long as nothing said otherwise. A watch of the store waited 25 s, and on a dead connection it ended after 26.5 s without a sign before; the instances that don't watch took the version of the leader for the newest, whenever the leader had last heard from the store. Class: absence of news is taken for the absence of changes.

Change: a copy is current up to the time of the last response of the store that shows it, to the instance itself or to the leader, whose grant has the age. - Watches wait for 1 s at most and end 0.9 s later without a response; the first one after a change returns at once.

The suite of the adapter passes.

--- /dev/null
+++ b/crates/mustardhinge-core/tests/suite/confirmations.rs
@@ -0,0 +1,94 @@
+//! Confirmations that copies of the store's content are current.
+
+use std::time::Duration;
+
+use mustardhinge_core::membership::{
+    ConfirmationSource, ConfirmationTable, FeedRetry, StorePart, WatchPacing,
+};
+use mustardhinge_core::prelude::MonotonicTime;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+/// Guards against a copy that counts as current again because an older confirmation arrives late.
+#[test]
+fn an_older_confirmation_does_not_replace_a_later_one() {
+    let mut table = ConfirmationTable::default();
+    table.confirm(StorePart::Plan, at(5_000), ConfirmationSource::Store);
+    table.confirm(StorePart::Plan, at(4_000), ConfirmationSource::Leader);
+    let confirmation = table.of(StorePart::Plan);
+    assert_eq!(confirmation.age(at(6_000)), Some(Duration::from_secs(1)));
+    assert_eq!(confirmation.source(), ConfirmationSource::Store);
+}
+
+/// Guards against an instance that relies on others for ever after it adopted its first copy from one
+/// of them, and against one that reads the store because it has no copy yet.
+#[test]
+fn a_first_copy_has_to_be_confirmed_in_time() {
+    let mut table = ConfirmationTable::default();
+    assert!(!table.is_expired(StorePart::Plan, at(60_000)));
+    table.begin(StorePart::Plan, at(60_000));
+    table.begin(StorePart::Plan, at(62_000));
+    assert_eq!(table.ages(at(62_000)).plan, None);
+    assert!(table.is_expired(StorePart::Plan, at(62_500)));
+    // The leader was current before the copy was adopted, which counts from then on.
+    table.confirm(StorePart::Plan, at(59_000), ConfirmationSource::Leader);
+    assert_eq!(table.expires_at(StorePart::Plan), Some(at(61_500)));
+}
+
+/// Guards against a configuration that takes effect late although the store was read in time: the
+/// limit has to leave time for the read.
+#[test]
+fn an_unconfirmed_copy_is_read_before_a_change_is_overdue() {
+    let apply_time = Duration::from_secs(3);
+    let read_time = Duration::from_millis(500);
+    assert!(StorePart::Plan.max_unconfirmed() + read_time <= apply_time);
+    let drain_time = Duration::from_secs(7);
+    assert!(StorePart::Targets.max_unconfirmed() + read_time <= drain_time);
+}
+
+/// Guards against watches without changes whose confirmations are too far apart.
+#[test]
+fn watches_confirm_more_often_than_copies_expire() {
+    let mut pacing = WatchPacing::default();
+    let mut sent_at = at(10_000);
+    let mut shown_until = sent_at;
+    // Each response takes 300 ms longer than the watch waits, and every other one has changes after
+    // which the next watch is sent with a delay of 500 ms.
+    for number in 0..20 {
+        let is_idle = number % 2 == 0;
+        let now = sent_at + pacing.wait() + Duration::from_millis(300);
+        assert!(now.saturating_since(shown_until) < StorePart::Plan.max_unconfirmed());
+        shown_until = pacing.record_response(is_idle, sent_at, now);
+        assert!(shown_until <= now);
+        let delay = if is_idle { 0 } else { 500 };
+        sent_at = now + Duration::from_millis(delay);
+    }
+}
+
+/// Guards against a store that all instances of a large fleet query several times a second while it
+/// is out.
+#[test]
+fn only_watchers_retry_quickly() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut retry = FeedRetry::default();
+    let delays: Vec<_> = (0..8)
+        .map(|_| retry.next_delay(false, &mut random))
+        .collect();
+    assert!(delays[0] <= Duration::from_millis(300));
+    assert!(
+        delays[5..]
+            .iter()
+            .all(|delay| *delay >= Duration::from_secs(1))
+    );
+    assert!(delays.iter().all(|delay| *delay <= Duration::from_secs(2)));
+    retry.reset();
+    assert!(retry.next_delay(false, &mut random) <= Duration::from_millis(300));
+    assert_eq!(
+        retry.next_delay(true, &mut random),
+        Duration::from_millis(300)
+    );
+}
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod budget_zone;
 mod capacity_replay;
 mod cold_targets;
+mod confirmations;
 mod connection;
 mod document;
 mod drain;
--- a/crates/mustardhinge-resident/src/adapter/platform_client.rs
+++ b/crates/mustardhinge-resident/src/adapter/platform_client.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::time::Duration;
 
 use mustardhinge_core::prelude::ZoneId;
 use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
@@ -14,10 +15,12 @@
         &self,
     ) -> impl Future<Output = Result<(Option<ServingPlan>, RecordRevision), PlatformError>>;
 
-    /// Waits for a configuration later than `revision`.
+    /// Waits for a configuration later than `revision`. Without any, the store responds
+    /// after `wait`. Fails if there is no response soon after that.
     fn watch_plan(
         &self,
         revision: RecordRevision,
+        wait: Duration,
     ) -> impl Future<Output = Result<WatchResponse<ServingPlan>, PlatformError>>;
 
     /// Decodes a configuration relayed by another instance.
@@ -32,10 +35,12 @@
         &self,
     ) -> impl Future<Output = Result<(Vec<TargetEntry>, RecordRevision), PlatformError>>;
 
-    /// Waits for changes of targets later than `revision`.
+    /// Waits for changes of targets later than `revision`. Without any, the store responds
+    /// after `wait`. Fails if there is no response soon after that.
     fn watch_targets(
         &self,
         revision: RecordRevision,
+        wait: Duration,
     ) -> impl Future<Output = Result<WatchResponse<TargetEntry>, PlatformError>>;
 
     /// Lists the zones that are to be evacuated. Called only if the settings allow evacuations.
@@ -43,10 +48,12 @@
         &self,
     ) -> impl Future<Output = Result<(Vec<ZoneId>, RecordRevision), PlatformError>>;
 
-    /// Waits for changes of evacuations later than `revision`.
+    /// Waits for changes of evacuations later than `revision`. Without any, the store responds
+    /// after `wait`. Fails if there is no response soon after that.
     fn watch_evacuations(
         &self,
         revision: RecordRevision,
+        wait: Duration,
     ) -> impl Future<Output = Result<WatchResponse<ZoneId>, PlatformError>>;
 
     /// Reads one of the proxy's own records.
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -209,12 +209,9 @@
 
     /// Records the receipt of a grant and the relay that it assigns to this instance.
     pub fn record_grant(&self, relay: Option<SocketAddr>, now: MonotonicTime) {
-        let was_relayed = self.is_relayed(now);
-        let is_first = self.granted_at.replace(now) == MonotonicTime::default();
+        self.granted_at.set(now);
         self.relay.set(relay);
-        if is_first || was_relayed != self.is_relayed(now) {
-            self.relay_changed.notify_waiters();
-        }
+        self.relay_changed.notify_waiters();
     }
 
     /// Records an address from which newer state can be fetched.
@@ -225,27 +222,33 @@
         }
     }
 
-    /// Returns whether another instance watches the store for this one.
+    /// Returns whether another instance watches a part of the store for this one: it is a relay's
+    /// task, and the leader has confirmed in time that this instance's copy is current.
     #[must_use]
-    pub fn is_relayed(&self, now: MonotonicTime) -> bool {
+    pub fn is_relayed(&self, part: StorePart, now: MonotonicTime) -> bool {
         let has_recent_grant = now.saturating_since(self.granted_at.get()) < RELAY_TIMEOUT;
-        has_recent_grant && self.relay.get().is_some()
+        let is_confirmed = !self.node.confirmations().is_expired(part, now);
+        has_recent_grant && is_confirmed && self.relay.get().is_some()
     }
 
     /// Waits until [`is_relayed`](Self::is_relayed) returns `relayed`.
-    pub async fn wait_until_relayed(&self, relayed: bool) {
+    pub async fn wait_until_relayed(&self, part: StorePart, relayed: bool) {
         loop {
             let now = self.node.clock.now();
-            if self.is_relayed(now) == relayed {
+            if self.is_relayed(part, now) == relayed {
                 return;
             }
             let changed = self.relay_changed.notified();
             if relayed {
                 changed.await;
             } else {
-                let expires_at = self.granted_at.get() + RELAY_TIMEOUT + RELAY_TIMEOUT_MARGIN;
+                let grant_expires_at = self.granted_at.get() + RELAY_TIMEOUT;
+                let copy_expires_at = self.node.confirmations().expires_at(part);
+                let expires_at =
+                    copy_expires_at.map_or(grant_expires_at, |at| at.min(grant_expires_at));
+                let wait = (expires_at + RELAY_TIMEOUT_MARGIN).saturating_since(now);
                 // A timeout only means that the condition is checked again.
-                let _ = timeout(expires_at.saturating_since(now), changed).await;
+                let _ = timeout(wait, changed).await;
             }
         }
     }
@@ -255,9 +258,9 @@
     /// Load pattern: hundreds of processes start at once and read a list of thousands of targets.
     /// Their responses share the store's link, so those that can be had from a relay delay the
     /// others, including the relay's.
-    pub async fn wait_while_slow(&self) {
+    pub async fn wait_while_slow(&self, part: StorePart) {
         sleep(SLOW_READ_TIME).await;
-        self.wait_until_relayed(true).await;
+        self.wait_until_relayed(part, true).await;
     }
 
     /// Waits briefly after the start for the first grant, which may make calls to the store
@@ -287,10 +290,9 @@
         }
     }
 
-    /// Records that the copy of a part is current as of a call to the store that was sent at `sent_at`.
-    pub fn confirm_by_store(&self, part: StorePart, sent_at: MonotonicTime) {
-        self.node
-            .confirm_copy(part, sent_at, ConfirmationSource::Store);
+    /// Records that a response of the store shows all changes of a part up to `at`.
+    pub fn confirm_by_store(&self, part: StorePart, at: MonotonicTime) {
+        self.node.confirm_copy(part, at, ConfirmationSource::Store);
     }
 
     /// Waits until an era of the store after `era` was seen.
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::evacuation::EvacuatedZones;
-use mustardhinge_core::membership::StorePart;
+use mustardhinge_core::membership::{FeedRetry, StorePart, WatchPacing};
 use mustardhinge_core::prelude::{MonotonicTime, ZoneId};
 use mustardhinge_core::primary_lease::RecordRevision;
 use tokio::time::sleep;
@@ -13,8 +13,6 @@
 /// Delay after a change, so that several in quick succession need a single call. The changes
 /// themselves are applied before it.
 const COALESCING_DELAY: Duration = Duration::from_millis(500);
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Watches the store for evacuated zones, except while another instance watches the store for this
 /// one. Returns at once if the settings don't allow evacuations.
@@ -23,15 +21,22 @@
         return;
     }
     control.await_first_grant().await;
+    let mut retry = FeedRetry::default();
     loop {
-        control.wait_until_relayed(false).await;
-        if let Err(error) = follow_once(&control).await {
-            control.record_store_result(Err(&error));
-            sleep(RETRY_DELAY).await;
-            control.node.update_evacuations(|zones, now| {
-                zones.restart_missing(now);
-                false
-            });
+        control
+            .wait_until_relayed(StorePart::Evacuations, false)
+            .await;
+        match follow_once(&control).await {
+            Ok(()) => retry.reset(),
+            Err(error) => {
+                control.record_store_result(Err(&error));
+                let is_watcher = control.relay.get().is_none();
+                sleep(retry.next_delay(is_watcher, &mut rand::rng())).await;
+                control.node.update_evacuations(|zones, now| {
+                    zones.restart_missing(now);
+                    false
+                });
+            }
         }
     }
 }
@@ -46,11 +51,15 @@
     let zones = zones.into_iter().map(|zone| (zone, now)).collect();
     control.node.adopt_evacuations(zones, revision, "store");
     control.confirm_by_store(StorePart::Evacuations, read_at);
+    let mut pacing = WatchPacing::default();
     loop {
         let watched_at = control.node.clock.now();
+        if control.is_relayed(StorePart::Evacuations, watched_at) {
+            return Ok(());
+        }
         let update = tokio::select! {
-            update = control.platform.watch_evacuations(revision) => update?,
-            () = control.wait_until_relayed(true) => return Ok(()),
+            update = control.platform.watch_evacuations(revision, pacing.wait()) => update?,
+            () = control.wait_until_relayed(StorePart::Evacuations, true) => return Ok(()),
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
@@ -66,7 +75,9 @@
                     .node
                     .update_evacuations(|zones, now| apply(zones, changes, newest, now));
                 revision = newest;
-                control.confirm_by_store(StorePart::Evacuations, watched_at);
+                let now = control.node.clock.now();
+                let shown_until = pacing.record_response(is_idle, watched_at, now);
+                control.confirm_by_store(StorePart::Evacuations, shown_until);
                 if !is_idle {
                     sleep(COALESCING_DELAY).await;
                 }
--- a/crates/mustardhinge-resident/src/control/plan_feed.rs
+++ b/crates/mustardhinge-resident/src/control/plan_feed.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::membership::StorePart;
+use mustardhinge_core::membership::{FeedRetry, StorePart, WatchPacing};
 use tokio::time::sleep;
 
 use super::ControlState;
@@ -10,18 +10,21 @@
 /// Delay after a change, so that several in quick succession need a single call; short compared to
 /// the seconds within which a configuration has to take effect.
 const COALESCING_DELAY: Duration = Duration::from_millis(500);
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Watches the store for configurations and adopts them, except while another instance watches the
 /// store for this one.
 pub async fn follow_plan<P: PlatformClient>(control: Rc<ControlState<P>>) {
     control.await_first_grant().await;
+    let mut retry = FeedRetry::default();
     loop {
-        control.wait_until_relayed(false).await;
-        if let Err(error) = follow_once(&control).await {
-            control.record_store_result(Err(&error));
-            sleep(RETRY_DELAY).await;
+        control.wait_until_relayed(StorePart::Plan, false).await;
+        match follow_once(&control).await {
+            Ok(()) => retry.reset(),
+            Err(error) => {
+                control.record_store_result(Err(&error));
+                let is_watcher = control.relay.get().is_none();
+                sleep(retry.next_delay(is_watcher, &mut rand::rng())).await;
+            }
         }
     }
 }
@@ -30,7 +33,7 @@
     let read_at = control.node.clock.now();
     let (plan, mut revision) = tokio::select! {
         read = control.platform.read_plan() => read?,
-        () = control.wait_while_slow() => return Ok(()),
+        () = control.wait_while_slow(StorePart::Plan) => return Ok(()),
     };
     control.record_store_result(Ok(()));
     control.update_store_era();
@@ -39,11 +42,15 @@
         control.node.adopt_plan(plan, "store");
     }
     control.confirm_by_store(StorePart::Plan, read_at);
+    let mut pacing = WatchPacing::default();
     loop {
         let watched_at = control.node.clock.now();
+        if control.is_relayed(StorePart::Plan, watched_at) {
+            return Ok(());
+        }
         let update = tokio::select! {
-            update = control.platform.watch_plan(revision) => update?,
-            () = control.wait_until_relayed(true) => return Ok(()),
+            update = control.platform.watch_plan(revision, pacing.wait()) => update?,
+            () = control.wait_until_relayed(StorePart::Plan, true) => return Ok(()),
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
@@ -61,7 +68,9 @@
                     }
                 }
                 revision = newest;
-                control.confirm_by_store(StorePart::Plan, watched_at);
+                let now = control.node.clock.now();
+                let shown_until = pacing.record_response(is_idle, watched_at, now);
+                control.confirm_by_store(StorePart::Plan, shown_until);
                 if !is_idle {
                     sleep(COALESCING_DELAY).await;
                 }
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -2,17 +2,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mustardhinge_core::membership::StorePart;
+use mustardhinge_core::membership::{FeedRetry, StorePart, WatchPacing};
 use mustardhinge_core::prelude::{MonotonicTime, TargetId};
-use mustardhinge_core::primary_lease::StoreEra;
+use mustardhinge_core::primary_lease::{RecordRevision, StoreEra};
 use tokio::time::sleep;
 
 use super::ControlState;
 use crate::adapter::{ObjectChange, PlatformClient, PlatformError, WatchResponse};
 use crate::plan::TargetEntry;
 
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay after a change, so that several need a single call; short compared to the seconds within
 /// which a leaving target stops receiving work.
 const COALESCING_DELAY: Duration = Duration::from_millis(500);
@@ -25,14 +23,19 @@
 pub async fn follow_targets<P: PlatformClient>(control: Rc<ControlState<P>>) {
     let mut missing = HashMap::new();
     control.await_first_grant().await;
+    let mut retry = FeedRetry::default();
     loop {
-        control.wait_until_relayed(false).await;
-        if let Err(error) = follow_once(&control, &mut missing).await {
-            control.record_store_result(Err(&error));
-            sleep(RETRY_DELAY).await;
-            // After an outage, the grace period of missing targets starts again.
-            let now = control.node.clock.now();
-            missing.values_mut().for_each(|since| *since = now);
+        control.wait_until_relayed(StorePart::Targets, false).await;
+        match follow_once(&control, &mut missing).await {
+            Ok(()) => retry.reset(),
+            Err(error) => {
+                control.record_store_result(Err(&error));
+                let is_watcher = control.relay.get().is_none();
+                sleep(retry.next_delay(is_watcher, &mut rand::rng())).await;
+                // After an outage, the grace period of missing targets starts again.
+                let now = control.node.clock.now();
+                missing.values_mut().for_each(|since| *since = now);
+            }
         }
     }
 }
@@ -44,28 +47,21 @@
     let read_at = control.node.clock.now();
     let (entries, mut revision) = tokio::select! {
         listed = control.platform.list_targets() => listed?,
-        () = control.wait_while_slow() => return Ok(()),
+        () = control.wait_while_slow(StorePart::Targets) => return Ok(()),
     };
     control.record_store_result(Ok(()));
     control.update_store_era();
     let era = revision.era();
-    let now = control.node.clock.now();
-    let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
-    for known in control.node.target_list().0 {
-        if !listed.contains(&known.target) {
-            control.node.record_missing(&known.target, era);
-            missing.entry(known.target).or_insert(now);
-        }
-    }
-    for entry in entries {
-        upsert(control, entry, era, missing);
-    }
-    control.node.advance_targets_revision(revision);
+    apply_list(control, entries, revision, missing);
     control.confirm_by_store(StorePart::Targets, read_at);
+    let mut pacing = WatchPacing::default();
     loop {
         drop_expired(control, missing);
         let watched_at = control.node.clock.now();
-        let watch = control.platform.watch_targets(revision);
+        if control.is_relayed(StorePart::Targets, watched_at) {
+            return Ok(());
+        }
+        let watch = control.platform.watch_targets(revision, pacing.wait());
         let max_wait = if missing.is_empty() {
             None
         } else {
@@ -74,7 +70,7 @@
         let update = tokio::select! {
             update = watch => update?,
             () = sleep_or_pend(max_wait) => continue,
-            () = control.wait_until_relayed(true) => return Ok(()),
+            () = control.wait_until_relayed(StorePart::Targets, true) => return Ok(()),
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
@@ -89,7 +85,9 @@
                 let before = control.node.targets_digest();
                 apply_changes(control, changes, era, missing);
                 revision = newest;
-                control.confirm_by_store(StorePart::Targets, watched_at);
+                let now = control.node.clock.now();
+                let shown_until = pacing.record_response(is_idle, watched_at, now);
+                control.confirm_by_store(StorePart::Targets, shown_until);
                 // Most changes of entries don't affect the fields that the digest covers.
                 if control.node.targets_digest() != before {
                     control.node.advance_targets_revision(newest);
@@ -102,6 +100,28 @@
     }
 }
 
+/// Applies the whole list at `revision`.
+fn apply_list<P>(
+    control: &ControlState<P>,
+    entries: Vec<TargetEntry>,
+    revision: RecordRevision,
+    missing: &mut HashMap<TargetId, MonotonicTime>,
+) {
+    let era = revision.era();
+    let now = control.node.clock.now();
+    let listed: HashSet<_> = entries.iter().map(|entry| entry.target.clone()).collect();
+    for known in control.node.target_list().0 {
+        if !listed.contains(&known.target) {
+            control.node.record_missing(&known.target, era);
+            missing.entry(known.target).or_insert(now);
+        }
+    }
+    for entry in entries {
+        upsert(control, entry, era, missing);
+    }
+    control.node.advance_targets_revision(revision);
+}
+
 /// Sleeps for `time`, or never returns if there is none.
 async fn sleep_or_pend(time: Option<Duration>) {
     match time {
