Leave out unreadable entries of the agent's lists instead of the whole list

Each entry is parsed on its own (mustardhinge_rpc::readable_entries).

Evidence: the two tests of the agent's odd_entries fail without the two attributes ('invalid type: integer') and pass with them.

--- a/crates/mustardhinge-agent/src/platform/object_list.rs
+++ b/crates/mustardhinge-agent/src/platform/object_list.rs
@@ -8,5 +8,6 @@
     /// The revision of the store.
     pub revision: u64,
     /// The objects.
+    #[serde(deserialize_with = "mustardhinge_rpc::readable_entries")]
     pub objects: Vec<StoredObject>,
 }
--- a/crates/mustardhinge-agent/src/platform/platform_client.rs
+++ b/crates/mustardhinge-agent/src/platform/platform_client.rs
@@ -183,5 +183,7 @@
         }
         body.extend_from_slice(&chunk);
     }
-    serde_json::from_slice(&body).map_err(|_| PlatformError::InvalidResponse)
+    // Bytes that are no text may be in a single entry of a list.
+    let text = String::from_utf8_lossy(&body);
+    serde_json::from_str(&text).map_err(|_| PlatformError::InvalidResponse)
 }
--- a/crates/mustardhinge-agent/tests/suite/main.rs
+++ b/crates/mustardhinge-agent/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod escrow;
 mod failover;
 mod malformed_input;
+mod odd_entries;
 mod operator_api;
 mod peers;
 mod process;
--- a/crates/mustardhinge-rpc/src/lib.rs
+++ b/crates/mustardhinge-rpc/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod operator;
 pub mod peer;
 mod peer_api;
+mod readable_entries;
 
 pub use agent_api::{AgentApiClient, AgentApiServer};
 pub use peer_api::{PeerApiClient, PeerApiServer};
+pub use readable_entries::readable_entries;
--- a/crates/mustardhinge-rpc/src/peer/instance_list.rs
+++ b/crates/mustardhinge-rpc/src/peer/instance_list.rs
@@ -23,5 +23,6 @@
     /// The revision of the list.
     pub revision: u64,
     /// The instances.
+    #[serde(deserialize_with = "crate::readable_entries")]
     pub instances: Vec<InstanceEntry>,
 }
