Retire each instance that stops from the election, not the leader only

Cause: only a stopping leader left the election. An instance that stopped beside it claimed the released leadership 0.9 s after its own stop signal and took it along when it ended. Its successor has to wait out the unreleased leadership, 11 s, before it may replace a primary, the leaving one included.

Change: each instance that stops leaves the election at once.

Evidence: an_instance_that_stops_does_not_claim_the_leadership fails before (left: Some(1), right: None).

--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -93,14 +93,17 @@
     }
 }
 
-/// Releases the leadership before a planned stop and notifies the known instances.
+/// Leaves the election before a planned stop. Releases the leadership and notifies the known
+/// instances if this one is the leader.
 pub async fn release_leadership<P: PlatformClient>(control: &ControlState<P>) {
     let now = control.node.clock.now();
-    let release = control.node.election.borrow().release(now);
+    let mut election = control.node.election.borrow_mut();
+    let release = election.release(now);
+    election.retire();
+    drop(election);
     let Some((record, revision)) = release else {
         return;
     };
-    control.node.election.borrow_mut().retire();
     let body = serde_json::to_value(&record).unwrap_or_default();
     let response = control
         .platform
