Let only the leader's watches end every second

But a copy is as good as confirmed by the leader's grant.

A new leader reads at once, so that it can confirm.

The suites of core, resident and adapter pass.

--- a/crates/mustardhinge-core/tests/suite/confirmations.rs
+++ b/crates/mustardhinge-core/tests/suite/confirmations.rs
@@ -50,22 +50,24 @@
     assert!(StorePart::Targets.max_unconfirmed() + read_time <= drain_time);
 }
 
-/// Guards against watches without changes whose confirmations are too far apart.
+/// Guards against watches whose confirmations are too far apart for the instances that depend on them.
 #[test]
 fn watches_confirm_more_often_than_copies_expire() {
-    let mut pacing = WatchPacing::default();
-    let mut sent_at = at(10_000);
-    let mut shown_until = sent_at;
-    // Each response takes 300 ms longer than the watch waits, and every other one has changes after
-    // which the next watch is sent with a delay of 500 ms.
-    for number in 0..20 {
-        let is_idle = number % 2 == 0;
-        let now = sent_at + pacing.wait() + Duration::from_millis(300);
-        assert!(now.saturating_since(shown_until) < StorePart::Plan.max_unconfirmed());
-        shown_until = pacing.record_response(is_idle, sent_at, now);
-        assert!(shown_until <= now);
-        let delay = if is_idle { 0 } else { 500 };
-        sent_at = now + Duration::from_millis(delay);
+    for part in StorePart::ALL {
+        let mut pacing = WatchPacing::new(part);
+        let mut sent_at = at(10_000);
+        let mut shown_until = sent_at;
+        // Each response takes 300 ms longer than the watch waits, and every other one has changes
+        // after which the next watch is sent with a delay of 500 ms.
+        for number in 0..20 {
+            let is_idle = number % 2 == 0;
+            let now = sent_at + pacing.begin(false) + Duration::from_millis(300);
+            assert!(now.saturating_since(shown_until) < part.max_unconfirmed());
+            shown_until = pacing.record_response(is_idle, sent_at, now);
+            assert!(shown_until <= now);
+            let delay = if is_idle { 0 } else { 500 };
+            sent_at = now + Duration::from_millis(delay);
+        }
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -103,6 +103,8 @@
     pub relay: Cell<Option<SocketAddr>>,
     /// Notifies tasks that wait for a change of the relay.
     pub relay_changed: Notify,
+    /// Notifies tasks that this instance became the leader.
+    pub elected: Notify,
     /// Whether an order to promote a target is in flight.
     pub is_promoting: Cell<bool>,
     /// Whether the last call to the store succeeded.
@@ -160,6 +162,7 @@
             newer_state_source: Cell::new(None),
             relay: Cell::new(None),
             relay_changed: Notify::new(),
+            elected: Notify::new(),
             is_promoting: Cell::new(false),
             is_store_available: Cell::new(true),
             store_era: Cell::new(None),
@@ -253,6 +256,36 @@
         }
     }
 
+    /// Returns whether the leader confirms the copy of a part. The leader itself has to confirm the
+    /// copies of all others.
+    #[must_use]
+    pub fn is_confirmed_by_leader(&self, part: StorePart, now: MonotonicTime) -> bool {
+        let is_leader = self.node.election.borrow().may_grant(now);
+        let has_recent_grant = now.saturating_since(self.granted_at.get()) < RELAY_TIMEOUT;
+        let is_expired = self.node.confirmations().is_expired(part, now);
+        has_recent_grant && !is_leader && !is_expired
+    }
+
+    /// Waits until the copy of a part has to be read again although a watch is open: nothing confirms
+    /// it any more, or this instance became the leader.
+    pub async fn wait_until_unconfirmed(&self, part: StorePart) {
+        loop {
+            let now = self.node.clock.now();
+            let expires_at = self.node.confirmations().expires_at(part);
+            let expires_at = expires_at.unwrap_or(now + part.max_unconfirmed());
+            if expires_at <= now {
+                return;
+            }
+            let elected = self.elected.notified();
+            if timeout(expires_at.saturating_since(now), elected)
+                .await
+                .is_ok()
+            {
+                return;
+            }
+        }
+    }
+
     /// Waits until a read of the store is slow and another instance watches the store for this one.
     ///
     /// Load pattern: hundreds of processes start at once and read a list of thousands of targets.
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -97,10 +97,12 @@
 /// instances if this one is the leader.
 pub async fn release_leadership<P: PlatformClient>(control: &ControlState<P>) {
     let now = control.node.clock.now();
-    let mut election = control.node.election.borrow_mut();
-    let release = election.release(now);
-    election.retire();
-    drop(election);
+    let release = {
+        let mut election = control.node.election.borrow_mut();
+        let release = election.release(now);
+        election.retire();
+        release
+    };
     let Some((record, revision)) = release else {
         return;
     };
@@ -150,6 +152,7 @@
         control.leader_since.set(now);
         reset_gateways(control, fence);
         announce_leadership(control);
+        control.elected.notify_waiters();
     }
     if !is_leader && state.is_leader {
         event::LEADERSHIP_LOST.log(format_args!("cause=replaced_or_not_renewed"));
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -10,6 +10,8 @@
 use super::ControlState;
 use crate::adapter::{ObjectChange, PlatformClient, PlatformError, WatchResponse};
 
+/// The part of the store that is followed here.
+const PART: StorePart = StorePart::Evacuations;
 /// Delay after a change, so that several in quick succession need a single call. The changes
 /// themselves are applied before it.
 const COALESCING_DELAY: Duration = Duration::from_millis(500);
@@ -23,9 +25,7 @@
     control.await_first_grant().await;
     let mut retry = FeedRetry::default();
     loop {
-        control
-            .wait_until_relayed(StorePart::Evacuations, false)
-            .await;
+        control.wait_until_relayed(PART, false).await;
         match follow_once(&control).await {
             Ok(()) => retry.reset(),
             Err(error) => {
@@ -50,16 +50,19 @@
     let now = control.node.clock.now();
     let zones = zones.into_iter().map(|zone| (zone, now)).collect();
     control.node.adopt_evacuations(zones, revision, "store");
-    control.confirm_by_store(StorePart::Evacuations, read_at);
-    let mut pacing = WatchPacing::default();
+    control.confirm_by_store(PART, read_at);
+    let mut pacing = WatchPacing::new(PART);
     loop {
         let watched_at = control.node.clock.now();
-        if control.is_relayed(StorePart::Evacuations, watched_at) {
+        if control.is_relayed(PART, watched_at) {
             return Ok(());
         }
+        let is_confirmed = control.is_confirmed_by_leader(PART, watched_at);
+        let wait = pacing.begin(is_confirmed);
         let update = tokio::select! {
-            update = control.platform.watch_evacuations(revision, pacing.wait()) => update?,
-            () = control.wait_until_relayed(StorePart::Evacuations, true) => return Ok(()),
+            update = control.platform.watch_evacuations(revision, wait) => update?,
+            () = control.wait_until_relayed(PART, true) => return Ok(()),
+            () = control.wait_until_unconfirmed(PART), if is_confirmed => return Ok(()),
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
@@ -77,7 +80,7 @@
                 revision = newest;
                 let now = control.node.clock.now();
                 let shown_until = pacing.record_response(is_idle, watched_at, now);
-                control.confirm_by_store(StorePart::Evacuations, shown_until);
+                control.confirm_by_store(PART, shown_until);
                 if !is_idle {
                     sleep(COALESCING_DELAY).await;
                 }
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -11,6 +11,8 @@
 use crate::adapter::{ObjectChange, PlatformClient, PlatformError, WatchResponse};
 use crate::plan::TargetEntry;
 
+/// The part of the store that is followed here.
+const PART: StorePart = StorePart::Targets;
 /// Delay after a change, so that several need a single call; short compared to the seconds within
 /// which a leaving target stops receiving work.
 const COALESCING_DELAY: Duration = Duration::from_millis(500);
@@ -25,7 +27,7 @@
     control.await_first_grant().await;
     let mut retry = FeedRetry::default();
     loop {
-        control.wait_until_relayed(StorePart::Targets, false).await;
+        control.wait_until_relayed(PART, false).await;
         match follow_once(&control, &mut missing).await {
             Ok(()) => retry.reset(),
             Err(error) => {
@@ -47,21 +49,23 @@
     let read_at = control.node.clock.now();
     let (entries, mut revision) = tokio::select! {
         listed = control.platform.list_targets() => listed?,
-        () = control.wait_while_slow(StorePart::Targets) => return Ok(()),
+        () = control.wait_while_slow(PART) => return Ok(()),
     };
     control.record_store_result(Ok(()));
     control.update_store_era();
     let era = revision.era();
     apply_list(control, entries, revision, missing);
-    control.confirm_by_store(StorePart::Targets, read_at);
-    let mut pacing = WatchPacing::default();
+    control.confirm_by_store(PART, read_at);
+    let mut pacing = WatchPacing::new(PART);
     loop {
         drop_expired(control, missing);
         let watched_at = control.node.clock.now();
-        if control.is_relayed(StorePart::Targets, watched_at) {
+        if control.is_relayed(PART, watched_at) {
             return Ok(());
         }
-        let watch = control.platform.watch_targets(revision, pacing.wait());
+        let is_confirmed = control.is_confirmed_by_leader(PART, watched_at);
+        let wait = pacing.begin(is_confirmed);
+        let watch = control.platform.watch_targets(revision, wait);
         let max_wait = if missing.is_empty() {
             None
         } else {
@@ -70,7 +74,8 @@
         let update = tokio::select! {
             update = watch => update?,
             () = sleep_or_pend(max_wait) => continue,
-            () = control.wait_until_relayed(StorePart::Targets, true) => return Ok(()),
+            () = control.wait_until_relayed(PART, true) => return Ok(()),
+            () = control.wait_until_unconfirmed(PART), if is_confirmed => return Ok(()),
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
@@ -87,7 +92,7 @@
                 revision = newest;
                 let now = control.node.clock.now();
                 let shown_until = pacing.record_response(is_idle, watched_at, now);
-                control.confirm_by_store(StorePart::Targets, shown_until);
+                control.confirm_by_store(PART, shown_until);
                 // Most changes of entries don't affect the fields that the digest covers.
                 if control.node.targets_digest() != before {
                     control.node.advance_targets_revision(newest);
