Answer or refuse the requests that are read late in a planned stop

Callers whose requests were read in the last half second of a planned stop got no answer, some of them after the request had run (LOST).

Cause: the process ended three quarters into its grace period whatever was running, and accepted connections and requests to the end.

Change: from three quarters of the grace period on, new connections are refused, new requests are refused at once as not run, idle sessions are closed, and running requests are waited for until 0.4 s before the end of the grace period.

--- a/crates/mustardhinge-resident/src/gateway/gateway_service.rs
+++ b/crates/mustardhinge-resident/src/gateway/gateway_service.rs
@@ -115,7 +115,7 @@
             has_notified = true;
             session.send(GatewayFrame::Leaving);
         }
-        if phase == DrainPhase::Ending {
+        if phase >= DrainPhase::Ending {
             session.expire_transactions(Duration::ZERO);
         }
         tokio::select! {
--- a/crates/mustardhinge-resident/src/node/drain_phase.rs
+++ b/crates/mustardhinge-resident/src/node/drain_phase.rs
@@ -10,4 +10,6 @@
     Closing,
     /// Open transactions are ended as well.
     Ending,
+    /// New connections and requests are refused; running requests are still answered.
+    Refusing,
 }
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -19,6 +19,9 @@
 /// How long new callers are still accepted after a planned stop is announced. The platform needs
 /// this long to stop sending them.
 const ANNOUNCE_DURATION: Duration = Duration::from_millis(1_500);
+/// Time before the end of the grace period at which the process ends, so that its last responses are
+/// sent before it is killed.
+const END_MARGIN: Duration = Duration::from_millis(400);
 /// Interval of the checks whether the last session has ended, and delay after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -96,9 +99,11 @@
     }
 
     /// Stops the instance as planned. Resigns leadership, closes each session between two
-    /// requests, and ends the remaining transactions after half of the grace period.
+    /// requests, and ends the remaining transactions after half of the grace period. After three
+    /// quarters, new requests are refused, and the running ones are waited for.
     pub async fn stop(&self) {
         let node = &self.control.node;
+        let began = node.clock.now();
         event::DRAIN_STARTED.log(format_args!("callers={}", node.open_sessions.get()));
         node.set_drain_phase(DrainPhase::Announced);
         node.leader_request_due.notify_one();
@@ -111,6 +116,10 @@
             .await;
         node.set_drain_phase(DrainPhase::Ending);
         self.wait_for_sessions(grace / 4).await;
+        node.set_drain_phase(DrainPhase::Refusing);
+        let elapsed = node.clock.now().saturating_since(began);
+        self.wait_for_sessions(grace.saturating_sub(END_MARGIN + elapsed))
+            .await;
         event::PROCESS_STOPPING.log(format_args!(
             "callers={} forwarded={}",
             node.open_sessions.get(),
@@ -133,9 +142,15 @@
     }
 }
 
+/// Accepts callers until a planned stop refuses them.
 async fn accept_callers<W: SessionCodec>(node: Rc<NodeState>, listener: TcpListener) {
+    let mut drain = node.subscribe_drain();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = drain.wait_for(|phase| *phase >= DrainPhase::Refusing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => accept_caller::<W>(&node, stream),
             Err(error) => {
                 event::CALLER_NOT_ACCEPTED.log(format_args!("error={:?}", error.to_string()));
--- a/crates/mustardhinge-resident/src/session/caller_channel.rs
+++ b/crates/mustardhinge-resident/src/session/caller_channel.rs
@@ -96,7 +96,8 @@
                     if idle_deadline.is_some_and(|at| at <= now) {
                         return SessionEvent::EndTransaction;
                     }
-                    if !idle.in_transaction && self.input.is_empty() {
+                    let may_close = !idle.in_transaction || self.is_refusing();
+                    if may_close && self.input.is_empty() {
                         return SessionEvent::Closed;
                     }
                     self.close_at = None;
@@ -115,7 +116,7 @@
                 self.close_at = Some(Instant::now() + Duration::from_millis(close_delay));
                 false
             }
-            DrainPhase::Ending => {
+            DrainPhase::Ending | DrainPhase::Refusing => {
                 self.close_at = Some(Instant::now());
                 true
             }
@@ -127,6 +128,11 @@
         *self.drain.borrow() >= DrainPhase::Closing && self.input.is_empty()
     }
 
+    /// Returns whether a planned stop refuses new requests.
+    pub(super) fn is_refusing(&self) -> bool {
+        *self.drain.borrow() >= DrainPhase::Refusing
+    }
+
     async fn refuse_invalid(&mut self, fault: CodecError) -> SessionEvent {
         let refusal = match fault {
             CodecError::TooLarge => SessionRefusal::NotRun {
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mustardhinge_core::prelude::RefusalReason;
 use mustardhinge_process::event;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -122,7 +123,8 @@
             if !self.channel.flush().await {
                 return;
             }
-            if self.transaction.is_none() && self.channel.is_closing() {
+            let may_close = self.transaction.is_none() || self.channel.is_refusing();
+            if may_close && self.channel.is_closing() {
                 return;
             }
         }
@@ -163,6 +165,15 @@
             }
         };
         let mut request = self.new_request(id, text, access);
+        if self.channel.is_refusing() && self.transaction.is_none() {
+            let refusal = SessionRefusal::NotRun {
+                reason: RefusalReason::InstanceDraining,
+                retry_after: Some(Duration::ZERO),
+            };
+            log_refusal(&self.node, &request, &refusal);
+            self.respond_refusal(&refusal);
+            return;
+        }
         match statement {
             CallerStatement::Begin { read_only } => self.begin(read_only, request.route),
             CallerStatement::SetValue { name } => {
