Record when the rights of earlier leaders end

Cause: a leader that stops or is killed before it may replace a primary leaves settled = false, and its successor takes that for the whole bound of 11 s, though the leader knew that the rights of those before it end within 2 s. While all instances are restarted, leaders stop in turn, and each begins the 11 s anew.

Change: the record has settles_in, the time from its writing until those rights end. A successor of a leader that has ended waits until then, counted from when it first saw the record, and one lease. Without the field, or if the leader may still run, the bound stays.

Why it is safe: the record is seen after it was written, so the wait ends later than its leader would have reckoned.

--- a/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::{LeaderRecord, RecordRevision, Voter};
 use crate::ids::InstanceId;
@@ -26,6 +27,15 @@
         now >= self.promote_from
     }
 
+    /// Records in a record that is written now whether and when the rights of all earlier leaders
+    /// have expired.
+    pub(super) fn record_settling(&self, record: &mut LeaderRecord, now: MonotonicTime) {
+        record.settled = self.is_settled(now);
+        // The time is stored in whole milliseconds and must not be rounded down.
+        let remaining = self.promote_from.saturating_since(now) + Duration::from_millis(1);
+        record.settles_in = (!record.settled).then_some(remaining);
+    }
+
     /// Shortens the wait to `end`, the time by which the direct predecessor's rights expire.
     pub(super) fn predecessor_ends(&mut self, end: MonotonicTime) {
         if self.has_one_predecessor {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -64,6 +64,7 @@
             renewals: 0,
             released: false,
             settled: false,
+            settles_in: None,
             voters: Vec::new(),
             era: StoreEra::default(),
         };
@@ -332,7 +333,7 @@
             .filter(|held| held.record.era == self.era)?;
         let mut record = held.record.clone();
         record.released = true;
-        record.settled = held.is_settled(now);
+        held.record_settling(&mut record, now);
         Some((record, held.revision))
     }
 
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -63,7 +63,7 @@
         }
         let mut record = held.record.clone();
         record.renewals += 1;
-        record.settled = held.is_settled(now);
+        held.record_settling(&mut record, now);
         record.voters.clone_from(&self.next_voters);
         ElectionStep::Write {
             record,
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -101,6 +101,10 @@
         }
     }
 
+    /// Returns when the predecessor has no rights but leases that it granted before, and the leaders
+    /// before it have none.
+    ///
+    /// A predecessor that has ended knew when the rights of those before it expire.
     fn predecessor_expiry(
         &self,
         observed: &ObservedRecord,
@@ -112,6 +116,9 @@
         if ended && observed.record.settled {
             return claimed_at;
         }
-        claimed_at.max(observed.first_seen + self.settings.renew_deadline)
+        let bound = self.settings.renew_deadline;
+        let settles_in = observed.record.settles_in.filter(|_| ended);
+        let remaining = settles_in.map_or(bound, |time| time.min(bound));
+        claimed_at.max(observed.first_seen + remaining)
     }
 }
--- a/crates/mustardhinge-core/src/primary_lease/leader_record.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_record.rs
@@ -1,11 +1,14 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{StoreEra, Voter};
 use crate::ids::InstanceId;
 
 /// The leadership record in the platform's store: which instance is the leader.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     /// The leader.
@@ -24,6 +27,10 @@
     /// leader has to wait for them too, even if this leader releases its leadership.
     #[serde(default)]
     pub settled: bool,
+    /// The time from the writing of the record until then, if the leader knew it; in milliseconds.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub settles_in: Option<Duration>,
     /// The voters, an odd number. A leader that can't renew needs acknowledgements from a
     /// majority of them to keep granting leases; with an empty list it needs none.
     #[serde(default)]
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -269,6 +269,29 @@
     assert!(three.may_promote(at(20_000)));
 }
 
+/// Leaders stop one after the other, each before it may replace a primary, and the last one is
+/// killed. Each successor waited 11 s, so that no leaving primary could be replaced in that time.
+#[test]
+fn leaders_that_stop_in_turn_do_not_prolong_the_wait() {
+    let mut store = FakeStore::default();
+    let mut leader = election("zero", 1);
+    run(&mut leader, &mut store, 1_000, 6_000);
+    assert!(leader.may_promote(at(6_000)));
+    for (number, name) in ["one", "two", "three"].into_iter().enumerate() {
+        let now = 6_000 + 1_900 * number as u64;
+        let (record, revision) = leader.release(at(now)).unwrap();
+        leader.retire();
+        store.write(&record, Some(revision)).unwrap();
+        leader = election(name, 1);
+        run(&mut leader, &mut store, now, now + 1_900);
+        assert!(leader.may_grant(at(now + 1_900)), "{name}");
+    }
+    // The last leader is killed and restarts.
+    let mut restarted = election("three", 2);
+    run(&mut restarted, &mut store, 12_000, 16_500);
+    assert!(restarted.may_promote(at(16_500)));
+}
+
 /// As above, with a second leader that restarts and with one that confirms that it stopped.
 #[test]
 fn a_restart_does_not_shorten_the_wait_for_an_earlier_leader() {
