Let only relays read unconfirmed copies in fleets of more than 50 instances

Cause: the store rejects the leader, no copy is confirmed, and all instances read the configuration and the list at once. On links of 2 Mbit/s these reads displace the leader's grants: 3002 and 6002 follow 6031 on the instances looked at.

Change: above 50 instances, those that have a relay rely on it as long as grants arrive, as before the incident. The leader and the relays still read.

--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -29,6 +29,12 @@
 /// Time without a grant after which an instance watches the store itself; two requests are
 /// unanswered.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_100);
+/// Maximum number of instances that read the store when no copy is confirmed. In larger fleets only
+/// the relays do.
+///
+/// Load pattern: the leader loses the store, and hundreds of instances read large configurations and
+/// lists at once. On slow links, these reads displace the leader's messages.
+const MAX_READERS: usize = 50;
 /// Added to a wait for [`RELAY_TIMEOUT`], so that a single check after the wait is enough.
 const RELAY_TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
 /// Maximum number of state responses that are sent concurrently. Each holds a compressed
@@ -225,13 +231,20 @@
         }
     }
 
-    /// Returns whether another instance watches a part of the store for this one: it is a relay's
-    /// task, and the leader has confirmed in time that this instance's copy is current.
+    /// Returns whether another instance watches a part of the store for this one: this one has a
+    /// relay, and the leader has confirmed in time that its copy is current.
     #[must_use]
     pub fn is_relayed(&self, part: StorePart, now: MonotonicTime) -> bool {
-        let has_recent_grant = now.saturating_since(self.granted_at.get()) < RELAY_TIMEOUT;
-        let is_confirmed = !self.node.confirmations().is_expired(part, now);
-        has_recent_grant && is_confirmed && self.relay.get().is_some()
+        self.relay.get().is_some() && now < self.relay_expires_at(part)
+    }
+
+    /// Returns until when this instance relies on its relay.
+    fn relay_expires_at(&self, part: StorePart) -> MonotonicTime {
+        let grant_expires_at = self.granted_at.get() + RELAY_TIMEOUT;
+        let copy_expires_at = self.node.confirmations().expires_at(part);
+        copy_expires_at
+            .filter(|_| self.node.instances() <= MAX_READERS)
+            .map_or(grant_expires_at, |at| at.min(grant_expires_at))
     }
 
     /// Waits until [`is_relayed`](Self::is_relayed) returns `relayed`.
@@ -245,10 +258,7 @@
             if relayed {
                 changed.await;
             } else {
-                let grant_expires_at = self.granted_at.get() + RELAY_TIMEOUT;
-                let copy_expires_at = self.node.confirmations().expires_at(part);
-                let expires_at =
-                    copy_expires_at.map_or(grant_expires_at, |at| at.min(grant_expires_at));
+                let expires_at = self.relay_expires_at(part);
                 let wait = (expires_at + RELAY_TIMEOUT_MARGIN).saturating_since(now);
                 // A timeout only means that the condition is checked again.
                 let _ = timeout(wait, changed).await;
