Log from where and on what message an instance adopts a configuration

Cause: event 3003 says origin=peer, but neither which instance sent the configuration nor what announced it. A chain of relay, leader, grant and transfer that is too slow in sum can't be told from one late part of it. Change: the record of newer state names the message that announced it, and 3003 has it as notice=, with the sender as from=. No decision changes.

--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::state_relay::{ResponseKey, StateVersion};
-use super::{GrantAck, GroupRecord, PeerMessage};
+use super::{GrantAck, GroupRecord, NewerState, PeerMessage, StateNotice};
 use crate::adapter::PlatformClient;
 use crate::node::NodeState;
 
@@ -46,6 +46,8 @@
 /// Time after which a read of the store counts as slow; reads of short lists take a few
 /// milliseconds.
 const SLOW_READ_TIME: Duration = Duration::from_millis(300);
+/// Time to wait for the store to deliver newer state before it is fetched from another instance.
+const STORE_UPDATE_WAIT: Duration = Duration::from_millis(400);
 /// Interval between checks for the first grant.
 const FIRST_GRANT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -102,9 +104,8 @@
     pub is_hint_new: Cell<bool>,
     /// The acknowledgement of the last grant that this instance applied.
     pub grant_ack: Cell<Option<GrantAck>>,
-    /// The address of an instance with a newer configuration or list of targets, and when it was
-    /// announced.
-    pub newer_state_source: Cell<Option<(SocketAddr, MonotonicTime)>>,
+    /// An instance with a newer configuration, list of targets or set of evacuated zones.
+    pub newer_state: Cell<Option<NewerState>>,
     /// The instance that watches the store for this one, if any.
     pub relay: Cell<Option<SocketAddr>>,
     /// Notifies tasks that wait for a change of the relay.
@@ -165,7 +166,7 @@
             pending_requesters: RefCell::default(),
             is_hint_new: Cell::new(false),
             grant_ack: Cell::new(None),
-            newer_state_source: Cell::new(None),
+            newer_state: Cell::new(None),
             relay: Cell::new(None),
             relay_changed: Notify::new(),
             elected: Notify::new(),
@@ -224,9 +225,13 @@
     }
 
     /// Records an address from which newer state can be fetched.
-    pub fn record_newer_state(&self, address: SocketAddr, now: MonotonicTime) {
-        if self.newer_state_source.get().is_none() {
-            self.newer_state_source.set(Some((address, now)));
+    pub fn record_newer_state(&self, address: SocketAddr, notice: StateNotice, now: MonotonicTime) {
+        if self.newer_state.get().is_none() {
+            self.newer_state.set(Some(NewerState {
+                address,
+                notice,
+                due_at: now + STORE_UPDATE_WAIT,
+            }));
             self.wake.notify_one();
         }
     }
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -39,8 +39,6 @@
 /// Interval between the requests of a started instance until it learns of a leader. It can't use
 /// an interval that depends on the number of instances, which it doesn't know yet.
 const FIRST_REQUEST_RETRY: Duration = Duration::from_millis(300);
-/// Time to wait for the store to deliver newer state before it is fetched from another instance.
-const STORE_UPDATE_WAIT: Duration = Duration::from_millis(400);
 /// Time after which a primary that reports the replica role counts as replaced by a promotion that
 /// the leader did not order.
 const DISPLACED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -363,13 +361,13 @@
 }
 
 fn fetch_newer_state<P: PlatformClient>(control: &Rc<ControlState<P>>, now: MonotonicTime) {
-    let Some((address, since)) = control.newer_state_source.get() else {
+    let Some(newer) = control.newer_state.get() else {
         return;
     };
     let has_no_plan = control.node.plan().version().get() == 0;
-    if has_no_plan || now.saturating_since(since) >= STORE_UPDATE_WAIT {
-        control.newer_state_source.set(None);
-        spawn_local(fetch_state(Rc::clone(control), address));
+    if has_no_plan || now >= newer.due_at {
+        control.newer_state.set(None);
+        spawn_local(fetch_state(Rc::clone(control), newer));
     }
 }
 
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -15,7 +15,7 @@
 use super::share_pooling::end_share_pool;
 use super::{
     AllowanceResponse, ControlState, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
-    StopMessage,
+    StateNotice, StopMessage,
 };
 use crate::adapter::PlatformClient;
 use crate::group::GroupState;
@@ -73,16 +73,29 @@
     }
     control.record_grant(grant.relay, now);
     control.pool_keeper.set(grant.pool_keeper);
+    compare_copies(control, grant, requested_at, now);
+}
+
+/// Confirms this instance's copies of the store's content that are as new as the leader's, and
+/// records where newer ones are available.
+fn compare_copies<P>(
+    control: &ControlState<P>,
+    grant: &GrantMessage,
+    requested_at: MonotonicTime,
+    now: MonotonicTime,
+) {
+    let node = &control.node;
     let source = grant.relay.unwrap_or(grant.record.address);
-    check_plan_version(control, grant.plan_version, source, now);
-    check_evacuations(control, &grant.evacuations, source, now);
+    let notice = (source, StateNotice::Grant);
+    check_plan_version(control, grant.plan_version, notice, now);
+    check_evacuations(control, &grant.evacuations, notice, now);
     confirm_copies(control, grant, requested_at);
     let known = node.targets_digest();
     let mut backoff = control.list_fetch_backoff.get();
     let watches_store = control.is_store_available.get() && grant.relay.is_none();
     if !watches_store && grant.targets != known && backoff.should_fetch(known.get(), now) {
         control.list_fetch_backoff.set(backoff);
-        control.record_newer_state(source, now);
+        control.record_newer_state(source, StateNotice::Grant, now);
     }
 }
 
@@ -237,28 +250,28 @@
         .is_some_and(|state| state.epoch == epoch && state.is_stopped)
 }
 
-/// Records the address of an instance whose configuration is newer than the local one.
+/// Records an instance whose configuration is newer than the local one.
 pub(super) fn check_plan_version<P>(
     control: &ControlState<P>,
     plan_version: DocumentVersion,
-    address: SocketAddr,
+    (address, notice): (SocketAddr, StateNotice),
     now: MonotonicTime,
 ) {
     let is_newer = plan_version > control.node.plan().version();
     if is_newer {
-        control.record_newer_state(address, now);
+        control.record_newer_state(address, notice, now);
     }
 }
 
-/// Records the address of an instance whose set of evacuated zones is newer than the local one.
+/// Records an instance whose set of evacuated zones is newer than the local one.
 pub(super) fn check_evacuations<P>(
     control: &ControlState<P>,
     version: &EvacuationVersion,
-    address: SocketAddr,
+    (address, notice): (SocketAddr, StateNotice),
     now: MonotonicTime,
 ) {
     let is_followed = control.node.settings.follows_evacuations;
     if is_followed && version.is_newer_than(&control.node.evacuation_version()) {
-        control.record_newer_state(address, now);
+        control.record_newer_state(address, notice, now);
     }
 }
--- a/crates/mustardhinge-resident/src/control/leader_responses.rs
+++ b/crates/mustardhinge-resident/src/control/leader_responses.rs
@@ -12,7 +12,7 @@
 use super::record_restore::record_epochs;
 use super::{
     AllowanceRequest, AllowanceResponse, ControlState, GrantMessage, GrantedGroup, GrantedGroups,
-    LeaseRequest,
+    LeaseRequest, StateNotice,
 };
 use crate::adapter::PlatformClient;
 
@@ -135,8 +135,9 @@
         now,
     );
     control.node.mark_leaving(&request.leaving);
-    check_plan_version(control, request.plan_version, request.address, now);
-    check_evacuations(control, &request.evacuations, request.address, now);
+    let notice = (request.address, StateNotice::Request);
+    check_plan_version(control, request.plan_version, notice, now);
+    check_evacuations(control, &request.evacuations, notice, now);
     let mut predecessor = control.predecessor.borrow_mut();
     let Some(previous) = predecessor
         .as_ref()
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod group_setup;
 mod leader_messages;
 mod leader_responses;
+mod newer_state;
 mod peer_exchange;
 mod peer_message;
 mod plan_feed;
@@ -29,6 +30,7 @@
 pub use control_task::{release_leadership, run_control};
 pub use evacuation_feed::follow_evacuations;
 pub use group_record::GroupRecord;
+pub use newer_state::{NewerState, StateNotice};
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
     AllowanceRequest, AllowanceResponse, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -13,7 +13,8 @@
 use super::record_restore::epochs_to_report;
 use super::share_pooling::{handle_share_deposit, handle_share_loan};
 use super::{
-    AllowanceRequest, ControlState, GroupReport, LeaderHint, LeaseRequest, PeerMessage, StopMessage,
+    AllowanceRequest, ControlState, GroupReport, LeaderHint, LeaseRequest, PeerMessage,
+    StateNotice, StopMessage,
 };
 use crate::adapter::PlatformClient;
 use crate::node::{DrainPhase, NodeState};
@@ -331,5 +332,6 @@
         }
     }
     log::debug!("leader {} reported by {from}", hint.record.holder);
-    check_plan_version(control, hint.plan_version, hint.sender, now);
+    let notice = (hint.sender, StateNotice::LeaderHint);
+    check_plan_version(control, hint.plan_version, notice, now);
 }
--- a/crates/mustardhinge-resident/src/control/schedule.rs
+++ b/crates/mustardhinge-resident/src/control/schedule.rs
@@ -22,7 +22,7 @@
     let grant_age = now.saturating_since(control.granted_at.get());
     let has_pending = grant_age > node.lease_settings.request_interval + RESPONSE_TIMEOUT
         || has_pending_request
-        || control.newer_state_source.get().is_some()
+        || control.newer_state.get().is_some()
         || has_unusable(control, now);
     ControlSchedule {
         is_closing,
--- a/crates/mustardhinge-resident/src/control/state_fetch.rs
+++ b/crates/mustardhinge-resident/src/control/state_fetch.rs
@@ -12,10 +12,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use super::ControlState;
 use super::state_relay::{
     PROGRESS_TIMEOUT, RelayQuery, RelayedChanges, RelayedState, TRANSFER_TIMEOUT,
 };
+use super::{ControlState, NewerState, StateNotice};
 use crate::adapter::PlatformClient;
 
 /// Maximum size of a relayed state in bytes: a configuration of the maximum size and a list of
@@ -38,20 +38,21 @@
     Ok(decompressed)
 }
 
-/// Fetches and adopts the state of the instance at `address` or, if it has no newer state, that of
-/// the leader.
+/// Fetches and adopts newer state from the instance that has it or, if that has none, from the
+/// leader.
 pub(super) async fn fetch_state<P: PlatformClient>(
     control: Rc<ControlState<P>>,
-    address: SocketAddr,
+    newer: NewerState,
 ) {
     if control.is_fetching.replace(true) {
         return;
     }
-    fetch_newest(&control, address).await;
+    fetch_newest(&control, newer).await;
     control.is_fetching.set(false);
 }
 
-async fn fetch_newest<P: PlatformClient>(control: &ControlState<P>, address: SocketAddr) {
+async fn fetch_newest<P: PlatformClient>(control: &ControlState<P>, newer: NewerState) {
+    let address = newer.address;
     let is_relay = control.relay.get() == Some(address);
     let mut search = StateSearch::new(address, is_relay, control.node.clock.now());
     let mut step = search.first_step();
@@ -61,7 +62,7 @@
                 if !delay.is_zero() {
                     sleep(delay).await;
                 }
-                let outcome = adopt_from(control, source).await;
+                let outcome = adopt_from(control, source, newer.notice).await;
                 let now = control.node.clock.now();
                 step = search.next_step(source, outcome, &mut rand::rng(), now);
             }
@@ -94,6 +95,7 @@
 async fn adopt_from<P: PlatformClient>(
     control: &ControlState<P>,
     address: SocketAddr,
+    notice: StateNotice,
 ) -> QueryOutcome<SocketAddr> {
     let before = current_query(control);
     let mut query = before;
@@ -119,7 +121,7 @@
         }
         let changes = state.changes.take().filter(|_| query.accepts_changes);
         let revision = RecordRevision::new(state.era, state.revision);
-        adopt_state(control, state, address);
+        adopt_state(control, state, (address, notice));
         let Some(changes) = changes else {
             break;
         };
@@ -174,12 +176,13 @@
 fn adopt_state<P: PlatformClient>(
     control: &ControlState<P>,
     state: RelayedState,
-    address: SocketAddr,
+    (address, notice): (SocketAddr, StateNotice),
 ) {
     if let Some(plan) = state.plan {
         match control.platform.decode_plan(plan.as_bytes()) {
             Ok(plan) => {
-                control.node.adopt_plan(plan, "peer");
+                let origin = format_args!("peer from={address} notice={notice}");
+                control.node.adopt_plan(plan, origin);
             }
             Err(error) => log::warn!("invalid configuration from {address} ignored: {error}"),
         }
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -159,8 +160,9 @@
         Rc::clone(&self.plan.borrow())
     }
 
-    /// Replaces the configuration if the given one is newer. Returns whether it was.
-    pub fn adopt_plan(&self, plan: ServingPlan, origin: &str) -> bool {
+    /// Replaces the configuration if the given one is newer. `origin` says in the log where it comes
+    /// from. Returns whether it was newer.
+    pub fn adopt_plan(&self, plan: ServingPlan, origin: impl fmt::Display) -> bool {
         let known = self.plan.borrow().version();
         if plan.version() <= known {
             return false;
