Ask relays for a confirmation before a copy of the store's content is too old

What callers see: in a fleet of more than 50 instances whose leader has lost the store, a confirmed configuration is in force 3.7 s after its acknowledgement on the last instances (bound: 3 s), in a fleet of several zones whose watches are silent as well after 3.0 to 3.1 s.

Cause: in such fleets only the leader and the relays read the store when a copy is not confirmed. The others rely on a chain: the relay reads at 2.5 s, its request tells the leader, which fetches and announces the change in its grants, and the others fetch it. Each link waits up to 0.5 s.

Change: an instance whose copy was not confirmed for 2 s asks its relay directly, and fetches from it at once what is newer; a leader asks the relays of the other zones, and is no relay itself any more. Instances that watch the store give up a long watch 1.8 s after the leader's last confirmation and poll the store from the revision they have, instead of reading all of it at 2.5 s. In large fleets an instance still leaves the store alone, but only as long as its relay answers.

A relay that hangs no longer counts as one.

--- a/crates/mustardhinge-core/src/membership/confirmation_source.rs
+++ b/crates/mustardhinge-core/src/membership/confirmation_source.rs
@@ -10,6 +10,8 @@
     Store,
     /// The leader, which has a confirmation of its own.
     Leader,
+    /// An instance that watches the store for others.
+    Relay,
 }
 
 impl fmt::Display for ConfirmationSource {
@@ -18,6 +20,7 @@
             Self::None => "none",
             Self::Store => "store",
             Self::Leader => "leader",
+            Self::Relay => "relay",
         })
     }
 }
--- a/crates/mustardhinge-core/src/membership/confirmation_table.rs
+++ b/crates/mustardhinge-core/src/membership/confirmation_table.rs
@@ -56,6 +56,21 @@
         self.of(part).expires_at(part.max_unconfirmed())
     }
 
+    /// Returns when an instance that watches the store for others can't rely on the leader's
+    /// confirmation of a part any more; none without one.
+    #[must_use]
+    pub fn leader_expires_at(&self, part: StorePart) -> Option<MonotonicTime> {
+        self.of(part).leader_expires_at(part.max_leader_age())
+    }
+
+    /// Returns when another instance has to be asked for a confirmation, unless there is one before;
+    /// none without a copy.
+    #[must_use]
+    pub fn query_due_at(&self) -> Option<MonotonicTime> {
+        let due_at = |part: StorePart| self.of(part).expires_at(part.query_age());
+        StorePart::ALL.into_iter().filter_map(due_at).min()
+    }
+
     /// Returns whether the copy of a part was not confirmed in time.
     #[must_use]
     pub fn is_expired(&self, part: StorePart, now: MonotonicTime) -> bool {
--- a/crates/mustardhinge-core/src/membership/copy_confirmation.rs
+++ b/crates/mustardhinge-core/src/membership/copy_confirmation.rs
@@ -11,6 +11,8 @@
     /// When the copy was adopted that has to be confirmed, or the time of its last confirmation.
     since: Option<MonotonicTime>,
     source: ConfirmationSource,
+    /// The last time up to which the leader has confirmed the copy.
+    leader_since: Option<MonotonicTime>,
     /// Whether it was expired when last checked.
     was_expired: bool,
 }
@@ -23,6 +25,9 @@
 
     /// Records that the copy was current at `at`. Ignores a time before the last confirmation.
     pub fn confirm(&mut self, at: MonotonicTime, source: ConfirmationSource) {
+        if source == ConfirmationSource::Leader {
+            self.leader_since = self.leader_since.max(Some(at));
+        }
         let is_first = self.source == ConfirmationSource::None;
         if is_first || self.since.is_none_or(|since| at > since) {
             self.since = Some(at);
@@ -45,6 +50,12 @@
         self.since.map(|since| since + max_unconfirmed)
     }
 
+    /// Returns when the last confirmation by the leader is older than `max_age`; none without one.
+    #[must_use]
+    pub fn leader_expires_at(&self, max_age: Duration) -> Option<MonotonicTime> {
+        self.leader_since.map(|since| since + max_age)
+    }
+
     /// Returns whether the copy has to be read from the store.
     #[must_use]
     pub fn is_expired(&self, max_unconfirmed: Duration, now: MonotonicTime) -> bool {
--- a/crates/mustardhinge-core/src/membership/instance_roster.rs
+++ b/crates/mustardhinge-core/src/membership/instance_roster.rs
@@ -118,6 +118,11 @@
         (relay != requester).then_some(*address)
     }
 
+    /// Returns the addresses of the instances that watch the store for those of their zones.
+    pub fn relay_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.relays.values().map(|(_, address)| *address)
+    }
+
     /// Returns the address of the instance that keeps the share pool for the instance `requester`
     /// of `zone`, or `None` if it keeps a pool itself. It is not the leader if the zone has
     /// another responsive instance.
--- a/crates/mustardhinge-core/src/membership/store_part.rs
+++ b/crates/mustardhinge-core/src/membership/store_part.rs
@@ -26,6 +26,30 @@
         }
     }
 
+    /// Returns the maximum age of the leader's confirmation up to which an instance that watches the
+    /// store for others keeps a long watch open.
+    ///
+    /// The leader's confirmations are up to 1.6 s old, if no message is lost. Those that depend on the
+    /// instance ask it after [`query_age`](Self::query_age).
+    #[must_use]
+    pub const fn max_leader_age(self) -> Duration {
+        match self {
+            Self::Plan | Self::Evacuations => Duration::from_millis(1_800),
+            Self::Targets => Duration::from_millis(3_600),
+        }
+    }
+
+    /// Returns the age of a confirmation from which on another instance is asked for a newer one.
+    ///
+    /// A change that this shows is fetched before [`max_unconfirmed`](Self::max_unconfirmed).
+    #[must_use]
+    pub const fn query_age(self) -> Duration {
+        match self {
+            Self::Plan | Self::Evacuations => Duration::from_millis(2_000),
+            Self::Targets => Duration::from_millis(4_000),
+        }
+    }
+
     /// Returns the maximum time for which a copy may go without a confirmation that it is current.
     ///
     /// A change that was acknowledged later than the last confirmation is read from the store after
--- a/crates/mustardhinge-core/src/membership/watch_pacing.rs
+++ b/crates/mustardhinge-core/src/membership/watch_pacing.rs
@@ -8,7 +8,7 @@
 const CONFIRMING_WAIT: Duration = Duration::from_millis(1_000);
 /// Maximum time for which a watch waits while the leader confirms the copy.
 const CONFIRMED_WAIT: Duration = Duration::from_millis(10_000);
-/// Wait of the first watch after a change: it returns at once.
+/// Wait of the first watch after a change or a watch that was given up: it returns at once.
 const POLL_WAIT: Duration = Duration::from_millis(1);
 
 /// Determines how long the watches of a part of the store wait, and what their responses confirm.
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchPacing {
     part: StorePart,
-    follows_change: bool,
+    polls_next: bool,
     wait: Duration,
 }
 
@@ -43,7 +43,7 @@
     pub const fn new(part: StorePart) -> Self {
         Self {
             part,
-            follows_change: false,
+            polls_next: false,
             wait: Duration::ZERO,
         }
     }
@@ -51,7 +51,7 @@
     /// Begins a watch and returns how long it waits for a change. `is_confirmed` says that the leader
     /// confirms the copy and that no other instance depends on this one for that.
     pub fn begin(&mut self, is_confirmed: bool) -> Duration {
-        self.wait = if self.follows_change {
+        self.wait = if self.polls_next {
             POLL_WAIT
         } else if is_confirmed {
             CONFIRMED_WAIT
@@ -64,6 +64,11 @@
         self.wait
     }
 
+    /// Makes the next watch return at once, after one that was given up.
+    pub const fn poll_next(&mut self) {
+        self.polls_next = true;
+    }
+
     /// Records the response to a watch that was sent at `sent_at`. Returns the time up to which it
     /// shows all changes.
     ///
@@ -75,7 +80,7 @@
         sent_at: MonotonicTime,
         now: MonotonicTime,
     ) -> MonotonicTime {
-        self.follows_change = !is_idle;
+        self.polls_next = !is_idle;
         if is_idle {
             (sent_at + self.wait).min(now)
         } else {
--- a/crates/mustardhinge-core/src/primary_lease/control_schedule.rs
+++ b/crates/mustardhinge-core/src/primary_lease/control_schedule.rs
@@ -18,7 +18,7 @@
     /// Whether work is pending: a primary is unusable, a response of the leader is overdue, or
     /// newer state is available.
     pub has_pending: bool,
-    /// The time until the next request to the leader.
+    /// The time until the next request to another instance.
     pub next_request_in: Duration,
 }
 
--- a/crates/mustardhinge-core/tests/suite/confirmations.rs
+++ b/crates/mustardhinge-core/tests/suite/confirmations.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mustardhinge_core::membership::{
-    ConfirmationSource, ConfirmationTable, FeedRetry, StorePart, WatchPacing,
+    ConfirmationSource, ConfirmationTable, FeedRetry, QueryPacing, StorePart, WatchPacing,
 };
 use mustardhinge_core::prelude::MonotonicTime;
 use rand::SeedableRng;
@@ -94,3 +94,56 @@
         Duration::from_millis(300)
     );
 }
+
+/// Guards against a relay that still waits on a silent watch when those that depend on it ask it, and
+/// against instances that ask it too late to fetch a change from it in time.
+#[test]
+fn relays_read_before_they_are_asked_and_are_asked_before_a_change_is_overdue() {
+    let read_time = Duration::from_millis(100);
+    let fetch_time = Duration::from_millis(500);
+    for part in StorePart::ALL {
+        assert!(part.max_leader_age() + read_time <= part.query_age());
+        assert!(part.query_age() + fetch_time <= part.max_unconfirmed());
+    }
+}
+
+/// Guards against a relay that counts on a leader without the store because its own reads are young.
+#[test]
+fn own_reads_do_not_renew_the_confirmation_by_the_leader() {
+    let mut table = ConfirmationTable::default();
+    assert_eq!(table.leader_expires_at(StorePart::Plan), None);
+    table.confirm(StorePart::Plan, at(1_000), ConfirmationSource::Leader);
+    table.confirm(StorePart::Plan, at(5_000), ConfirmationSource::Store);
+    table.confirm(StorePart::Plan, at(4_000), ConfirmationSource::Relay);
+    assert_eq!(table.leader_expires_at(StorePart::Plan), Some(at(2_800)));
+    table.confirm(StorePart::Plan, at(3_000), ConfirmationSource::Leader);
+    assert_eq!(table.leader_expires_at(StorePart::Plan), Some(at(4_800)));
+    assert_eq!(table.expires_at(StorePart::Plan), Some(at(7_500)));
+}
+
+/// Guards against a watch that was given up and is followed by one that waits as long for its
+/// confirmation.
+#[test]
+fn a_watch_that_was_given_up_is_followed_by_a_poll() {
+    let mut pacing = WatchPacing::new(StorePart::Plan);
+    let long = pacing.begin(true);
+    pacing.poll_next();
+    let poll = pacing.begin(true);
+    assert!(poll < Duration::from_millis(10) && long > StorePart::Plan.max_unconfirmed());
+    assert!(pacing.record_response(true, at(5_000), at(5_020)) <= at(5_001));
+    assert_eq!(pacing.begin(true), long);
+}
+
+/// Guards against queries while the copies are confirmed, and against a stream of them.
+#[test]
+fn queries_begin_when_a_copy_is_not_confirmed_and_keep_their_distance() {
+    let mut table = ConfirmationTable::default();
+    let mut pacing = QueryPacing::default();
+    table.confirm(StorePart::Plan, at(10_000), ConfirmationSource::Leader);
+    table.confirm(StorePart::Targets, at(9_000), ConfirmationSource::Leader);
+    assert_eq!(pacing.next_at(&table), Some(at(12_000)));
+    pacing.record_sent(at(12_000));
+    assert_eq!(pacing.next_at(&table), Some(at(12_200)));
+    table.confirm(StorePart::Plan, at(11_900), ConfirmationSource::Relay);
+    assert_eq!(pacing.next_at(&table), Some(at(13_000)));
+}
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -6,7 +6,8 @@
 
 use mustardhinge_core::gateway::GatewayTable;
 use mustardhinge_core::membership::{
-    ConfirmationSource, InstanceRoster, ListFetchBackoff, RosterEntry, StorePart, TransferSources,
+    ConfirmationSource, InstanceRoster, ListFetchBackoff, QueryPacing, RosterEntry, StorePart,
+    TransferSources,
 };
 use mustardhinge_core::prelude::{InstanceId, MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
@@ -29,12 +30,14 @@
 /// Time without a grant after which an instance watches the store itself; two requests are
 /// unanswered.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// Maximum number of instances that read the store when no copy is confirmed. In larger fleets only
-/// the relays do.
+/// Maximum number of instances that all read the store when their copies are not confirmed. In larger
+/// fleets, an instance leaves that to its relay as long as the relay answers.
 ///
-/// Load pattern: the leader loses the store, and hundreds of instances read large configurations and
-/// lists at once. On slow links, these reads displace the leader's messages.
+/// Load pattern: the store is out, and hundreds of instances read large configurations and lists at
+/// once when it returns. On slow links, these reads displace the leader's messages.
 const MAX_READERS: usize = 50;
+/// Time after its last report for which a relay counts as answering; two queries are unanswered.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Added to a wait for [`RELAY_TIMEOUT`], so that a single check after the wait is enough.
 const RELAY_TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
 /// Maximum number of state responses that are sent concurrently. Each holds a compressed
@@ -108,6 +111,10 @@
     pub newer_state: Cell<Option<NewerState>>,
     /// The instance that watches the store for this one, if any.
     pub relay: Cell<Option<SocketAddr>>,
+    /// When the relay last reported the versions of its copies.
+    pub relay_reported_at: Cell<MonotonicTime>,
+    /// Determines when this instance asks for a confirmation of its copies.
+    pub query_pacing: Cell<QueryPacing>,
     /// Notifies tasks that wait for a change of the relay.
     pub relay_changed: Notify,
     /// Notifies tasks that this instance became the leader.
@@ -168,6 +175,8 @@
             grant_ack: Cell::new(None),
             newer_state: Cell::new(None),
             relay: Cell::new(None),
+            relay_reported_at: Cell::default(),
+            query_pacing: Cell::default(),
             relay_changed: Notify::new(),
             elected: Notify::new(),
             is_promoting: Cell::new(false),
@@ -236,6 +245,28 @@
         }
     }
 
+    /// Fetches newer state from an address in the next iteration of the control loop.
+    pub fn fetch_at_once(&self, address: SocketAddr, notice: StateNotice, now: MonotonicTime) {
+        self.newer_state.set(Some(NewerState {
+            address,
+            notice,
+            due_at: now,
+        }));
+        self.wake.notify_one();
+    }
+
+    /// Returns whether this instance can watch the store for others: it has a configuration and, as
+    /// far as it knows, reaches the store. A leader that nothing confirms any more lets another
+    /// instance do so before its call to the store times out.
+    #[must_use]
+    pub fn can_relay(&self, now: MonotonicTime) -> bool {
+        let has_plan = self.node.plan().version().get() > 0;
+        let age = self.node.confirmation_ages(now).of(StorePart::Plan);
+        let is_unconfirmed = age.is_some_and(|age| age >= StorePart::Plan.query_age());
+        let is_leader = self.node.election.borrow().may_grant(now);
+        self.is_store_available.get() && has_plan && !(is_leader && is_unconfirmed)
+    }
+
     /// Returns whether another instance watches a part of the store for this one: this one has a
     /// relay, and the leader has confirmed in time that its copy is current.
     #[must_use]
@@ -246,10 +277,14 @@
     /// Returns until when this instance relies on its relay.
     fn relay_expires_at(&self, part: StorePart) -> MonotonicTime {
         let grant_expires_at = self.granted_at.get() + RELAY_TIMEOUT;
-        let copy_expires_at = self.node.confirmations().expires_at(part);
-        copy_expires_at
-            .filter(|_| self.node.instances() <= MAX_READERS)
-            .map_or(grant_expires_at, |at| at.min(grant_expires_at))
+        let Some(mut relied_until) = self.node.confirmations().expires_at(part) else {
+            return grant_expires_at;
+        };
+        if self.node.instances() > MAX_READERS {
+            let answers_until = self.relay_reported_at.get() + REPORT_TIMEOUT;
+            relied_until = relied_until.max(answers_until);
+        }
+        relied_until.min(grant_expires_at)
     }
 
     /// Waits until [`is_relayed`](Self::is_relayed) returns `relayed`.
@@ -277,17 +312,17 @@
     pub fn is_confirmed_by_leader(&self, part: StorePart, now: MonotonicTime) -> bool {
         let is_leader = self.node.election.borrow().may_grant(now);
         let has_recent_grant = now.saturating_since(self.granted_at.get()) < RELAY_TIMEOUT;
-        let is_expired = self.node.confirmations().is_expired(part, now);
-        has_recent_grant && !is_leader && !is_expired
+        let expires_at = self.node.confirmations().leader_expires_at(part);
+        has_recent_grant && !is_leader && expires_at.is_some_and(|at| now < at)
     }
 
-    /// Waits until the copy of a part has to be read again although a watch is open: nothing confirms
-    /// it any more, or this instance became the leader.
+    /// Waits until a watch that is open for long has to be given up: the leader does not confirm the
+    /// copy any more, or this instance became the leader.
     pub async fn wait_until_unconfirmed(&self, part: StorePart) {
         loop {
             let now = self.node.clock.now();
-            let expires_at = self.node.confirmations().expires_at(part);
-            let expires_at = expires_at.unwrap_or(now + part.max_unconfirmed());
+            let expires_at = self.node.confirmations().leader_expires_at(part);
+            let expires_at = expires_at.unwrap_or(now);
             if expires_at <= now {
                 return;
             }
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::ControlState;
+use super::copy_queries::send_copy_queries;
 use super::gateway_maintenance::{maintain_gateways, reset_gateways};
 use super::group_setup::set_up_group;
 use super::peer_exchange::{
@@ -77,6 +78,7 @@
         }
         check_leases(&control, now);
         control.node.check_copies(now);
+        send_copy_queries(&control, now);
         fetch_newer_state(&control, now);
         let has_pending_request = state.has_urgent_request || state.needs_allowance;
         let flags = (is_closing, state.is_leader, has_pending_request);
--- a/crates/mustardhinge-resident/src/control/evacuation_feed.rs
+++ b/crates/mustardhinge-resident/src/control/evacuation_feed.rs
@@ -62,7 +62,10 @@
         let update = tokio::select! {
             update = control.platform.watch_evacuations(revision, wait) => update?,
             () = control.wait_until_relayed(PART, true) => return Ok(()),
-            () = control.wait_until_unconfirmed(PART), if is_confirmed => return Ok(()),
+            () = control.wait_until_unconfirmed(PART), if is_confirmed => {
+                pacing.poll_next();
+                continue;
+            }
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
--- a/crates/mustardhinge-resident/src/control/leader_messages.rs
+++ b/crates/mustardhinge-resident/src/control/leader_messages.rs
@@ -14,8 +14,8 @@
 use super::record_restore::record_report_answer;
 use super::share_pooling::end_share_pool;
 use super::{
-    AllowanceResponse, ControlState, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
-    StateNotice, StopMessage,
+    AllowanceResponse, ConfirmedCopies, ControlState, GrantAck, GrantMessage, GrantedGroup,
+    GrantedGroups, StateNotice, StopMessage,
 };
 use crate::adapter::PlatformClient;
 use crate::group::GroupState;
@@ -89,7 +89,8 @@
     let notice = (source, StateNotice::Grant);
     check_plan_version(control, grant.plan_version, notice, now);
     check_evacuations(control, &grant.evacuations, notice, now);
-    confirm_copies(control, grant, requested_at);
+    let by = ConfirmationSource::Leader;
+    confirm_copies(control, &grant.copies(), requested_at, by);
     let known = node.targets_digest();
     let mut backoff = control.list_fetch_backoff.get();
     let watches_store = control.is_store_available.get() && grant.relay.is_none();
@@ -99,21 +100,19 @@
     }
 }
 
-/// Confirms the copies that contain all changes that the leader knows. They are as current as the
-/// leader's were when the grant was requested, or more.
-fn confirm_copies<P>(control: &ControlState<P>, grant: &GrantMessage, requested_at: MonotonicTime) {
+/// Confirms the copies that contain all changes that another instance knows. They are as current as
+/// that one's were at `requested_at`, or more.
+pub(super) fn confirm_copies<P>(
+    control: &ControlState<P>,
+    copies: &ConfirmedCopies,
+    requested_at: MonotonicTime,
+    source: ConfirmationSource,
+) {
     let node = &control.node;
     for part in StorePart::ALL {
-        let is_complete = match part {
-            StorePart::Plan => node.plan().version() >= grant.plan_version,
-            StorePart::Targets => node.targets_digest() == grant.targets,
-            StorePart::Evacuations => {
-                let known = node.evacuation_version();
-                !grant.evacuations.is_newer_than(&known)
-            }
-        };
-        if let Some(age) = grant.confirmed.of(part).filter(|_| is_complete) {
-            node.confirm_copy(part, requested_at - age, ConfirmationSource::Leader);
+        let is_complete = copies.are_known_to(node, part);
+        if let Some(age) = copies.ages.of(part).filter(|_| is_complete) {
+            node.confirm_copy(part, requested_at - age, source);
         }
     }
 }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -5,8 +5,10 @@
 //! Every instance runs the same code. The leader also grants leases and allowances, assigns
 //! gateways and replaces primaries.
 
+mod confirmed_copies;
 mod control_state;
 mod control_task;
+mod copy_queries;
 mod evacuation_feed;
 mod gateway_maintenance;
 mod group_record;
@@ -26,6 +28,7 @@
 mod store_eras;
 mod target_feed;
 
+pub use confirmed_copies::ConfirmedCopies;
 pub use control_state::ControlState;
 pub use control_task::{release_leadership, run_control};
 pub use evacuation_feed::follow_evacuations;
@@ -33,8 +36,9 @@
 pub use newer_state::{NewerState, StateNotice};
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
-    AllowanceRequest, AllowanceResponse, GrantAck, GrantMessage, GrantedGroup, GrantedGroups,
-    GroupReport, LeaderHint, LeaseRequest, PeerMessage, ShareDepositMessage, StopMessage,
+    AllowanceRequest, AllowanceResponse, CopyQuery, CopyReport, GrantAck, GrantMessage,
+    GrantedGroup, GrantedGroups, GroupReport, LeaderHint, LeaseRequest, PeerMessage,
+    ShareDepositMessage, StopMessage,
 };
 pub use plan_feed::follow_plan;
 pub use share_pooling::exchange_shares;
--- a/crates/mustardhinge-resident/src/control/newer_state.rs
+++ b/crates/mustardhinge-resident/src/control/newer_state.rs
@@ -23,6 +23,8 @@
     Request,
     /// A message that names the leader.
     LeaderHint,
+    /// A report of an instance that watches the store.
+    CopyReport,
 }
 
 impl fmt::Display for StateNotice {
@@ -31,6 +33,7 @@
             Self::Grant => "grant",
             Self::Request => "request",
             Self::LeaderHint => "leader_hint",
+            Self::CopyReport => "copy_report",
         })
     }
 }
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -6,6 +6,7 @@
 use mustardhinge_core::primary_lease::{GroupPhase, LeaderRecord, PrimaryEvidence};
 use rand::seq::IndexedRandom;
 
+use super::copy_queries::{handle_copy_report, report_copies};
 use super::leader_messages::{
     check_plan_version, close_local_lease, handle_allowance_response, handle_grant, handle_stop,
 };
@@ -80,6 +81,11 @@
         PeerMessage::Gateways(update) => control.node.adopt_gateways(&update),
         PeerMessage::ShareDeposit(message) => handle_share_deposit(control, &message),
         PeerMessage::ShareLoan(loan) => handle_share_loan(control, &loan),
+        PeerMessage::CopyQuery(query) => {
+            let report = report_copies(control, &query);
+            control.send(&PeerMessage::CopyReport(report), query.address);
+        }
+        PeerMessage::CopyReport(report) => handle_copy_report(control, &report),
     }
 }
 
@@ -277,7 +283,7 @@
         incarnation: control.incarnation,
         address: node.settings.peer_address,
         zone: node.settings.zone.clone(),
-        can_relay: control.is_store_available.get() && node.plan().version().get() > 0,
+        can_relay: control.can_relay(now),
         weight: gateway_weight(node),
         gateways: node.gateway_version(),
         requested_at: now.as_micros(),
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -12,6 +12,7 @@
 use mustardhinge_core::rate_limit::{AllowanceGrant, ShareDeposit, ShareLoan, UsageReport};
 use serde::{Deserialize, Serialize};
 
+use super::ConfirmedCopies;
 use crate::plan::TargetsDigest;
 
 /// Version of the message format. Instances ignore messages of another version.
@@ -44,6 +45,10 @@
     ShareDeposit(ShareDepositMessage),
     /// The pool's response to a [`ShareDeposit`](Self::ShareDeposit).
     ShareLoan(ShareLoan),
+    /// Asks an instance that watches the store for the versions of its copies.
+    CopyQuery(CopyQuery),
+    /// The response to a [`CopyQuery`](Self::CopyQuery).
+    CopyReport(CopyReport),
 }
 
 impl PeerMessage {
@@ -83,7 +88,11 @@
             Self::Stop(stop) => stop.fence,
             Self::LeaderHint(hint) => hint.record.fence,
             Self::Gateways(update) => update.version.fence,
-            Self::WhoLeads(_) | Self::ShareDeposit(_) | Self::ShareLoan(_) => 0,
+            Self::WhoLeads(_)
+            | Self::ShareDeposit(_)
+            | Self::ShareLoan(_)
+            | Self::CopyQuery(_)
+            | Self::CopyReport(_) => 0,
         }
     }
 }
@@ -206,6 +215,19 @@
     pub confirmed: ConfirmationAges,
 }
 
+impl GrantMessage {
+    /// Returns the versions of the leader's copies of the store's content.
+    #[must_use]
+    pub const fn copies(&self) -> ConfirmedCopies {
+        ConfirmedCopies {
+            plan_version: self.plan_version,
+            targets: self.targets,
+            evacuations: self.evacuations,
+            ages: self.confirmed,
+        }
+    }
+}
+
 /// The leases on the groups' primaries for one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantedGroups {
@@ -291,3 +313,23 @@
     /// The deposits and requests.
     pub deposit: ShareDeposit,
 }
+
+/// A query for the versions of another instance's copies of the store's content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyQuery {
+    /// The address for the response.
+    pub address: SocketAddr,
+    /// The requester's clock in microseconds; the response repeats it.
+    pub requested_at: u64,
+}
+
+/// The response to a [`CopyQuery`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyReport {
+    /// The address at which the responder serves its state.
+    pub address: SocketAddr,
+    /// The time of the query, as given by the requester.
+    pub requested_at: u64,
+    /// The responder's copies.
+    pub copies: ConfirmedCopies,
+}
--- a/crates/mustardhinge-resident/src/control/schedule.rs
+++ b/crates/mustardhinge-resident/src/control/schedule.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::primary_lease::ControlSchedule;
 
 use super::ControlState;
+use super::copy_queries::next_query_at;
 
 /// Time after which a response of the leader counts as overdue: many round trips.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -17,8 +18,9 @@
     now: MonotonicTime,
 ) -> ControlSchedule {
     let node = &control.node;
-    let next_request_in =
-        (requested_at + node.lease_settings.request_interval).saturating_since(now);
+    let next_request_at = requested_at + node.lease_settings.request_interval;
+    let next_query_at = next_query_at(control).unwrap_or(next_request_at);
+    let next_request_in = next_request_at.min(next_query_at).saturating_since(now);
     let grant_age = now.saturating_since(control.granted_at.get());
     let has_pending = grant_age > node.lease_settings.request_interval + RESPONSE_TIMEOUT
         || has_pending_request
--- a/crates/mustardhinge-resident/src/control/target_feed.rs
+++ b/crates/mustardhinge-resident/src/control/target_feed.rs
@@ -66,16 +66,15 @@
         let is_confirmed = control.is_confirmed_by_leader(PART, watched_at);
         let wait = pacing.begin(is_confirmed);
         let watch = control.platform.watch_targets(revision, wait);
-        let max_wait = if missing.is_empty() {
-            None
-        } else {
-            Some(MISSING_GRACE_PERIOD)
-        };
+        let max_wait = (!missing.is_empty()).then_some(MISSING_GRACE_PERIOD);
         let update = tokio::select! {
             update = watch => update?,
             () = sleep_or_pend(max_wait) => continue,
             () = control.wait_until_relayed(PART, true) => return Ok(()),
-            () = control.wait_until_unconfirmed(PART), if is_confirmed => return Ok(()),
+            () = control.wait_until_unconfirmed(PART), if is_confirmed => {
+                pacing.poll_next();
+                continue;
+            }
             () = control.wait_for_era_after(era) => return Ok(()),
         };
         control.record_store_result(Ok(()));
