Say in a claim when the rights of earlier leaders end

Cause: a leader's record says when the rights of all earlier leaders end (settles_in), but only from its first renewal on, 0.7 s after the claim. A leader that is killed before leaves a record without it, and its successor waits 11 s, as does each one after it.

Change: the claim itself has the time, computed as it is after the claim.

Why it is safe: the time is an upper bound counted from before the write, and a successor counts it from when it sees the record.

The new core test fails before. Core's tests pass.

--- a/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
@@ -30,9 +30,19 @@
     /// Records in a record that is written now whether and when the rights of all earlier leaders
     /// have expired.
     pub(super) fn record_settling(&self, record: &mut LeaderRecord, now: MonotonicTime) {
-        record.settled = self.is_settled(now);
+        Self::record_settling_at(record, self.promote_from, now);
+    }
+
+    /// Like [`record_settling`](Self::record_settling), for rights that have expired at
+    /// `promote_from`.
+    pub(super) fn record_settling_at(
+        record: &mut LeaderRecord,
+        promote_from: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        record.settled = now >= promote_from;
         // The time is stored in whole milliseconds and must not be rounded down.
-        let remaining = self.promote_from.saturating_since(now) + Duration::from_millis(1);
+        let remaining = promote_from.saturating_since(now) + Duration::from_millis(1);
         record.settles_in = (!record.settled).then_some(remaining);
     }
 
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -127,11 +127,18 @@
             (false, true) => spread,
             (false, false) => self.settings.claim_after + spread,
         };
-        (now.saturating_since(observed.first_seen) >= wait).then(|| ElectionStep::Write {
-            record: self.claim_record(
-                observed.record.fence.max(self.highest_fence) + 1,
-                Some(observed.revision),
-            ),
+        if now.saturating_since(observed.first_seen) < wait {
+            return None;
+        }
+        let fence = observed.record.fence.max(self.highest_fence) + 1;
+        let mut record = self.claim_record(fence, Some(observed.revision));
+        if !observed.is_from_copy() {
+            // A successor relies on it if this instance ends before its first renewal.
+            let promote_from = self.promote_from(observed, now);
+            HeldLeadership::record_settling_at(&mut record, promote_from, now);
+        }
+        Some(ElectionStep::Write {
+            record,
             expected: Some(observed.revision),
         })
     }
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -61,7 +61,7 @@
             None if record.settled => sent_at,
             // The store lost the record of a leader that was known here.
             None => sent_at + bound,
-            Some(observed) => self.predecessor_expiry(observed, sent_at) + self.settings.lease,
+            Some(observed) => self.promote_from(observed, sent_at),
         };
         let predecessor = self.observed.as_ref().map(|observed| &observed.record);
         HeldLeadership {
@@ -101,6 +101,16 @@
         }
     }
 
+    /// Returns when the rights of all earlier leaders have expired after a claim that replaces
+    /// `observed`.
+    pub(super) fn promote_from(
+        &self,
+        observed: &ObservedRecord,
+        claimed_at: MonotonicTime,
+    ) -> MonotonicTime {
+        self.predecessor_expiry(observed, claimed_at) + self.settings.lease
+    }
+
     /// Returns when the predecessor has no rights but leases that it granted before, and the leaders
     /// before it have none.
     ///
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -292,6 +292,24 @@
     assert!(restarted.may_promote(at(16_500)));
 }
 
+/// Guards against a successor that waits for leaders long gone, because the one between them ended
+/// before it renewed its claim.
+#[test]
+fn a_leader_that_ends_before_its_first_renewal_does_not_prolong_the_wait() {
+    let mut store = FakeStore::default();
+    let mut zero = election("zero", 1);
+    run(&mut zero, &mut store, 1_000, 6_000);
+    let (record, revision) = zero.release(at(6_000)).unwrap();
+    store.write(&record, Some(revision)).unwrap();
+    let mut killed = election("one", 1);
+    run(&mut killed, &mut store, 6_000, 6_500);
+    let (record, _, _) = killed.held_record().expect("the claim");
+    assert_eq!(record.renewals, 0);
+    let mut restarted = election("one", 2);
+    run(&mut restarted, &mut store, 6_500, 11_000);
+    assert!(restarted.may_promote(at(11_000)));
+}
+
 /// As above, with a second leader that restarts and with one that confirms that it stopped.
 #[test]
 fn a_restart_does_not_shorten_the_wait_for_an_earlier_leader() {
