Release the leadership also when a renewal is in flight at a planned stop

Cause: a leader that stops writes its record as released, under the revision it knows. If a renewal is in flight, the store has a later one: the release is a conflict and was given up. The renewal's response then returned the leadership to the instance that had left the election: it granted leases again, renewed nothing, and its successor took it for running and waited 9 s and a lease.

Change: a write of its own that succeeds after an instance has left the election is released instead of taken over, and a release that conflicts with a renewal of the same leader is repeated under its revision. A retired instance never holds the leadership again. The release has a file of its own.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -339,12 +339,19 @@
 
     /// Leaves the election permanently before the process stops.
     ///
-    /// The write that releases the leadership may still fail.
+    /// The write that releases the leadership may still fail. A renewal or a claim that is in flight
+    /// does not return the leadership; its record has to be released.
     pub fn retire(&mut self) {
         self.is_retired = true;
         self.held = None;
     }
 
+    /// Returns whether this instance has left the election.
+    #[must_use]
+    pub const fn is_retired(&self) -> bool {
+        self.is_retired
+    }
+
     /// Returns whether this instance may grant leases on primaries.
     #[must_use]
     pub fn may_grant(&self, now: MonotonicTime) -> bool {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -15,6 +15,9 @@
         sent_at: MonotonicTime,
     ) {
         self.highest_fence = self.highest_fence.max(record.fence);
+        if self.is_retired {
+            return;
+        }
         let mut held = self.held.take();
         if let Some(mut held) = held.take_if(|held| held.record.fence == record.fence) {
             self.voter_acks.confirm(&record);
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -310,6 +310,25 @@
     assert!(restarted.may_promote(at(11_000)));
 }
 
+/// Guards against a stopping instance that grants leases again because the response to a write of its
+/// own arrives late.
+#[test]
+fn a_write_in_flight_does_not_return_the_leadership_to_a_retired_instance() {
+    let mut store = FakeStore::default();
+    let mut one = election("one", 1);
+    run(&mut one, &mut store, 1_000, 2_000);
+    let ElectionStep::Write { record, expected } = one.next_step(at(2_500)) else {
+        panic!("a renewal is due");
+    };
+    one.record_write_sent(&record, at(2_500));
+    let revision = store.write(&record, expected).unwrap();
+    one.retire();
+    one.confirm_write(revision, record, at(2_500));
+    one.observe_record(store.stored.clone(), at(2_600), at(2_600));
+    assert!(!one.may_grant(at(2_600)));
+    assert!(one.is_retired());
+}
+
 /// As above, with a second leader that restarts and with one that confirms that it stopped.
 #[test]
 fn a_restart_does_not_shorten_the_wait_for_an_earlier_leader() {
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -16,6 +16,7 @@
 use super::copy_queries::send_copy_queries;
 use super::gateway_maintenance::{maintain_gateways, reset_gateways};
 use super::group_setup::set_up_group;
+use super::leadership_release::release_record;
 use super::peer_exchange::{
     announce_leadership, notify_pending_voters, send_allowance_request, send_leader_hint,
     send_lease_request, send_stop_messages,
@@ -29,9 +30,7 @@
 use crate::target::TargetHandle;
 
 /// Name of the leadership record in the platform's store.
-const LEADER_RECORD: &str = "duty";
-/// Interval between the two notifications of a released leadership.
-const RELEASE_NOTICE_INTERVAL: Duration = Duration::from_millis(20);
+pub(super) const LEADER_RECORD: &str = "duty";
 /// Maximum time for running work to finish before this instance stops using a primary that is
 /// being replaced.
 const CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(250);
@@ -93,37 +92,6 @@
     }
 }
 
-/// Leaves the election before a planned stop. Releases the leadership and notifies the known
-/// instances if this one is the leader.
-pub async fn release_leadership<P: PlatformClient>(control: &ControlState<P>) {
-    let now = control.node.clock.now();
-    let release = {
-        let mut election = control.node.election.borrow_mut();
-        let release = election.release(now);
-        election.retire();
-        release
-    };
-    let Some((record, revision)) = release else {
-        return;
-    };
-    let body = serde_json::to_value(&record).unwrap_or_default();
-    let response = control
-        .platform
-        .write_record(LEADER_RECORD, body, Some(revision))
-        .await;
-    event::LEADERSHIP_LOST.log(format_args!(
-        "fence={} cause=stop answer={response:?}",
-        record.fence
-    ));
-    for _ in 0..2 {
-        let known = control.instances.borrow().addresses();
-        for address in known {
-            send_leader_hint(control, &record, address);
-        }
-        sleep(RELEASE_NOTICE_INTERVAL).await;
-    }
-}
-
 fn update_leadership<P: PlatformClient>(
     control: &Rc<ControlState<P>>,
     state: &mut ControlTaskState,
@@ -250,6 +218,12 @@
         .write_record(LEADER_RECORD, body, expected)
         .await;
     control.update_store_era();
+    let is_retired = control.node.election.borrow().is_retired();
+    if let WriteOutcome::Done(revision) = response
+        && is_retired
+    {
+        return release_record(control, record, revision).await;
+    }
     let mut election = control.node.election.borrow_mut();
     match response {
         WriteOutcome::Done(revision) => {
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod group_setup;
 mod leader_messages;
 mod leader_responses;
+mod leadership_release;
 mod newer_state;
 mod peer_exchange;
 mod peer_message;
@@ -30,9 +31,10 @@
 
 pub use confirmed_copies::ConfirmedCopies;
 pub use control_state::ControlState;
-pub use control_task::{release_leadership, run_control};
+pub use control_task::run_control;
 pub use evacuation_feed::follow_evacuations;
 pub use group_record::GroupRecord;
+pub use leadership_release::release_leadership;
 pub use newer_state::{NewerState, StateNotice};
 pub use peer_exchange::serve_peers;
 pub use peer_message::{
