Replace an object of another writer in the place of the leadership record

What callers see: nothing today, no other writer writes there.

Cause: an object that can't be parsed was reported (6016) and otherwise ignored, so that the election waited for a read that never came.

Change: the election knows that state. A leader whose last renewal is less than 1.7 s old replaces the object under a new fence and keeps its rights, since nobody can have claimed in between; others replace it after 2 s and wait 11 s before they replace a primary, as after a lost record. The fence is above the revision of the object: a fence never exceeds the revision of its claim, so an instance that has seen no fence repeats none.

Open: the same object in the place of a group's record; the group keeps its primary until the leader changes.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::held_leadership::HeldLeadership;
+use super::unreadable_record::UnreadableRecord;
 use super::voter_acks::VoterAcks;
 use super::{
     ClaimOrder, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter,
@@ -31,11 +32,13 @@
     claim_order: ClaimOrder,
     settings: LeaseSettings,
     observed: Option<ObservedRecord>,
+    /// What the store has in the place of a record, if it can't be read.
+    unreadable: Option<UnreadableRecord>,
     is_record_absent: bool,
     era: StoreEra,
     /// Since when the record is known to be absent in this era.
     absent_since: Option<MonotonicTime>,
-    /// Whether no other instance can have become leader before the store was restored.
+    /// Whether no other instance can have become leader before the record was lost.
     is_unbroken: bool,
     held: Option<HeldLeadership>,
     highest_fence: u64,
@@ -73,6 +76,7 @@
             claim_order: ClaimOrder::by_rank(rank),
             settings: LeaseSettings::default(),
             observed: None,
+            unreadable: None,
             is_record_absent: false,
             era: StoreEra::default(),
             absent_since: None,
@@ -117,6 +121,7 @@
             return false;
         }
         self.era = era;
+        self.unreadable = None;
         self.is_record_absent = false;
         self.absent_since = None;
         self.has_predecessor_stopped = false;
@@ -168,6 +173,7 @@
     ) {
         let Some((revision, record)) = stored else {
             self.is_stale = false;
+            self.unreadable = None;
             self.is_record_absent = true;
             self.absent_since = self.absent_since.or(Some(now));
             self.observed = None;
@@ -178,6 +184,7 @@
         }
         self.observe_era(revision.era(), now);
         self.is_stale = false;
+        self.unreadable = None;
         self.is_record_absent = false;
         self.absent_since = None;
         let is_current = record.era >= revision.era();
@@ -206,6 +213,32 @@
         });
     }
 
+    /// Applies the result of a read that found no record but an object of another writer.
+    ///
+    /// The leader replaces it under a new fence as long as no other instance can have become leader
+    /// meanwhile. Others replace it like the record of a leader that is unknown.
+    pub fn observe_unreadable(&mut self, revision: RecordRevision, now: MonotonicTime) {
+        if revision.era() < self.era {
+            return;
+        }
+        self.observe_era(revision.era(), now);
+        self.is_stale = false;
+        self.is_record_absent = false;
+        self.absent_since = None;
+        if self
+            .unreadable
+            .is_some_and(|known| known.revision == revision)
+        {
+            return;
+        }
+        let held = self.held.as_ref();
+        self.is_unbroken = held.is_some_and(|held| self.is_renewed_recently(held, now));
+        self.unreadable = Some(UnreadableRecord {
+            revision,
+            first_seen: now,
+        });
+    }
+
     fn write_sent_at(&self, record: &LeaderRecord) -> Option<MonotonicTime> {
         let mut writes = self.sent_writes.iter();
         let found = writes
@@ -304,6 +337,8 @@
             .as_ref()
             .is_none_or(|known| known.revision < observed.revision);
         if newer {
+            let is_replaced = |known: &mut UnreadableRecord| known.revision < observed.revision;
+            self.unreadable.take_if(is_replaced);
             self.observed = Some(observed);
         }
     }
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -4,6 +4,7 @@
 
 use super::LeaderElection;
 use crate::primary_lease::held_leadership::HeldLeadership;
+use crate::primary_lease::unreadable_record::UnreadableRecord;
 use crate::primary_lease::{ElectionStep, LeaderRecord, RecordRevision, StoreEra};
 use crate::units::MonotonicTime;
 
@@ -71,9 +72,12 @@
         }
     }
 
-    /// Returns whether the store lost the leader's record, or has it overwritten by a write that was
-    /// sent in an earlier era and whose expected number has been issued again.
+    /// Returns whether the store lost the leader's record, or has it overwritten by another writer or
+    /// by a write that was sent in an earlier era and whose expected number has been issued again.
     fn needs_restore(&self, held: &HeldLeadership) -> bool {
+        if self.unreadable.is_some() {
+            return true;
+        }
         let is_overwritten = self
             .observed
             .as_ref()
@@ -81,7 +85,7 @@
         held.record.era < self.era || is_overwritten
     }
 
-    /// Returns the step by which a leader writes its record to a restored store, with a new fence.
+    /// Returns the step by which a leader writes its lost record again, with a new fence.
     ///
     /// A leader whose last renewal is too old may have been replaced by a leader whose record was
     /// lost as well and who still replaces primaries, so it waits like any other claimant.
@@ -93,7 +97,10 @@
         if !self.is_renewed_recently(held, now) {
             return self.claim_or_read(now);
         }
-        let stored = self.observed.as_ref().map(|observed| observed.revision);
+        let stored = match &self.unreadable {
+            Some(unreadable) => Some(unreadable.revision),
+            None => self.observed.as_ref().map(|observed| observed.revision),
+        };
         let expected = stored.filter(|revision| revision.era() == self.era);
         if expected.is_none() && !self.is_record_absent {
             return match self.last_read_at {
@@ -113,6 +120,9 @@
         {
             return None;
         }
+        if let Some(unreadable) = &self.unreadable {
+            return self.unreadable_claim_step(unreadable, now);
+        }
         let Some(observed) = &self.observed else {
             return self.absent_claim_step(now);
         };
@@ -143,6 +153,21 @@
         })
     }
 
+    /// Returns the claim that replaces an object of another writer, after the same wait as for a
+    /// record that its leader doesn't renew.
+    fn unreadable_claim_step(
+        &self,
+        unreadable: &UnreadableRecord,
+        now: MonotonicTime,
+    ) -> Option<ElectionStep> {
+        let wait = self.settings.claim_after + self.claim_order.spread;
+        let expected = Some(unreadable.revision);
+        (now.saturating_since(unreadable.first_seen) >= wait).then(|| ElectionStep::Write {
+            record: self.claim_record(self.highest_fence + 1, expected),
+            expected,
+        })
+    }
+
     /// Returns the claim for a record that the store doesn't have.
     ///
     /// A restored store may have lost the record of a leader that still replaces primaries, so the
@@ -168,12 +193,13 @@
 
     /// Returns a claim with at least the given fence.
     ///
-    /// After a restore, the fence is also above the revision that the claim replaces. Each claim
-    /// of an era replaces a later revision, so no two of them have the same fence, even if neither
-    /// claimant has seen the other's.
+    /// After a restore, and if the record can't be read, the fence is also above the revision that
+    /// the claim replaces. Each claim of an era replaces a later revision, so no two of them have the
+    /// same fence, even if neither claimant has seen the other's.
     fn claim_record(&self, fence: u64, expected: Option<RecordRevision>) -> LeaderRecord {
         let replaced = expected.map_or(0, RecordRevision::number);
         let floor = match self.era.counter_floor() {
+            0 if self.unreadable.is_some() => replaced + 1,
             0 => 0,
             floor => floor + replaced + 1,
         };
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -30,12 +30,14 @@
         self.voter_acks.reset(record.fence);
         self.voter_acks.confirm(&record);
         let is_unbroken = std::mem::take(&mut self.is_unbroken);
-        let known_since = held.as_ref().and_then(|_| self.stored_since());
-        let is_lost = revision.era() > StoreEra::default()
-            && self
-                .observed
-                .as_ref()
-                .is_none_or(ObservedRecord::is_from_copy);
+        let is_unreadable = self.unreadable.take().is_some();
+        let is_known = held.is_some() && !is_unreadable;
+        let known_since = self.stored_since().filter(|_| is_known);
+        let has_no_record = || {
+            let observed = self.observed.as_ref();
+            observed.is_none_or(ObservedRecord::is_from_copy)
+        };
+        let is_lost = is_unreadable || revision.era() > StoreEra::default() && has_no_record();
         self.held = Some(match held.filter(|_| is_lost && is_unbroken) {
             Some(held) => HeldLeadership {
                 record,
@@ -85,7 +87,7 @@
         observed.map_or(self.absent_since, |observed| Some(observed.first_seen))
     }
 
-    /// Returns the leadership after a restore of the store. The last leader is unknown, so neither
+    /// Returns the leadership after the record was lost. The last leader is unknown, so neither
     /// voters nor a stopped predecessor shorten the wait.
     fn held_after_loss(
         &self,
--- a/crates/mustardhinge-core/src/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/src/primary_lease/mod.rs
@@ -33,6 +33,7 @@
 mod setup_quorum;
 mod store_era;
 mod successor_choice;
+mod unreadable_record;
 mod voter;
 mod voter_acks;
 mod voter_choice;
--- a/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/store_restore.rs
@@ -17,12 +17,14 @@
 
 type Stored = Option<(u64, LeaderRecord)>;
 
-/// A store with one record that can be restored from an older copy.
+/// A store with one record that can be restored from an older copy, and overwritten by another
+/// writer.
 #[derive(Default)]
 struct RestoredStore {
     era: u64,
     number: u64,
     stored: Stored,
+    is_unreadable: bool,
     copies: BTreeMap<u64, (u64, Stored)>,
 }
 
@@ -48,9 +50,19 @@
         }
         self.number += 1;
         self.stored = Some((self.number, record.clone()));
+        self.is_unreadable = false;
         Some(self.revision(self.number))
     }
 
+    /// Puts an object that can't be read in the place of the record, if there is one.
+    fn overwrite(&mut self) {
+        if let Some((number, _)) = &mut self.stored {
+            self.number += 1;
+            *number = self.number;
+            self.is_unreadable = true;
+        }
+    }
+
     fn copy(&mut self, millis: u64) {
         self.copies
             .insert(millis, (self.number, self.stored.clone()));
@@ -64,6 +76,7 @@
         self.era += 1;
         self.number = number;
         self.stored = stored;
+        self.is_unreadable = false;
     }
 }
 
@@ -78,7 +91,12 @@
         ElectionStep::Read => {
             election.record_read_sent(now);
             election.observe_era(StoreEra::new(store.era), now);
-            election.observe_record(store.read(), now, now);
+            match store.read() {
+                Some((revision, _)) if store.is_unreadable => {
+                    election.observe_unreadable(revision, now);
+                }
+                stored => election.observe_record(stored, now, now),
+            }
         }
         ElectionStep::Write { record, expected } => {
             election.record_write_sent(&record, now);
@@ -275,6 +293,42 @@
     );
 }
 
+/// Guards against a leader that gives the leadership up because another writer has overwritten its
+/// record, and against its successors that wait until an operator removes the object.
+#[test]
+fn an_overwritten_record_is_written_again_under_a_higher_fence() {
+    let (mut store, mut one) = (RestoredStore::default(), election("one", 1));
+    run(&mut one, &mut store, 1_000, 3_000);
+    let before = fence(&one);
+    store.overwrite();
+    for millis in (3_000..6_000).step_by(100) {
+        run(&mut one, &mut store, millis, millis + 1);
+        assert!(one.may_grant(at(millis)), "at {millis}");
+    }
+    assert!(fence(&one) > before && !store.is_unreadable);
+    assert!(one.may_promote(at(6_000)), "it was the leader all the time");
+}
+
+/// Guards against a successor that takes an object of another writer for the record of a leader that
+/// has ended, and against one that repeats a fence because it has seen none.
+#[test]
+fn an_unreadable_record_counts_as_that_of_an_unknown_leader() {
+    let (mut store, mut one) = (RestoredStore::default(), election("one", 1));
+    run(&mut one, &mut store, 1_000, 3_000);
+    let expiry = 3_000 + LOST_RECORD_WAIT;
+    store.overwrite();
+    let mut started = election("two", 1);
+    run(&mut started, &mut store, 3_000, 6_000);
+    assert!(fence(&started) > fence(&one));
+    started.predecessor_stopped(at(6_000));
+    for millis in (6_000..expiry).step_by(100) {
+        run(&mut started, &mut store, millis, millis + 1);
+        assert!(!started.may_promote(at(millis)), "at {millis}");
+    }
+    run(&mut started, &mut store, expiry, expiry + 4_000);
+    assert!(started.may_promote(at(expiry + 4_000)));
+}
+
 /// An instance of the simulation and when it last granted leases.
 struct Instance {
     election: LeaderElection,
@@ -318,6 +372,8 @@
     outages: Vec<(usize, u64, u64)>,
     /// Which instance is restarted, and when.
     restarts: Vec<(usize, u64)>,
+    /// When another writer overwrites the record.
+    overwrites: Vec<u64>,
 }
 
 /// Plays a minute of three instances without any message between them.
@@ -336,6 +392,9 @@
         for (_, age) in failures.restores.iter().filter(|(due, _)| is_due(*due)) {
             store.restore(millis.saturating_sub(*age));
         }
+        if failures.overwrites.iter().any(|due| is_due(*due)) {
+            store.overwrite();
+        }
         for (index, _) in failures.restarts.iter().filter(|(_, due)| is_due(*due)) {
             instances[*index].election = election(&format!("i{index}"), millis);
         }
@@ -365,20 +424,22 @@
         restores: vec![(16_800, 4_501), (18_900, 1_501), (23_300, 3_601)],
         outages: vec![(0, 13_701, 11_800), (2, 1_315, 8_386)],
         restarts: vec![(2, 1_400)],
+        ..Failures::default()
     };
     play(&failures).unwrap();
 }
 
 proptest! {
-    /// Each instance has an interrupted connection to a store that is restored several times, and
-    /// some are restarted without memory. No leader may replace a primary while a lease of another
-    /// one may run, and no two may share a fence.
+    /// Each instance has an interrupted connection to a store that is restored several times and
+    /// where another writer overwrites the record, and some are restarted without memory. No leader
+    /// may replace a primary while a lease of another one may run, and no two may share a fence.
     #[test]
     fn rights_never_overlap_across_restores(
-        restores in prop::collection::vec((1_000_u64..40_000, 0_u64..6_000), 1..4),
+        restores in prop::collection::vec((1_000_u64..40_000, 0_u64..6_000), 0..4),
         outages in prop::collection::vec((0_usize..3, 1_000_u64..40_000, 100_u64..14_000), 0..8),
         restarts in prop::collection::vec((0_usize..3, 1_000_u64..40_000), 0..3),
+        overwrites in prop::collection::vec(1_000_u64..40_000, 0..4),
     ) {
-        play(&Failures { restores, outages, restarts })?;
+        play(&Failures { restores, outages, restarts, overwrites })?;
     }
 }
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -189,7 +189,9 @@
                     "record={LEADER_RECORD} error={:?}",
                     error.to_string()
                 ));
-                return;
+                let now = control.node.clock.now();
+                let mut election = control.node.election.borrow_mut();
+                return election.observe_unreadable(revision, now);
             }
         },
     };
