Keep what relayed copies need in a file of its own

The constants and methods that decide when an instance relies on its relay move to relayed_copies.rs; the queries get the present time as an argument. No behaviour changes; the tests of severed connections, silent watches and the relay pass.

--- a/crates/mustardhinge-resident/src/control/copy_queries.rs
+++ b/crates/mustardhinge-resident/src/control/copy_queries.rs
@@ -13,8 +13,11 @@
 use crate::adapter::PlatformClient;
 
 /// Returns when this instance has to ask for a confirmation; none if it has nobody to ask.
-pub(super) fn next_query_at<P>(control: &ControlState<P>) -> Option<MonotonicTime> {
-    let has_sources = !query_addresses(control).is_empty();
+pub(super) fn next_query_at<P>(
+    control: &ControlState<P>,
+    now: MonotonicTime,
+) -> Option<MonotonicTime> {
+    let has_sources = !query_addresses(control, now).is_empty();
     let next_at = control
         .query_pacing
         .get()
@@ -24,7 +27,7 @@
 
 /// Asks for a confirmation if one is due.
 pub(super) fn send_copy_queries<P>(control: &ControlState<P>, now: MonotonicTime) {
-    if next_query_at(control).is_none_or(|at| now < at) {
+    if next_query_at(control, now).is_none_or(|at| now < at) {
         return;
     }
     let mut pacing = control.query_pacing.get();
@@ -34,18 +37,17 @@
         address: control.node.settings.peer_address,
         requested_at: now.as_micros(),
     });
-    for address in query_addresses(control) {
+    for address in query_addresses(control, now) {
         metrics::counter!("resident_copy_queries_total").increment(1);
         control.send(&query, address);
     }
 }
 
 /// Returns the instances that watch the store and can confirm this one's copies.
-fn query_addresses<P>(control: &ControlState<P>) -> Vec<SocketAddr> {
+fn query_addresses<P>(control: &ControlState<P>, now: MonotonicTime) -> Vec<SocketAddr> {
     if let Some(relay) = control.relay.get() {
         return vec![relay];
     }
-    let now = control.node.clock.now();
     if !control.node.election.borrow().may_grant(now) {
         return Vec::new();
     }
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod plan_feed;
 mod primary_change;
 mod record_restore;
+mod relayed_copies;
 mod schedule;
 mod share_pooling;
 mod state_fetch;
--- a/crates/mustardhinge-resident/src/control/schedule.rs
+++ b/crates/mustardhinge-resident/src/control/schedule.rs
@@ -19,7 +19,7 @@
 ) -> ControlSchedule {
     let node = &control.node;
     let next_request_at = requested_at + node.lease_settings.request_interval;
-    let next_query_at = next_query_at(control).unwrap_or(next_request_at);
+    let next_query_at = next_query_at(control, now).unwrap_or(next_request_at);
     let next_request_in = next_request_at.min(next_query_at).saturating_since(now);
     let grant_age = now.saturating_since(control.granted_at.get());
     let has_pending = grant_age > node.lease_settings.request_interval + RESPONSE_TIMEOUT
