--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -19,6 +19,8 @@
 /// server began to lead.
 const MAX_CUT: Duration = Duration::from_millis(900);
 const CUT_AFTER_LEAD: Duration = Duration::from_millis(200);
+/// How long a replaced primary goes on unless it is demoted.
+const STEP_DOWN: Duration = Duration::from_secs(1);
 /// Statements that may wait for a slot; more get BUSY.
 const QUEUE: usize = 40;
 
@@ -49,6 +51,8 @@
     pub is_deaf: bool,
     /// Whether work of other callers takes all its slots and places in the queue.
     pub is_full: bool,
+    /// Whether it reports that it leaves.
+    is_leaving: bool,
     sequence: u64,
     born_ms: u64,
     died_at: Option<Instant>,
@@ -111,6 +115,10 @@
     pub runs: Mutex<HashSet<String>>,
     /// The reads that ran, with the server and its position.
     pub reads: Mutex<Vec<(String, String, (u64, u64))>>,
+    /// The commits, by the id of the statement: when and at which server.
+    pub commits: Mutex<HashMap<String, (Instant, String)>>,
+    /// The servers that were promoted, and since when they lead.
+    pub leaders: Mutex<Vec<(Instant, String)>>,
     /// When a promoted server began to lead.
     pub led_at: Mutex<Option<Instant>>,
     /// When an order to promote came.
@@ -139,6 +147,8 @@
             runs: Mutex::default(),
             tenants: Mutex::default(),
             reads: Mutex::default(),
+            commits: Mutex::default(),
+            leaders: Mutex::default(),
             led_at: Mutex::default(),
             ordered_at: Mutex::default(),
             record: Arc::clone(record),
@@ -151,7 +161,6 @@
         for (index, zone) in zones.into_iter().enumerate() {
             let listener = TcpListener::bind((ip, 0)).expect("bind a server");
             let address = listener.local_addr().unwrap();
-            let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
             self.servers.lock().unwrap().push(Server {
                 id: format!("i-{}", ["aa01", "bb02", "cc03"][index]),
                 zone: zone.to_owned(),
@@ -164,8 +173,9 @@
                 is_alive: true,
                 is_deaf: false,
                 is_full: false,
+                is_leaving: false,
                 sequence: 0,
-                born_ms: born.as_millis() as u64,
+                born_ms: unix_millis(),
                 died_at: None,
                 busy: 0,
                 waiting: 0,
@@ -207,9 +217,10 @@
 
     fn register(&self, server: &Server) {
         let role = if server.is_primary { "primary" } else { "replica" };
+        let state = if server.is_leaving { "draining" } else { "ready" };
         let spec = format!(
             "{{\"backend\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":{},\"state\":\"ready\",\"cold_left_ms\":0,\"db_role\":\"{role}\",\
+             \"slots\":{},\"state\":\"{state}\",\"cold_left_ms\":0,\"db_role\":\"{role}\",\
              \"sequence\":{},\"born\":{}}}",
             server.address, server.zone, self.slots, server.sequence, server.born_ms
         );
@@ -247,6 +258,8 @@
         thread::spawn(move || {
             thread::sleep(group.promote_time);
             group.lead(index);
+            thread::sleep(STEP_DOWN);
+            group.step_down();
         });
         status
     }
@@ -262,26 +275,69 @@
         server.term = term;
         let (term_held, number) = server.received();
         server.applied_at.fill(Instant::now());
+        self.leaders.lock().unwrap().push((Instant::now(), server.id.clone()));
         *self.led_at.lock().unwrap() = Some(Instant::now());
         self.record.line(format!(
             "server {} leads term {term} with what it has received up to {term_held}.{number}",
             server.id
         ));
         self.register(server);
-        // Replicas follow the new primary; what they have beyond its log is rolled back.
+        // Replicas follow the new primary; what they have beyond its log is rolled back. The old
+        // primary goes on for a while.
         let log = server.log.clone();
         for (other, server) in servers.iter_mut().enumerate() {
-            if other != index && server.is_alive {
-                server.is_primary = false;
-                server.term = term;
-                if !server.is_deaf {
-                    server.follow(&log);
-                }
-                self.register(server);
+            if other != index && server.is_alive && !server.is_primary {
+                self.follow(server, term, &log);
+            }
+        }
+    }
+
+    fn follow(&self, server: &mut Server, term: u64, log: &[Commit]) {
+        server.is_primary = false;
+        server.term = term;
+        if !server.is_deaf {
+            server.follow(log);
+        }
+        self.register(server);
+    }
+
+    /// Makes replaced primaries replicas, a while after they can reach the new one.
+    fn step_down(&self) {
+        let mut servers = self.servers.lock().unwrap();
+        let leaders = servers.iter().filter(|server| server.is_alive && server.is_primary);
+        let Some(newest) = leaders.max_by_key(|server| server.term) else { return };
+        let (term, log) = (newest.term, newest.log.clone());
+        for server in servers.iter_mut() {
+            if server.is_alive && server.is_primary && server.term < term {
+                self.follow(server, term, &log);
             }
         }
     }
 
+    /// Makes a server report that it leaves.
+    pub fn drain(&self, index: usize) {
+        let mut servers = self.servers.lock().unwrap();
+        servers[index].is_leaving = true;
+        servers[index].sequence += 1;
+        self.register(&servers[index]);
+        self.record.line(format!("server {} reports draining", servers[index].id));
+    }
+
+    /// Ends a server that has drained, and starts it again under its id, with its log.
+    pub fn restart(&self, index: usize) {
+        let mut servers = self.servers.lock().unwrap();
+        let server = &mut servers[index];
+        server.is_leaving = false;
+        server.life += 1;
+        for stream in server.streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        server.sequence = 0;
+        server.born_ms = unix_millis();
+        self.register(server);
+        self.record.line(format!("server {} ends and starts again", server.id));
+    }
+
     fn serve(&self, index: usize, stream: TcpStream) {
         let life = {
             let mut servers = self.servers.lock().unwrap();
@@ -503,10 +559,12 @@
 
     fn demote(&mut self, term: u64) -> String {
         let mut servers = self.group.servers.lock().unwrap();
+        let newest = servers.iter().filter(|server| server.is_alive && server.is_primary);
+        let log = newest.max_by_key(|server| server.term).map(|newest| newest.log.clone());
         let server = &mut servers[self.index];
         if server.is_primary && server.term < term {
-            server.is_primary = false;
-            server.term = term;
+            self.group.record.line(format!("server {} is demoted", server.id));
+            self.group.follow(server, term, &log.unwrap_or_default());
         }
         status_row(server)
     }
@@ -594,6 +652,8 @@
             }
         }
         if !commits.is_empty() {
+            let commit = (Instant::now(), primary.clone());
+            self.group.commits.lock().unwrap().insert(id.to_owned(), commit);
             self.group.record.line(format!(
                 "server {primary} commits {id} as {term}.{number}, received by {receivers:?}"
             ));
@@ -615,6 +675,10 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
 fn status_row(server: &Server) -> String {
     let role = if server.is_primary { "primary" } else { "replica" };
     let (term, number) = server.received();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod group;
 mod json;
+mod lapse;
 mod record;
 mod stale;
 mod store;
@@ -15,6 +16,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::{env, fs, thread, time::Duration};
 
 use fleet::{Instance, config, network, wait_until_ready};
@@ -29,6 +31,8 @@
     pub store: Arc<Store>,
     pub group: Arc<Group>,
     pub instances: Vec<Instance>,
+    /// Whether the store turns an instance away.
+    pub away: Vec<Arc<AtomicBool>>,
 }
 
 /// Usual time of a promotion.
@@ -68,14 +72,19 @@
         let promote = move |service: &str, id: &str, holder: &str, fence: &str| {
             if service == group::SERVICE { ordered.promote(id, holder, fence) } else { 404 }
         };
-        let platform = store::serve(&store, &platform_ip, Box::new(promote));
+        let promote: Arc<store::Promote> = Arc::new(Box::new(promote));
         store.put("config", "main", &config(7, sync_replicas));
         group.start(&format!("{}.201", network()), ["muscat-seeb", "muscat-ruwi", "muscat-amerat"]);
         let count = zones.len();
+        let away: Vec<_> = zones.iter().map(|_| Arc::new(AtomicBool::new(false))).collect();
         let mut instances: Vec<_> = zones
             .iter()
             .enumerate()
-            .map(|(index, zone)| Instance::new(&record, folder, (index, count), zone, platform))
+            .map(|(index, zone)| {
+                // An address of its own for each, so that the store can turn a single one away.
+                let platform = store::serve(&store, &platform_ip, &promote, &away[index]);
+                Instance::new(&record, folder, (index, count), zone, platform)
+            })
             .collect();
         instances.iter_mut().for_each(Instance::start);
         if !wait_until_ready(&instances) {
@@ -83,7 +92,7 @@
         }
         record.line("all instances are ready");
         thread::sleep(Duration::from_secs(5));
-        Ok(Self { record, has_trouble, store, group, instances })
+        Ok(Self { record, has_trouble, store, group, instances, away })
     }
 }
 
@@ -106,6 +115,7 @@
         "drain" => drain::run(Arc::clone(&record), &temporary),
         "tenant" => tenant::run(Arc::clone(&record), &temporary),
         "stale" => stale::run(Arc::clone(&record), &temporary),
+        "lapse" => lapse::run(Arc::clone(&record), &temporary),
         "sync" => sync::run(Arc::clone(&record), &temporary),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -47,6 +48,13 @@
         self.changed.notify_all();
     }
 
+    /// Returns whether the spec of an object contains a text.
+    pub fn holds(&self, kind: &str, name: &str, text: &str) -> bool {
+        let contents = self.contents.lock().unwrap();
+        let found = contents.objects.get(&(kind.to_owned(), name.to_owned()));
+        found.is_some_and(|(_, spec)| spec.contains(text))
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut contents = self.contents.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
@@ -130,22 +138,35 @@
 }
 
 /// Serves the store and the promotion call at a free port of `ip`. Returns the address.
-pub fn serve(store: &Arc<Store>, ip: &str, promote: Promote) -> SocketAddr {
+///
+/// While `is_away` is set, calls to the store there get no answer but the end of the connection.
+pub fn serve(
+    store: &Arc<Store>,
+    ip: &str,
+    promote: &Arc<Promote>,
+    is_away: &Arc<AtomicBool>,
+) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).expect("bind the store");
     let address = listener.local_addr().unwrap();
-    let (store, promote) = (Arc::clone(store), Arc::new(promote));
+    let (store, promote, is_away) = (Arc::clone(store), Arc::clone(promote), Arc::clone(is_away));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (store, promote) = (Arc::clone(&store), Arc::clone(&promote));
+            let (store, promote, is_away) =
+                (Arc::clone(&store), Arc::clone(&promote), Arc::clone(&is_away));
             thread::spawn(move || {
-                let _ = serve_connection(&store, &promote, stream);
+                let _ = serve_connection(&store, &promote, &is_away, stream);
             });
         }
     });
     address
 }
 
-fn serve_connection(store: &Store, promote: &Promote, stream: TcpStream) -> std::io::Result<()> {
+fn serve_connection(
+    store: &Store,
+    promote: &Promote,
+    is_away: &AtomicBool,
+    stream: TcpStream,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
@@ -172,12 +193,19 @@
         input.read_exact(&mut body)?;
         let body = String::from_utf8_lossy(&body).into_owned();
         let [method, target, ..] = &words[..] else { return Ok(()) };
-        let (status, answer) = if target == "/promote" {
+        let is_store_call = target != "/promote";
+        if is_store_call && is_away.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        let (status, answer) = if !is_store_call {
             let field = |name| text_member(&body, name).unwrap_or_default().to_owned();
             (promote(&field("backend"), &field("id"), &holder, &fence), "{}".to_owned())
         } else {
             call(store, method, target, &body)
         };
+        if is_store_call && is_away.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             answer.len()
