Keep the state of a leadership while its record is held

The store turns the leader away for 9 s while a primary is leaving.

Cause: the control loop took each change of the right to grant leases for the end or the beginning of a leadership. After a late renewal the leader went on under the same record, but without the leases that it had granted, so it promoted a successor while other instances used the old primary. Limits, gateways and the predecessor started anew in the same way.

Change: LeadershipState follows a number that the election gives to each leadership. It changes only if another instance may have led in between. A late renewal suspends and resumes (6033, 6034). Leases that an instance granted earlier on the same epoch are waited for in a later leadership of its own, which the election doesn't cover.

Evidence: late_renewals fails on ("i1 may still use the replaced primary") and passes.

--- a/crates/mustardhinge-core/src/primary_lease/group_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/group_leases.rs
@@ -82,6 +82,24 @@
         }
     }
 
+    /// Keeps the leases that this instance granted on the same epoch in an earlier leadership.
+    ///
+    /// The election doesn't cover them: a claimant relies on its own earlier rights to have ended.
+    pub fn keep_leases(&mut self, earlier: &Self) {
+        if earlier.epoch != self.epoch {
+            return;
+        }
+        for (instance, expiry) in &earlier.lease_expiry {
+            let known = self.lease_expiry.entry(instance.clone()).or_insert(*expiry);
+            *known = (*known).max(*expiry);
+        }
+        if let GroupPhase::Replacing { cause, since } = self.phase
+            && !self.lease_expiry.is_empty()
+        {
+            self.phase = GroupPhase::Stopping { cause, since };
+        }
+    }
+
     /// Grants `instance` a lease of the given duration, or a grant that is not usable if the
     /// primary is being replaced.
     pub fn grant(
@@ -212,6 +230,12 @@
             .collect()
     }
 
+    /// Returns the service of the group.
+    #[must_use]
+    pub const fn service(&self) -> &ServiceId {
+        &self.service
+    }
+
     /// Returns the epoch.
     #[must_use]
     pub const fn epoch(&self) -> GroupEpoch {
--- a/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
@@ -1,13 +1,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{LeaderRecord, RecordRevision, Voter};
+use super::{LeaderRecord, LeadershipTerm, RecordRevision, Voter};
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
 
 /// The leadership that this instance holds, and the rights that its predecessors may still have.
 #[derive(Clone, Debug)]
 pub(super) struct HeldLeadership {
+    pub(super) term: LeadershipTerm,
     pub(super) record: LeaderRecord,
     pub(super) revision: RecordRevision,
     pub(super) renewed_at: MonotonicTime,
--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -9,7 +9,8 @@
 use super::unreadable_record::UnreadableRecord;
 use super::voter_acks::VoterAcks;
 use super::{
-    ClaimOrder, LeaderRecord, LeaseSettings, ObservedRecord, RecordRevision, StoreEra, Voter,
+    ClaimOrder, LeaderRecord, LeadershipTerm, LeaseSettings, ObservedRecord, RecordRevision,
+    StoreEra, Voter,
 };
 use crate::ids::InstanceId;
 use crate::units::MonotonicTime;
@@ -41,6 +42,7 @@
     /// Whether no other instance can have become leader before the record was lost.
     is_unbroken: bool,
     held: Option<HeldLeadership>,
+    last_term: LeadershipTerm,
     highest_fence: u64,
     last_heartbeat_at: MonotonicTime,
     last_read_at: Option<MonotonicTime>,
@@ -82,6 +84,7 @@
             absent_since: None,
             is_unbroken: false,
             held: None,
+            last_term: LeadershipTerm::default(),
             highest_fence: 0,
             last_heartbeat_at: MonotonicTime::default(),
             last_read_at: None,
@@ -444,6 +447,12 @@
         Some((&held.record, held.revision, held.renewed_at))
     }
 
+    /// Returns the number of the leadership that this instance holds.
+    #[must_use]
+    pub fn held_term(&self) -> Option<LeadershipTerm> {
+        self.held.as_ref().map(|held| held.term)
+    }
+
     /// Returns the record of the last known leader.
     #[must_use]
     pub fn known_leader(&self) -> Option<&LeaderRecord> {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -18,6 +18,8 @@
         if self.is_retired {
             return;
         }
+        let is_kept = self.is_unbroken || self.may_grant(sent_at);
+        let kept_term = self.held_term().filter(|_| is_kept);
         let mut held = self.held.take();
         if let Some(mut held) = held.take_if(|held| held.record.fence == record.fence) {
             self.voter_acks.confirm(&record);
@@ -38,7 +40,8 @@
             observed.is_none_or(ObservedRecord::is_from_copy)
         };
         let is_lost = is_unreadable || revision.era() > StoreEra::default() && has_no_record();
-        self.held = Some(match held.filter(|_| is_lost && is_unbroken) {
+        let kept_term = kept_term.filter(|_| is_lost);
+        let began = match held.filter(|_| is_lost && is_unbroken) {
             Some(held) => HeldLeadership {
                 record,
                 revision,
@@ -50,6 +53,11 @@
                 self.held_after_loss(revision, record, (lost_at, sent_at))
             }
             None => self.held_after_claim(revision, record, sent_at),
+        };
+        self.last_term = kept_term.unwrap_or_else(|| self.last_term.next());
+        self.held = Some(HeldLeadership {
+            term: self.last_term,
+            ..began
         });
         let own = (self.own.holder.clone(), self.own.incarnation);
         self.voter_moved((&own.0, own.1), sent_at);
@@ -70,6 +78,7 @@
         };
         let predecessor = self.observed.as_ref().map(|observed| &observed.record);
         HeldLeadership {
+            term: self.last_term,
             record,
             revision,
             renewed_at: sent_at,
@@ -96,6 +105,7 @@
         (lost_at, sent_at): (MonotonicTime, MonotonicTime),
     ) -> HeldLeadership {
         HeldLeadership {
+            term: self.last_term,
             record,
             revision,
             renewed_at: sent_at,
--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -6,6 +6,7 @@
 mod group_leases;
 mod held_leases;
 mod leader_election;
+mod leadership_state;
 mod lease_response;
 mod promotion_orders;
 mod store_restore;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -76,4 +76,6 @@
     TARGET_SHARE_CHANGED = 6030, Warn, "share of reads of a target that fails some changed";
     COPY_UNCONFIRMED = 6031, Warn, "copy of the store's content not confirmed in time";
     COPY_CONFIRMED = 6032, Info, "copy of the store's content confirmed again";
+    LEADERSHIP_SUSPENDED = 6033, Warn, "leadership not renewed in time";
+    LEADERSHIP_RESUMED = 6034, Info, "leadership renewed late";
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -51,6 +51,8 @@
     pub socket: UdpSocket,
     /// The leader's leases by service; empty on the other instances.
     pub group_leases: RefCell<HashMap<ServiceId, GroupLeases>>,
+    /// The leases that this instance granted in earlier leaderships.
+    pub earlier_leases: RefCell<HashMap<ServiceId, GroupLeases>>,
     /// The group records as last written or read, with their revisions.
     pub records: RefCell<HashMap<ServiceId, (RecordRevision, GroupRecord)>>,
     /// The orders to promote that may still take effect, by service.
@@ -138,6 +140,7 @@
             incarnation,
             socket,
             group_leases: RefCell::default(),
+            earlier_leases: RefCell::default(),
             records: RefCell::default(),
             promotion_orders: RefCell::default(),
             rate_limiter: RefCell::default(),
@@ -177,6 +180,21 @@
         }
     }
 
+    /// Starts to grant leases on a group, after those that this instance granted before.
+    pub(super) fn begin_group(&self, mut leases: GroupLeases) {
+        let service = leases.service().clone();
+        if let Some(earlier) = self.earlier_leases.borrow_mut().remove(&service) {
+            leases.keep_leases(&earlier);
+        }
+        self.group_leases.borrow_mut().insert(service, leases);
+    }
+
+    /// Ends the leader's state of all groups. The leases that it granted may still be used.
+    pub(super) fn end_groups(&self) {
+        let ended = self.group_leases.take();
+        self.earlier_leases.borrow_mut().extend(ended);
+    }
+
     /// Sends a message without waiting. A message that can't be sent immediately is dropped, as any
     /// datagram may be.
     pub fn send(&self, message: &PeerMessage, to: SocketAddr) {
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -5,7 +5,8 @@
 
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId};
 use mustardhinge_core::primary_lease::{
-    ChangeCause, ElectionStep, GroupPhase, LeaderRecord, RecordRevision,
+    ChangeCause, ElectionStep, GroupPhase, LeaderRecord, LeadershipChange, LeadershipState,
+    RecordRevision,
 };
 use mustardhinge_core::rate_limit::RateLimiter;
 use mustardhinge_process::event;
@@ -46,7 +47,7 @@
 /// The state of the control loop between its iterations.
 #[derive(Debug, Default)]
 struct ControlTaskState {
-    is_leader: bool,
+    leadership: LeadershipState,
     requested_at: Option<MonotonicTime>,
     has_urgent_request: bool,
     allowance_requested_at: Option<MonotonicTime>,
@@ -69,7 +70,7 @@
         advance_election(&control, &state, now);
         let is_closing = close_epochs(&control, now);
         send_requests(&control, &mut state, now);
-        if state.is_leader {
+        if state.leadership.is_granting() {
             notify_pending_voters(&control, now);
             restore_records(&control);
             maintain_gateways(&control, now);
@@ -80,7 +81,11 @@
         send_copy_queries(&control, now);
         fetch_newer_state(&control, now);
         let has_pending_request = state.has_urgent_request || state.needs_allowance;
-        let flags = (is_closing, state.is_leader, has_pending_request);
+        let flags = (
+            is_closing,
+            state.leadership.is_granting(),
+            has_pending_request,
+        );
         let schedule =
             control_schedule(&control, state.requested_at.unwrap_or_default(), flags, now);
         tokio::select! {
@@ -97,41 +102,61 @@
     state: &mut ControlTaskState,
     now: MonotonicTime,
 ) {
-    let is_leader = control.node.election.borrow().may_grant(now);
-    let record = control.node.election.borrow().known_leader().cloned();
-    if is_leader && !state.is_leader {
-        let fence = record.as_ref().map_or(0, |record| record.fence);
-        event::LEADERSHIP_GAINED.log(format_args!(
-            "fence={fence} before={:?}",
-            state
-                .last_record
-                .as_ref()
-                .map(|record| record.holder.as_str())
-        ));
-        control.predecessor.replace(state.last_record.clone());
-        control.group_leases.borrow_mut().clear();
-        control.records.borrow_mut().clear();
-        let has_granted = control.granted_at.get() != MonotonicTime::default();
-        control.rate_limiter.replace(if has_granted {
-            RateLimiter::default()
-        } else {
-            RateLimiter::without_predecessor()
-        });
-        control.leader_since.set(now);
-        reset_gateways(control, fence);
-        announce_leadership(control);
-        control.elected.notify_waiters();
-    }
-    if !is_leader && state.is_leader {
-        event::LEADERSHIP_LOST.log(format_args!("cause=replaced_or_not_renewed"));
-        control.group_leases.borrow_mut().clear();
+    let (change, record) = {
+        let election = control.node.election.borrow();
+        let change = state.leadership.update(&election, now);
+        (change, election.known_leader().cloned())
+    };
+    let fence = record.as_ref().map_or(0, |record| record.fence);
+    match change {
+        Some(LeadershipChange::Gained) => {
+            let predecessor = state.last_record.take();
+            event::LEADERSHIP_GAINED.log(format_args!(
+                "fence={fence} before={:?}",
+                predecessor.as_ref().map(|record| record.holder.as_str())
+            ));
+            begin_leadership(control, predecessor, fence, now);
+        }
+        Some(LeadershipChange::Resumed) => {
+            event::LEADERSHIP_RESUMED.log(format_args!("fence={fence}"));
+            announce_leadership(control);
+        }
+        Some(LeadershipChange::Suspended) => {
+            event::LEADERSHIP_SUSPENDED.log(format_args!("fence={fence}"));
+        }
+        Some(LeadershipChange::Lost) => {
+            event::LEADERSHIP_LOST.log(format_args!("cause=replaced"));
+            control.end_groups();
+        }
+        None => {}
     }
-    state.is_leader = is_leader;
-    if !is_leader {
+    if !state.leadership.is_held() {
         state.last_record = record;
     }
 }
 
+/// Replaces the state of an earlier leadership.
+fn begin_leadership<P: PlatformClient>(
+    control: &Rc<ControlState<P>>,
+    predecessor: Option<LeaderRecord>,
+    fence: u64,
+    now: MonotonicTime,
+) {
+    control.predecessor.replace(predecessor);
+    control.end_groups();
+    control.records.borrow_mut().clear();
+    let has_granted = control.granted_at.get() != MonotonicTime::default();
+    control.rate_limiter.replace(if has_granted {
+        RateLimiter::default()
+    } else {
+        RateLimiter::without_predecessor()
+    });
+    control.leader_since.set(now);
+    reset_gateways(control, fence);
+    announce_leadership(control);
+    control.elected.notify_waiters();
+}
+
 fn advance_election<P: PlatformClient>(
     control: &Rc<ControlState<P>>,
     state: &ControlTaskState,
@@ -144,7 +169,7 @@
     if step == ElectionStep::Wait {
         return;
     }
-    if state.is_leader && matches!(step, ElectionStep::Write { .. }) {
+    if state.leadership.is_granting() && matches!(step, ElectionStep::Write { .. }) {
         let mut election = control.node.election.borrow_mut();
         let current = election
             .held_record()
--- a/crates/mustardhinge-resident/src/control/group_setup.rs
+++ b/crates/mustardhinge-resident/src/control/group_setup.rs
@@ -74,10 +74,7 @@
             .records
             .borrow_mut()
             .insert(service.clone(), (revision, record));
-        control
-            .group_leases
-            .borrow_mut()
-            .insert(service.clone(), leases);
+        control.begin_group(leases);
         return true;
     }
     let statuses = query_targets::<W>(group).await;
@@ -90,10 +87,7 @@
         return false;
     }
     let leases = GroupLeases::new(service.clone(), epoch, primary.clone(), report.term);
-    control
-        .group_leases
-        .borrow_mut()
-        .insert(service.clone(), leases);
+    control.begin_group(leases);
     true
 }
 
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -102,10 +102,7 @@
     let floor = GroupEpoch::new(current_era(control).counter_floor());
     let now: MonotonicTime = control.node.clock.now();
     let leases = GroupLeases::unconfirmed(service.clone(), epoch.max(floor), primary, term, now);
-    control
-        .group_leases
-        .borrow_mut()
-        .insert(service.clone(), leases);
+    control.begin_group(leases);
     true
 }
 
