Ignore late responses that show a leadership that was replaced

Cause: the response to a renewal, or to a read of the record, was taken for the present state even if another instance had reported a later leader since. The replaced leader held its record again and granted leases, while its successor counted on its rights to have ended.

Change: a record with a fence below the highest one that is known does not give the leadership back; the record is read again.

Evidence: the new test fails before at its first check ("the response to the renewal") and passes; the 89 tests of the election and the leases pass.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -193,7 +193,9 @@
         let is_current = record.era >= revision.era();
         let is_mine =
             record.holder == self.own.holder && record.incarnation == self.own.incarnation;
-        if is_mine && is_current && !record.released {
+        // The response may be older than what other instances have reported since.
+        let is_newest = record.fence >= self.highest_fence;
+        if is_mine && is_current && is_newest && !record.released {
             let written_at = self.write_sent_at(&record).unwrap_or(sent_at).min(sent_at);
             self.acquire(revision, record, written_at);
             return;
@@ -261,6 +263,11 @@
             self.is_stale = true;
             return;
         }
+        if record.fence < self.highest_fence {
+            // Another instance has claimed since.
+            self.is_stale = true;
+            return;
+        }
         self.is_stale = false;
         if record.released {
             self.held = None;
--- a/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/leader_election.rs
@@ -106,6 +106,31 @@
     assert!(two.may_promote(at(20_000)));
 }
 
+/// Failure: the response to a renewal arrives after another instance has reported a later leader.
+/// The replaced leader takes it for its leadership, and grants leases that nobody waits for.
+#[test]
+fn a_late_response_does_not_return_the_leadership_to_a_replaced_leader() {
+    let mut store = FakeStore::default();
+    let (mut one, mut two) = (election("one", 1), election("two", 2));
+    run(&mut one, &mut store, 1_000, 2_000);
+    let ElectionStep::Write { record, expected } = one.next_step(at(2_500)) else {
+        panic!("a renewal is due");
+    };
+    one.record_write_sent(&record, at(2_500));
+    let revision = store.write(&record, expected).unwrap();
+    let stored = store.stored.clone();
+    run(&mut two, &mut store, 2_500, 6_000);
+    let fence = two.held_record().unwrap().0.fence;
+    one.observe_fence(fence);
+    one.confirm_write(revision, record, at(2_500));
+    assert!(!one.may_grant(at(6_000)), "the response to the renewal");
+    one.observe_record(stored, at(2_600), at(6_000));
+    assert!(!one.may_grant(at(6_000)), "the response to a read");
+    run(&mut one, &mut store, 6_000, 6_500);
+    assert!(!one.may_grant(at(6_500)));
+    assert!(two.may_grant(at(6_500)));
+}
+
 /// Both instances keep running, each with interrupted access to the store at varying times.
 #[test]
 fn two_leaders_never_may_replace_at_the_same_time() {
