Take a request in a planned stop only if it can be answered

Cause: the phases of a stop followed the clock alone. Nothing compared the time that a request may take with the time that is left, and what ran at the end was dropped.

Change: DrainSchedule decides the phases and what is taken. In the second half of the grace period a request is refused at once if the timeout of its route doesn't fit into the rest. 0.4 s before the end each request without a response gets a final answer that is true. The leadership is released beside the phases, and a shorter grace period from a reload is in force at once.

--- a/crates/mustardhinge-resident/src/node/drain_phase.rs
+++ b/crates/mustardhinge-core/src/membership/drain_phase.rs
@@ -12,4 +12,6 @@
     Ending,
     /// New connections and requests are refused; running requests are still answered.
     Refusing,
+    /// The process is about to end: requests without a response get their final answer.
+    Finishing,
 }
--- a/crates/mustardhinge-core/src/membership/mod.rs
+++ b/crates/mustardhinge-core/src/membership/mod.rs
@@ -1,4 +1,4 @@
-//! Which instances are probably running.
+//! Which instances are probably running, and how an instance leaves.
 //!
 //! Membership is a hint: no safety property depends on it.
 
@@ -6,6 +6,8 @@
 mod confirmation_source;
 mod confirmation_table;
 mod copy_confirmation;
+mod drain_phase;
+mod drain_schedule;
 mod feed_retry;
 mod instance_roster;
 mod instance_state;
@@ -27,6 +29,8 @@
 pub use confirmation_source::ConfirmationSource;
 pub use confirmation_table::ConfirmationTable;
 pub use copy_confirmation::CopyConfirmation;
+pub use drain_phase::DrainPhase;
+pub use drain_schedule::DrainSchedule;
 pub use feed_retry::FeedRetry;
 pub use instance_roster::{InstanceRoster, RosterEntry};
 pub use instance_state::InstanceState;
--- a/crates/mustardhinge-resident/src/node/mod.rs
+++ b/crates/mustardhinge-resident/src/node/mod.rs
@@ -2,7 +2,6 @@
 
 mod cold_targets;
 mod departed_targets;
-mod drain_phase;
 mod lost_targets;
 mod node_confirmations;
 mod node_evacuations;
@@ -17,7 +16,7 @@
 mod relayed_targets;
 mod wait_metric;
 
-pub use drain_phase::DrainPhase;
+pub use mustardhinge_core::membership::DrainPhase;
 pub(crate) use node_homes::record_outside_home;
 pub use node_limits::NodeLimits;
 pub use node_process::NodeProcess;
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -2,13 +2,14 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use mustardhinge_core::membership::{DrainPhase, DrainSchedule};
 use mustardhinge_core::primary_lease::{ClaimOrder, LeaderElection};
 use mustardhinge_process::event;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::{DrainPhase, NodeSettings, NodeState};
+use super::{NodeSettings, NodeState};
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::control::{
     ControlState, exchange_shares, follow_evacuations, follow_plan, follow_targets,
@@ -16,14 +17,12 @@
 };
 use crate::session::CallerSession;
 
-/// How long new callers are still accepted after a planned stop is announced. The platform needs
-/// this long to stop sending them.
-const ANNOUNCE_DURATION: Duration = Duration::from_millis(1_500);
-/// Time before the end of the grace period at which the process ends, so that its last responses are
-/// sent before it is killed.
-const END_MARGIN: Duration = Duration::from_millis(400);
+/// Time for the last answers to be sent before the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// Interval of the checks whether the last session has ended, and delay after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of these checks at the end of a stop.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A running instance: its listeners and its control state.
 #[derive(Debug)]
@@ -98,28 +97,31 @@
         }
     }
 
-    /// Stops the instance as planned. Resigns leadership, closes each session between two
-    /// requests, and ends the remaining transactions after half of the grace period. After three
-    /// quarters, new requests are refused, and the running ones are waited for.
+    /// Stops the instance as planned: resigns leadership, and ends sessions and transactions in the
+    /// phases of [`DrainSchedule`].
     pub async fn stop(&self) {
         let node = &self.control.node;
-        let began = node.clock.now();
+        let began_at = node.clock.now();
         event::DRAIN_STARTED.log(format_args!("callers={}", node.open_sessions.get()));
-        node.set_drain_phase(DrainPhase::Announced);
+        node.begin_drain(DrainSchedule::new(began_at, node.limits.get().stop_grace));
         node.leader_request_due.notify_one();
-        release_leadership(&self.control).await;
-        sleep(ANNOUNCE_DURATION).await;
-        node.set_drain_phase(DrainPhase::Closing);
-        let grace = node.limits.get().stop_grace;
-        let half = grace / 2;
-        self.wait_for_sessions(half.saturating_sub(ANNOUNCE_DURATION))
-            .await;
-        node.set_drain_phase(DrainPhase::Ending);
-        self.wait_for_sessions(grace / 4).await;
-        node.set_drain_phase(DrainPhase::Refusing);
-        let elapsed = node.clock.now().saturating_since(began);
-        self.wait_for_sessions(grace.saturating_sub(END_MARGIN + elapsed))
-            .await;
+        let mut release = std::pin::pin!(release_leadership(&self.control));
+        let mut is_released = false;
+        loop {
+            let phase = node.advance_drain(node.clock.now());
+            let is_idle = is_released && !self.has_work();
+            if phase == DrainPhase::Finishing || phase >= DrainPhase::Closing && is_idle {
+                break;
+            }
+            tokio::select! {
+                () = &mut release, if !is_released => is_released = true,
+                () = sleep(POLL_INTERVAL) => {}
+            }
+        }
+        let finishing_at = node.clock.now();
+        while self.has_work() && node.clock.now().saturating_since(finishing_at) < FLUSH_TIME {
+            sleep(FLUSH_POLL_INTERVAL).await;
+        }
         event::PROCESS_STOPPING.log(format_args!(
             "callers={} forwarded={}",
             node.open_sessions.get(),
@@ -129,16 +131,9 @@
         sleep(POLL_INTERVAL).await;
     }
 
-    async fn wait_for_sessions(&self, limit: Duration) {
-        let began = self.control.node.clock.now();
-        while self.control.node.open_sessions.get() > 0
-            || self.control.node.forwarded_work.get() > 0
-        {
-            if self.control.node.clock.now().saturating_since(began) >= limit {
-                return;
-            }
-            sleep(POLL_INTERVAL).await;
-        }
+    fn has_work(&self) -> bool {
+        let node = &self.control.node;
+        node.open_sessions.get() > 0 || node.forwarded_work.get() > 0
     }
 }
 
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -7,7 +7,9 @@
 use mustardhinge_core::connection::ConnectionShare;
 use mustardhinge_core::evacuation::EvacuatedZones;
 use mustardhinge_core::gateway::GatewayView;
-use mustardhinge_core::membership::{ConfirmationTable, ListChanges, StorePart};
+use mustardhinge_core::membership::{
+    ConfirmationTable, DrainPhase, DrainSchedule, ListChanges, StorePart,
+};
 use mustardhinge_core::overload::{FailureTable, OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::{
@@ -24,7 +26,7 @@
 use super::departed_targets::DepartedTargets;
 use super::lost_targets::LostTargets;
 use super::node_confirmations::age_millis;
-use super::{DrainPhase, NodeLimits, NodeSettings};
+use super::{NodeLimits, NodeSettings};
 use crate::gateway::GatewayPeers;
 use crate::group::GroupState;
 use crate::plan::{ServingPlan, TargetEntry, TargetsDigest};
@@ -101,6 +103,7 @@
     index: Cell<Option<usize>>,
     last_leased_at: Cell<MonotonicTime>,
     drain_phase: watch::Sender<DrainPhase>,
+    drain_schedule: Cell<Option<DrainSchedule>>,
     next_session_number: Cell<u64>,
 }
 
@@ -150,6 +153,7 @@
             index: Cell::new(None),
             last_leased_at: Cell::default(),
             drain_phase: watch::Sender::new(DrainPhase::Serving),
+            drain_schedule: Cell::new(None),
             next_session_number: Cell::new(1),
         }
     }
@@ -642,6 +646,35 @@
         session
     }
 
+    /// Begins a planned stop.
+    pub fn begin_drain(&self, schedule: DrainSchedule) {
+        self.drain_schedule.set(Some(schedule));
+        self.set_drain_phase(DrainPhase::Announced);
+    }
+
+    /// Enters the phase of the planned stop that is due at `now`, and returns it. A grace period that
+    /// was shortened in the meantime applies at once.
+    pub fn advance_drain(&self, now: MonotonicTime) -> DrainPhase {
+        let Some(schedule) = self.drain_schedule.get() else {
+            return self.drain_phase();
+        };
+        let schedule = schedule.with_grace(self.limits.get().stop_grace);
+        self.drain_schedule.set(Some(schedule));
+        let phase = schedule.phase(now);
+        if phase > self.drain_phase() {
+            self.set_drain_phase(phase);
+        }
+        phase
+    }
+
+    /// Returns whether a request that may take up to `longest` can be answered before a planned stop
+    /// ends the process.
+    #[must_use]
+    pub fn may_take(&self, longest: Duration, now: MonotonicTime) -> bool {
+        let schedule = self.drain_schedule.get();
+        schedule.is_none_or(|schedule| schedule.may_take(longest, now))
+    }
+
     /// Sets the phase of a planned stop.
     pub fn set_drain_phase(&self, phase: DrainPhase) {
         self.drain_phase.send_replace(phase);
--- a/crates/mustardhinge-resident/src/session/caller_channel.rs
+++ b/crates/mustardhinge-resident/src/session/caller_channel.rs
@@ -116,7 +116,7 @@
                 self.close_at = Some(Instant::now() + Duration::from_millis(close_delay));
                 false
             }
-            DrainPhase::Ending | DrainPhase::Refusing => {
+            DrainPhase::Ending | DrainPhase::Refusing | DrainPhase::Finishing => {
                 self.close_at = Some(Instant::now());
                 true
             }
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mustardhinge_core::membership::DrainPhase;
 use mustardhinge_core::prelude::RefusalReason;
 use mustardhinge_process::event;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::caller_channel::{CallerChannel, IdleState, SessionEvent};
@@ -15,6 +17,7 @@
 use super::response_log::log_response;
 use super::retry_spread::spread_retry;
 use super::transaction_path::{commit, roll_back, run_in_transaction};
+use super::unfinished_statement::UnfinishedStatement;
 use super::write_path::run_write;
 use super::{
     CheckedAccess, OpenTransaction, SessionAccess, SessionRequest, SessionValues, StatementResponse,
@@ -165,13 +168,8 @@
             }
         };
         let mut request = self.new_request(id, text, access);
-        if self.channel.is_refusing() && self.transaction.is_none() {
-            let refusal = SessionRefusal::NotRun {
-                reason: RefusalReason::InstanceDraining,
-                retry_after: Some(Duration::ZERO),
-            };
-            log_refusal(&self.node, &request, &refusal);
-            self.respond_refusal(&refusal);
+        if !self.may_take(&request, &statement) {
+            self.refuse_for_drain(&request);
             return;
         }
         match statement {
@@ -189,11 +187,11 @@
                 self.respond_done();
             }
             CallerStatement::Rollback => self.roll_back(request).await,
-            CallerStatement::Commit => self.commit(request).await,
-            CallerStatement::Read => self.run(request).await,
+            CallerStatement::Commit => self.commit_until_finishing(request).await,
+            CallerStatement::Read => self.run_until_finishing(request).await,
             CallerStatement::Write => {
                 request.writes = true;
-                self.run(request).await;
+                self.run_until_finishing(request).await;
             }
             CallerStatement::Execute { name } => {
                 let Some(writes) = self.values.writes(&name) else {
@@ -203,7 +201,7 @@
                 };
                 request.writes = writes;
                 request.name = Some(name);
-                self.run(request).await;
+                self.run_until_finishing(request).await;
             }
             CallerStatement::Unknown => {
                 self.fail_transaction();
@@ -212,6 +210,79 @@
         }
     }
 
+    /// Returns whether a planned stop leaves enough time for a statement.
+    ///
+    /// A transaction that is open has its own time to end, and the end of one is always tried.
+    fn may_take(&self, request: &SessionRequest, statement: &CallerStatement) -> bool {
+        let phase = self.node.drain_phase();
+        if phase < DrainPhase::Ending {
+            return true;
+        }
+        match statement {
+            CallerStatement::Commit | CallerStatement::Rollback => true,
+            CallerStatement::Begin { .. } => self.transaction.is_some(),
+            _ if self.transaction.as_ref().is_some_and(|open| open.is_failed) => true,
+            _ if self.transaction.is_none() && self.channel.is_refusing() => false,
+            CallerStatement::Read | CallerStatement::Write | CallerStatement::Execute { .. } => {
+                let longest = request.route.statement_timeout;
+                self.node.may_take(longest, request.received_at)
+            }
+            _ => true,
+        }
+    }
+
+    fn refuse_for_drain(&mut self, request: &SessionRequest) {
+        let refusal = match &self.transaction {
+            Some(transaction) if transaction.lease.is_some() => SessionRefusal::Aborted,
+            _ => SessionRefusal::NotRun {
+                reason: RefusalReason::InstanceDraining,
+                retry_after: Some(Duration::ZERO),
+            },
+        };
+        self.fail_transaction();
+        log_refusal(&self.node, request, &refusal);
+        self.respond_refusal(&refusal);
+    }
+
+    /// Runs a statement, but not beyond the end of a planned stop.
+    async fn run_until_finishing(&mut self, mut request: SessionRequest) {
+        if let Some(transaction) = &self.transaction {
+            request.route = Rc::clone(&transaction.route);
+        }
+        let unfinished = UnfinishedStatement::run(self.transaction.as_ref(), request.writes);
+        let mut drain = self.node.subscribe_drain();
+        tokio::select! {
+            biased;
+            () = self.run(&request) => {}
+            () = wait_until_finishing(&mut drain) => self.finish(&request, unfinished),
+        }
+    }
+
+    /// Commits the transaction, but not beyond the end of a planned stop.
+    async fn commit_until_finishing(&mut self, mut request: SessionRequest) {
+        if let Some(transaction) = &self.transaction
+            && transaction.lease.is_some()
+        {
+            request.route = Rc::clone(&transaction.route);
+        }
+        let unfinished = UnfinishedStatement::commit(self.transaction.as_ref());
+        let mut drain = self.node.subscribe_drain();
+        tokio::select! {
+            biased;
+            () = self.commit(&request) => {}
+            () = wait_until_finishing(&mut drain) => self.finish(&request, unfinished),
+        }
+    }
+
+    /// Answers a statement that has no response when a planned stop ends the process.
+    fn finish(&mut self, request: &SessionRequest, unfinished: UnfinishedStatement) {
+        let was_sent = request.last_attempt.borrow().is_some();
+        let refusal = unfinished.refusal(was_sent);
+        self.fail_transaction();
+        log_refusal(&self.node, request, &refusal);
+        self.respond_refusal(&refusal);
+    }
+
     fn begin(&mut self, read_only: bool, route: Rc<PlanRoute>) {
         if self.transaction.is_some() {
             self.fail_transaction();
@@ -231,27 +302,24 @@
         self.respond_done();
     }
 
-    async fn commit(&mut self, mut request: SessionRequest) {
+    async fn commit(&mut self, request: &SessionRequest) {
         let Some(transaction) = self.transaction.take() else {
             self.respond_refusal(&SessionRefusal::Malformed("no transaction is open"));
             return;
         };
-        if transaction.lease.is_some() {
-            request.route = Rc::clone(&transaction.route);
-        }
         let (response, commit) = commit::<W>(
             &self.node,
-            &request,
+            request,
             &self.values,
             self.last_commit,
             transaction,
         )
         .await;
         self.last_commit = commit.or(self.last_commit);
-        self.respond(&request, response);
+        self.respond(request, response);
     }
 
-    async fn run(&mut self, mut request: SessionRequest) {
+    async fn run(&mut self, request: &SessionRequest) {
         if self
             .transaction
             .as_ref()
@@ -266,9 +334,6 @@
             self.respond_refusal(&refusal);
             return;
         }
-        if let Some(transaction) = &self.transaction {
-            request.route = Rc::clone(&transaction.route);
-        }
         let has_begun = self
             .transaction
             .as_ref()
@@ -278,22 +343,22 @@
         let admitted = if has_begun {
             Ok(None)
         } else {
-            admit(&self.node, &request).await
+            admit(&self.node, request).await
         };
         let source = match admitted {
             Ok(source) => source,
             Err(refusal) => {
                 self.fail_transaction();
-                log_refusal(&self.node, &request, &refusal);
+                log_refusal(&self.node, request, &refusal);
                 self.respond_refusal(&refusal);
                 return;
             }
         };
-        let response = self.run_admitted(&request).await;
+        let response = self.run_admitted(request).await;
         if let Some(source) = source {
-            release_unsent(&self.node, &request, source, &response);
+            release_unsent(&self.node, request, source, &response);
         }
-        self.respond(&request, response);
+        self.respond(request, response);
     }
 
     /// Runs a statement that the customer's rate allows.
@@ -381,3 +446,11 @@
         }
     }
 }
+
+/// Waits until a planned stop is about to end the process.
+async fn wait_until_finishing(drain: &mut watch::Receiver<DrainPhase>) {
+    let reached = drain.wait_for(|phase| *phase == DrainPhase::Finishing);
+    if reached.await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -22,6 +22,7 @@
 mod statement_response;
 mod target_probe;
 mod transaction_path;
+mod unfinished_statement;
 mod write_path;
 
 pub use caller_session::CallerSession;
