Fix the epoch of a position before its statement is sent

Cause: the epoch of a position was looked up when the response arrived. A read that was sent to a replica, and answered when that replica was the primary, set the floor of the new epoch to a position without the commit.

Change: PositionContext takes the epoch before a statement is sent, for reads, writes, statements of transactions and commits. A position of a target that was no leased primary then is never a floor.

--- a/crates/mustardhinge-resident/src/session/mod.rs
+++ b/crates/mustardhinge-resident/src/session/mod.rs
@@ -5,6 +5,7 @@
 mod checked_access;
 mod last_attempt;
 mod open_transaction;
+mod position_context;
 mod primary_decision;
 mod primary_wait;
 mod rate_admission;
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -6,6 +6,7 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
+use super::position_context::PositionContext;
 use super::primary_wait::{await_primary, refuse_without_target};
 use super::read_candidates::{choose_by_capacity, indices_of, plain_candidates, usable_targets};
 use super::read_floor::await_floor;
@@ -279,7 +280,7 @@
     let target = Rc::clone(lease.target());
     let not_run =
         |reason| ReadFailure::transient(StatementResponse::not_run(reason, BUSY_RETRY_AFTER));
-    let sent_at = node.clock.now();
+    let context = PositionContext::new(node, group, &target, node.clock.now());
     let born_ms = target.entry().born_ms;
     let execution = StatementExecution {
         request,
@@ -304,7 +305,7 @@
         }
     };
     lease.release(now);
-    record_position(node, group, &target, sent_at, &reply);
+    context.record(node, group, &target, &reply);
     match reply.fault {
         Some(TargetFault::Behind) => {
             target.record_missing_position(now);
@@ -363,33 +364,6 @@
     }
 }
 
-/// Records the log position that a response reports.
-///
-/// A position of the leased primary raises the floor of later reads; a position of another
-/// target updates its replication lag.
-pub(super) fn record_position(
-    node: &NodeState,
-    group: &GroupState,
-    target: &TargetHandle,
-    sent_at: MonotonicTime,
-    reply: &TargetReply,
-) {
-    let now = node.clock.now();
-    let Some(position) = reply.position else {
-        return;
-    };
-    match node.usable_primary(group, now) {
-        Some((epoch, primary)) if primary.id() == target.id() => {
-            group.observe(epoch, sent_at, position);
-        }
-        _ => {
-            if let Some(covered) = group.covered_until(position, now) {
-                target.record_lag(covered, now);
-            }
-        }
-    }
-}
-
 fn choose_target(
     node: &Rc<NodeState>,
     group: &GroupState,
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -4,10 +4,9 @@
 use mustardhinge_core::primary_lease::GroupEpoch;
 use mustardhinge_process::event;
 
+use super::position_context::PositionContext;
 use super::primary_wait::refuse_without_target;
-use super::read_path::{
-    BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read, record_position,
-};
+use super::read_path::{BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read};
 use super::retry_gate::{admit_retry, record_operation};
 use super::write_path::wait_before_retry;
 use super::{
@@ -99,6 +98,7 @@
         return (StatementResponse::Refused(SessionRefusal::Aborted), None);
     };
     let target = Rc::clone(lease.target());
+    let context = PositionContext::new(node, &group, &target, sent_at);
     let execution = StatementExecution {
         request,
         values,
@@ -122,7 +122,7 @@
     };
     let now = node.clock.now();
     lease.release(now);
-    record_position(node, &group, &target, sent_at, &reply);
+    context.record(node, &group, &target, &reply);
     let is_valid = |epoch: GroupEpoch| node.is_lease_valid(group.service(), epoch, now);
     if reply.fault.is_none() && transaction.epoch.is_some_and(|epoch| !is_valid(epoch)) {
         return (StatementResponse::Refused(transaction.lost_refusal()), None);
@@ -244,7 +244,7 @@
     let target = Rc::clone(lease.target());
     let not_run =
         |reason| BeginFailure::transient(StatementResponse::not_run(reason, BUSY_RETRY_AFTER));
-    let sent_at = node.clock.now();
+    let context = PositionContext::new(node, &group, &target, node.clock.now());
     let execution = StatementExecution {
         request,
         values,
@@ -283,7 +283,7 @@
             Err(not_run(RefusalReason::FloorNotReached))
         }
         Some(TargetFault::NotPrimary) => {
-            record_position(node, &group, &target, sent_at, &reply);
+            context.record(node, &group, &target, &reply);
             lease.release(now);
             Err(not_run(RefusalReason::NoPrimary))
         }
@@ -310,7 +310,7 @@
     {
         return aborted;
     }
-    let sent_at = node.clock.now();
+    let context = PositionContext::new(node, &group, &target, now);
     let execution = StatementExecution {
         request,
         values,
@@ -333,7 +333,7 @@
         }
     };
     let now = node.clock.now();
-    record_position(node, &group, &target, sent_at, &reply);
+    context.record(node, &group, &target, &reply);
     if let Some(epoch) = transaction.epoch
         && !node.is_lease_valid(group.service(), epoch, now)
     {
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -6,7 +6,8 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use super::read_path::{LastCommit, Placement, place_at_primary, record_position};
+use super::position_context::PositionContext;
+use super::read_path::{LastCommit, Placement, place_at_primary};
 use super::retry_gate::{admit_retry, record_operation};
 use super::{
     EpochGuard, ExecutionError, SessionRequest, SessionValues, StatementExecution,
@@ -83,7 +84,7 @@
     let target = Rc::clone(lease.target());
     let retry =
         |reason| WriteCompletion::Retry(StatementResponse::not_run(reason, BUSY_RETRY_AFTER));
-    let sent_at = node.clock.now();
+    let context = PositionContext::new(node, &group, &target, node.clock.now());
     let execution = StatementExecution {
         request,
         values,
@@ -116,7 +117,7 @@
         }
     };
     lease.release(now);
-    record_position(node, &group, &target, sent_at, &reply);
+    context.record(node, &group, &target, &reply);
     match reply.fault {
         Some(TargetFault::NotPrimary) => {
             target.record_failure(now, true);
