End a transaction when its key is given to another customer

Cause: each statement was checked against the newest configuration, but an open transaction uses the connection of the customer that began it, and the two were not compared.

Change: a transaction keeps its customer. If the key has another one, the transaction ends as aborted, as if the key had been withdrawn.

--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use mustardhinge_core::membership::DrainPhase;
-use mustardhinge_core::prelude::RefusalReason;
+use mustardhinge_core::prelude::{CustomerId, RefusalReason};
 use mustardhinge_process::event;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -26,7 +26,6 @@
     CallerMessage, CallerStatement, SessionCodec, SessionRefusal, TransactionState,
 };
 use crate::node::NodeState;
-use crate::plan::PlanRoute;
 
 /// Time within which a caller must start its session; otherwise the connection is closed.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
@@ -157,6 +156,14 @@
         }
     }
 
+    /// Ends the transaction if another customer held the caller's key when it began.
+    fn end_transaction_of_another(&mut self, customer: &CustomerId) {
+        let began = self.transaction.as_ref().map(|open| &open.customer);
+        if began.is_some_and(|began| began != customer) {
+            self.end_transaction();
+        }
+    }
+
     async fn handle_statement(&mut self, id: Bytes, text: Bytes, statement: CallerStatement) {
         let access = match self.access.check(&self.node.plan()) {
             Ok(found) => found,
@@ -167,13 +174,14 @@
                 return;
             }
         };
+        self.end_transaction_of_another(&access.customer);
         let mut request = self.new_request(id, text, access);
         if !self.may_take(&request, &statement) {
             self.refuse_for_drain(&request);
             return;
         }
         match statement {
-            CallerStatement::Begin { read_only } => self.begin(read_only, request.route),
+            CallerStatement::Begin { read_only } => self.begin(read_only, request),
             CallerStatement::SetValue { name } => {
                 self.values.set(name, request.text);
                 self.respond_done();
@@ -283,13 +291,17 @@
         self.respond_refusal(&refusal);
     }
 
-    fn begin(&mut self, read_only: bool, route: Rc<PlanRoute>) {
+    fn begin(&mut self, read_only: bool, request: SessionRequest) {
         if self.transaction.is_some() {
             self.fail_transaction();
             self.respond_refusal(&SessionRefusal::Malformed("a transaction is open"));
             return;
         }
-        self.transaction = Some(OpenTransaction::new(read_only, route));
+        self.transaction = Some(OpenTransaction::new(
+            read_only,
+            request.route,
+            request.customer,
+        ));
         self.respond_done();
     }
 
--- a/crates/mustardhinge-resident/src/session/open_transaction.rs
+++ b/crates/mustardhinge-resident/src/session/open_transaction.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use mustardhinge_core::prelude::CustomerId;
 use mustardhinge_core::primary_lease::GroupEpoch;
 
 use crate::adapter::SessionRefusal;
@@ -13,6 +14,8 @@
     pub read_only: bool,
     /// Route at the time when the caller began the transaction.
     pub route: Rc<PlanRoute>,
+    /// Customer of the caller's key at that time.
+    pub customer: CustomerId,
     /// Connection that the transaction is bound to, from its first statement on.
     pub lease: Option<TargetLease>,
     /// Epoch of the primary that runs the transaction; `None` at a replica.
@@ -26,10 +29,11 @@
 impl OpenTransaction {
     /// Creates a transaction that has not begun at a target yet.
     #[must_use]
-    pub const fn new(read_only: bool, route: Rc<PlanRoute>) -> Self {
+    pub const fn new(read_only: bool, route: Rc<PlanRoute>, customer: CustomerId) -> Self {
         Self {
             read_only,
             route,
+            customer,
             lease: None,
             epoch: None,
             is_failed: false,
