Replace a leaving primary before the leadership is released

Cause: a leader may replace a primary one lease after its claim. Leaders that stop in turn, each sooner than that, released the leadership at once, so that a change was put off for as long as the stops lasted.

Change: a leader that is asked to stop while a primary is due to be replaced does that first, within half of the grace period, and claims nothing. A change then waits for at most a lease, the gap to a claim and its own time.

--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -49,6 +49,7 @@
     last_write_at: Option<MonotonicTime>,
     sent_writes: VecDeque<(u64, u64, MonotonicTime)>,
     is_stale: bool,
+    is_leaving: bool,
     is_retired: bool,
     has_predecessor_stopped: bool,
     next_voters: Vec<Voter>,
@@ -91,6 +92,7 @@
             last_write_at: None,
             sent_writes: VecDeque::new(),
             is_stale: false,
+            is_leaving: false,
             is_retired: false,
             has_predecessor_stopped: false,
             next_voters: Vec::new(),
@@ -382,6 +384,12 @@
         Some((record, held.revision))
     }
 
+    /// Claims nothing any more. A leadership that is held is renewed until
+    /// [`retire`](Self::retire).
+    pub const fn stop_claiming(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Leaves the election permanently before the process stops.
     ///
     /// The write that releases the leadership may still fail. A renewal or a claim that is in flight
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -33,6 +33,9 @@
         if let Some(held) = &self.held {
             return self.renewal_step(held, now);
         }
+        if self.is_leaving {
+            return ElectionStep::Wait;
+        }
         let is_unresponsive = self.observed.is_none()
             || now.saturating_since(self.last_heartbeat_at) > LEADER_TIMEOUT;
         if !is_unresponsive {
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -428,7 +428,11 @@
 ///
 /// Without such a target the primary keeps its role: it serves until the time for handing over is
 /// up, and again when the evacuation ends.
-fn is_handover_due(group: &GroupState, primary: &TargetHandle, now: MonotonicTime) -> bool {
+pub(super) fn is_handover_due(
+    group: &GroupState,
+    primary: &TargetHandle,
+    now: MonotonicTime,
+) -> bool {
     let may_take_over = |target: &Rc<TargetHandle>| {
         target.id() != primary.id()
             && !target.is_leaving()
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -103,9 +103,10 @@
         let node = &self.control.node;
         let began_at = node.clock.now();
         event::DRAIN_STARTED.log(format_args!("callers={}", node.open_sessions.get()));
-        node.begin_drain(DrainSchedule::new(began_at, node.limits.get().stop_grace));
+        let grace = node.limits.get().stop_grace;
+        node.begin_drain(DrainSchedule::new(began_at, grace));
         node.leader_request_due.notify_one();
-        let mut release = std::pin::pin!(release_leadership(&self.control));
+        let mut release = std::pin::pin!(release_leadership(&self.control, grace / 2));
         let mut is_released = false;
         loop {
             let phase = node.advance_drain(node.clock.now());
