Free a transaction at its gateway when a statement of it is refused

Cause: the gateway kept the connection when it refused a statement of a transaction as late or as one too many, while the instance that forwards takes the transaction for ended and sends no release.

Change: a statement of a transaction that gets no reply abandons it.

--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Abandons the transaction of a statement that got no reply. The origin has ended it as well.
+    fn abandon(&self, transaction: Option<u64>) {
+        if let Some(pin) = transaction {
+            self.release(pin);
+        }
+    }
+
     fn handle_statement<W: SessionCodec>(
         self: &Rc<Self>,
         statement: ForwardedStatement,
@@ -169,6 +176,7 @@
             let cause = NotRunCause::Full {
                 retry_ms: FULL_RETRY_DELAY_MS,
             };
+            self.abandon(statement.step.pin());
             return self.respond(number, None, ForwardedOutcome::NotRun(cause));
         }
         let transaction = statement.step.pin();
@@ -187,6 +195,9 @@
             };
             session.running.borrow_mut().remove(&number);
             session.cancelled.borrow_mut().remove(&number);
+            if !matches!(outcome, ForwardedOutcome::Replied(_)) {
+                session.abandon(transaction);
+            }
             session.respond(number, target.as_deref(), outcome);
             session.add_forwarded(-1);
         });
