End only the statement whose reply doesn't fit into a frame

Cause: the reply could not be encoded, which ended the connection.

Change: a reply that is too large counts as lost, for its own statement. The connection and the transactions on it go on.

--- a/crates/mustardhinge-resident/src/gateway/forwarded_outcome.rs
+++ b/crates/mustardhinge-resident/src/gateway/forwarded_outcome.rs
@@ -3,9 +3,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::NotRunCause;
+use super::frame_codec::MAX_FRAME_BYTES;
 use crate::adapter::{TargetFault, TransactionState};
 use crate::target::TargetReply;
 
+/// Maximum size of the rows in a forwarded reply; what a frame holds, less its other fields.
+const MAX_BODY_BYTES: usize = MAX_FRAME_BYTES - 64 * 1024;
+
 /// Outcome of a forwarded statement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardedOutcome {
@@ -20,6 +24,21 @@
     },
 }
 
+impl ForwardedOutcome {
+    /// Replaces a reply that doesn't fit into a frame. Only that statement is lost, not the
+    /// connection, which carries those of other callers.
+    #[must_use]
+    pub(super) fn limit_size(self) -> Self {
+        match self {
+            Self::Replied(reply) if reply.body.len() > MAX_BODY_BYTES => {
+                metrics::counter!("resident_oversized_replies_total").increment(1);
+                Self::Lost { is_silent: false }
+            }
+            outcome => outcome,
+        }
+    }
+}
+
 /// A target's complete response to a forwarded statement.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedReply {
--- a/crates/mustardhinge-resident/src/gateway/frame_codec.rs
+++ b/crates/mustardhinge-resident/src/gateway/frame_codec.rs
@@ -10,7 +10,7 @@
 /// instances over TCP begin with a brace.
 pub const FORWARD_PREFACE: [u8; 4] = *b"MHF3";
 /// Maximum frame size: the largest message of a caller, with a session's values and prepared names.
-const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+pub(super) const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
 /// Error of encoding or decoding a frame; the connection is closed.
 #[derive(Debug, Error)]
--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -193,6 +193,7 @@
                 }
                 None => ForwardedOutcome::NotRun(NotRunCause::TargetUnknown),
             };
+            let outcome = outcome.limit_size();
             session.running.borrow_mut().remove(&number);
             session.cancelled.borrow_mut().remove(&number);
             if !matches!(outcome, ForwardedOutcome::Replied(_)) {
