--- a/crates/mustardhinge-process/src/lib.rs
+++ b/crates/mustardhinge-process/src/lib.rs
@@ -12,4 +12,4 @@
 pub use boot_clock::BootClock;
 pub use metrics_endpoint::serve_metrics;
 pub use process_clock::ProcessClock;
-pub use stop_signal::wait_for_stop;
+pub use stop_signal::{StopSignal, wait_for_stop};
