Show that a service is refused for good after a change of leader

Cause: a new leader goes on with the recorded epoch of a group, which the instances that the former leader told to stop never use again.

The script kills all processes, and while they recover lets the primary restart and kills the leader in the change that it began.

--- a/review/standins-2/case6.rs
+++ b/review/standins-2/case6.rs
@@ -1,4 +1,5 @@
-//! A planned stop: machines get SIGTERM in turn while clients go on opening short sessions.
+//! After the final fault, the primary restarts within a moment, and the leader's machine is lost while
+//! the change of primary that it began is under way.
 
 mod client;
 mod fleet;
@@ -8,32 +9,31 @@
 mod servers;
 mod store;
 
-use std::collections::HashMap;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use client::{End, Session};
-use fleet::{Fleet, GRACE, Route, SIGKILL, SIGTERM, config};
+use fleet::{Fleet, Route, SIGKILL, config};
 use harness::{Case, Verdict};
 use servers::{Group, GroupSettings, wait_for};
 use store::Store;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
-const CLIENTS_PER_ZONE: usize = 2;
-const STOPS: usize = 8;
 const DEADLINE: Duration = Duration::from_secs(4);
+/// `recovery_s` of the settings.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time for which the primary is away.
+const PRIMARY_AWAY: Duration = Duration::from_millis(600);
+/// Time after the recovery for which requests are judged.
+const JUDGED: Duration = Duration::from_secs(30);
 
-/// A request of a client, with the machine that took it.
+/// A request: when it was sent, and whether it was served.
 struct Asked {
-    id: String,
-    text: String,
-    machine: String,
     sent: Duration,
-    ended: Duration,
-    end: End,
+    served: bool,
 }
 
 fn main() -> ExitCode {
@@ -48,7 +48,7 @@
         slots: 5,
         queue: 40,
         max_conns: 33,
-        work: Duration::from_millis(55),
+        work: Duration::from_millis(10),
         open: Duration::from_millis(12),
         sync_replicas: 0,
         lag: Duration::from_millis(8),
@@ -56,13 +56,22 @@
         heartbeat: Duration::from_millis(1200),
     };
     let group = Group::start(settings, &ZONES, &store, record)?;
+    let promoting = Arc::clone(&group);
+    store.on_promote(Box::new(move |call| {
+        Some(if promoting.order_promotion(&call.id) {
+            200
+        } else {
+            409
+        })
+    }));
     let routes = [Route {
         database: "db",
         kind: "own",
         service: "svc",
         max_staleness_ms: 2500,
     }];
-    store.put("config", "main", config(1, &routes, &[("svc", 33, 0)]));
+    let services = [("svc", 33, 0)];
+    store.put("config", "main", config(1, &routes, &services));
     let fleet = Arc::new(Fleet::start(&case.program, &ZONES, platform, record)?);
     if !wait_for(Duration::from_secs(15), || fleet.all_ready()) {
         return Ok(Verdict::Failed(
@@ -71,120 +80,134 @@
     }
     let asked = Arc::new(Mutex::new(Vec::new()));
     let stopped = Arc::new(AtomicBool::new(false));
-    let numbers = Arc::new(AtomicU64::new(0));
     let mut clients = Vec::new();
-    for (place, zone) in ZONES.iter().enumerate() {
-        for index in 0..CLIENTS_PER_ZONE {
-            let (fleet, record) = (Arc::clone(&fleet), Arc::clone(record));
-            let (asked, stopped) = (Arc::clone(&asked), Arc::clone(&stopped));
-            let numbers = Arc::clone(&numbers);
-            let pause = Duration::from_millis(31 + 9 * (place as u64) + 13 * (index as u64));
-            clients.push(thread::spawn(move || {
-                while !stopped.load(Ordering::Relaxed) {
-                    thread::sleep(pause);
-                    let number = numbers.fetch_add(1, Ordering::Relaxed);
-                    let id = format!("{number:016x}");
-                    let text = match number % 4 {
-                        0 => format!("WRITE item{} data{number}", number % 50),
-                        _ => format!("READ item{}", number % 50),
+    for place in 0..ZONES.len() * 2 {
+        let (fleet, record) = (Arc::clone(&fleet), Arc::clone(record));
+        let (asked, stopped) = (Arc::clone(&asked), Arc::clone(&stopped));
+        clients.push(thread::spawn(move || {
+            let mut number: usize = 0;
+            while !stopped.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(100));
+                number += 1;
+                let id = format!("{place:04x}{number:012x}");
+                let text = match number % 2 {
+                    0 => format!("WRITE item{} data{number}", number % 20),
+                    _ => format!("READ item{}", number % 20),
+                };
+                // A try that fails is repeated once at a machine of another zone.
+                let sent = record.now();
+                let mut served = false;
+                for retry in 0..2 {
+                    let machine = fleet.route(ZONES[(place + retry) % ZONES.len()], place);
+                    let id = format!("{id}{retry}");
+                    let end = match Session::open(machine.front(), "db", "key-1") {
+                        Ok(mut session) => session.ask(&id, &text, DEADLINE),
+                        Err(end) => end,
                     };
-                    let machine = fleet.route(zone, number as usize);
-                    // A session that isn't started is retried at other nodes; no request is lost.
-                    let Ok(mut session) = Session::open(machine.front(), "db", "key-1") else {
-                        continue;
-                    };
-                    let sent = record.now();
-                    if !session.send(&id, &text) {
-                        continue;
-                    }
-                    let end = session.receive(DEADLINE);
-                    let ended = record.now();
                     record.line(format_args!(
-                        "client: {id} {text:?} sent to {} at {:.4}: {end:?}",
-                        machine.name,
-                        sent.as_secs_f64()
+                        "client: {id} {text:?} to {}: {end:?}",
+                        machine.name
                     ));
-                    let machine = machine.name.clone();
-                    asked.lock().unwrap().push(Asked {
-                        id,
-                        text,
-                        machine,
-                        sent,
-                        ended,
-                        end,
-                    });
-                    session.bye();
+                    served = matches!(end, End::Done(_));
+                    if served {
+                        break;
+                    }
                 }
-            }));
+                asked.lock().unwrap().push(Asked { sent, served });
+            }
+        }));
+    }
+    thread::sleep(Duration::from_secs(6));
+    let fault_at = record.now();
+    if case.trouble {
+        // The final fault: all processes are killed right after a configuration is acknowledged.
+        store.put("config", "main", config(2, &routes, &services));
+        for instance in &fleet.instances {
+            fleet.signal(instance, SIGKILL);
+        }
+        for instance in &fleet.instances {
+            fleet.await_end(instance, Duration::from_secs(1));
+        }
+        thread::sleep(Duration::from_secs(1));
+        for instance in &fleet.instances {
+            fleet.spawn(instance)?;
         }
     }
-    thread::sleep(Duration::from_secs(5));
-    let mut stops: Vec<(String, Duration)> = Vec::new();
+    let back_at = record.now();
     if case.trouble {
-        for index in 0..STOPS {
-            let machine = &fleet.instances[index % fleet.instances.len()];
-            let at = record.now();
-            fleet.signal(machine, SIGTERM);
-            stops.push((machine.name.clone(), at));
-            if !fleet.await_end(machine, GRACE) {
-                fleet.signal(machine, SIGKILL);
-                fleet.await_end(machine, Duration::from_secs(1));
-            }
-            thread::sleep(Duration::from_millis(1500));
-            fleet.spawn(machine)?;
-            wait_for(Duration::from_secs(6), || fleet.all_ready());
-            thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_secs(2));
+        wait_for(Duration::from_secs(4), || fleet.all_ready());
+        thread::sleep(Duration::from_millis(1500));
+        let holder = leader(&store);
+        let Some(lost) = fleet
+            .instances
+            .iter()
+            .find(|instance| instance.name == holder)
+        else {
+            return Ok(Verdict::Failed(format!(
+                "no machine has the name {holder:?}"
+            )));
+        };
+        group.crash("i-svc-1");
+        let others = fleet
+            .instances
+            .iter()
+            .filter(|instance| instance.name != holder);
+        let others: Vec<_> = others.collect();
+        let is_under_way = wait_for(Duration::from_secs(3), || {
+            others
+                .iter()
+                .all(|instance| instance.has_logged("use of primary stopped"))
+        });
+        if !is_under_way {
+            return Ok(Verdict::Failed("no change of primary began".to_owned()));
         }
-    } else {
-        thread::sleep(Duration::from_secs(30));
+        fleet.signal(lost, SIGKILL);
+        thread::sleep(PRIMARY_AWAY);
+        group.restart("i-svc-1")?;
     }
+    thread::sleep((back_at + RECOVERY + JUDGED).saturating_sub(record.now()));
     stopped.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
     }
-    thread::sleep(Duration::from_millis(300));
-    let verdict = judge(&group, &asked.lock().unwrap(), &stops);
+    let verdict = judge(&asked.lock().unwrap(), fault_at, back_at);
     record.flush();
     fleet.append_logs(&case.record_path);
     Ok(verdict)
 }
 
-/// Returns whether a planned stop cut a request that had been passed on to a server.
-fn judge(group: &Group, asked: &[Asked], stops: &[(String, Duration)]) -> Verdict {
-    let runs = group.runs.lock().unwrap();
-    let runs: HashMap<_, _> = runs.iter().map(|run| (run.request.as_str(), run)).collect();
-    let mut broken = Vec::new();
-    for request in asked.iter().filter(|request| request.end == End::Cut) {
-        let Some(run) = runs.get(request.id.as_str()) else {
-            continue;
-        };
-        let stop = stops.iter().find(|(machine, at)| {
-            let until = *at + GRACE + Duration::from_secs(1);
-            *machine == request.machine && *at < request.ended && request.ended < until
-        });
-        let after = match stop {
-            Some((_, at)) => format!(
-                "{:.3} s after its SIGTERM",
-                (request.sent.saturating_sub(*at)).as_secs_f64()
-            ),
-            None => "without a planned stop".to_owned(),
-        };
-        let commit = run.committed.as_ref().map_or(String::new(), |entry| {
-            format!(", which committed it as {}.{}", entry.term, entry.number)
-        });
-        broken.push(format!(
-            "{} {:?}, sent to {} at {:.4}, {after}, run by {}{commit}, cut at {:.4} without an answer",
-            request.id,
-            request.text,
-            request.machine,
-            request.sent.as_secs_f64(),
-            run.server,
-            request.ended.as_secs_f64()
+/// Returns the machine that orders promotions.
+fn leader(store: &Store) -> String {
+    let duty = store.kinds().into_iter().find(|(_, name)| name == "duty");
+    let duty = duty.and_then(|(kind, name)| store.spec(&kind, &name));
+    let holder = duty.as_ref().and_then(|duty| duty.get("holder").text());
+    holder.unwrap_or_default().to_owned()
+}
+
+/// Returns whether less than a quarter of the requests is served that are sent later than `recovery_s`
+/// after the machines are back, though a quarter or more was before the final fault.
+fn judge(asked: &[Asked], fault_at: Duration, back_at: Duration) -> Verdict {
+    let share = |from: Duration, until: Duration| {
+        let sent = asked
+            .iter()
+            .filter(|request| request.sent >= from && request.sent < until);
+        let sent: Vec<_> = sent.collect();
+        let served = sent.iter().filter(|request| request.served).count();
+        (served, sent.len())
+    };
+    let (before, before_of) = share(Duration::ZERO, fault_at.saturating_sub(DEADLINE));
+    let (after, after_of) = share(back_at + RECOVERY, Duration::MAX);
+    if before * 4 < before_of || before_of == 0 || after_of == 0 {
+        return Verdict::Failed(format!(
+            "{before} of {before_of} requests were served before"
         ));
     }
-    match broken.first() {
-        None if asked.is_empty() => Verdict::Failed("no request was answered".to_owned()),
-        None => Verdict::Held,
-        Some(first) => Verdict::Broken(format!("LOST {} times; first: {first}", broken.len())),
+    if after * 4 < after_of {
+        return Verdict::Broken(format!(
+            "RECOVER: {after} of {after_of} requests are served that were sent later than 12 s after the \
+             machines were back; before the final fault {before} of {before_of}"
+        ));
     }
+    Verdict::Held
 }
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -60,6 +60,11 @@
         SocketAddr::new(self.ip, FRONT_PORT)
     }
 
+    /// Returns whether a line of the process's log has this text.
+    pub fn has_logged(&self, text: &str) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains(text))
+    }
+
     pub fn is_running(&self) -> bool {
         let mut child = self.child.lock().unwrap();
         child
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -203,6 +203,32 @@
             .line(format_args!("trouble: server {id} crashes"));
     }
 
+    /// Starts a crashed server again, at its address and with its log. It is a replica if another one
+    /// was promoted.
+    pub fn restart(self: &Arc<Self>, id: &str) -> std::io::Result<()> {
+        let Some(index) = self.index_of(id) else {
+            return Ok(());
+        };
+        let address = self.servers.lock().unwrap()[index].address;
+        let listener = TcpListener::bind(address)?;
+        {
+            let mut servers = self.servers.lock().unwrap();
+            let highest = servers.iter().map(|server| server.term).max();
+            let server = &mut servers[index];
+            server.up = true;
+            server.born = unix_ms();
+            (server.running, server.waiting, server.connections) = (0, 0, 0);
+            if Some(server.term) != highest {
+                server.primary = false;
+                server.lag = self.settings.lag;
+            }
+        }
+        let group = Arc::clone(self);
+        thread::spawn(move || group.accept(index, listener));
+        self.record.line(format_args!("server: {id} is back"));
+        Ok(())
+    }
+
     /// Sets whether a replica receives nothing.
     pub fn set_deaf(&self, id: &str, deaf: bool) {
         let mut servers = self.servers.lock().unwrap();
@@ -427,7 +453,9 @@
             runs: 0,
         };
         session.exchange(stream);
-        group.servers.lock().unwrap()[index].connections -= 1;
+        let mut servers = group.servers.lock().unwrap();
+        let connections = &mut servers[index].connections;
+        *connections = connections.saturating_sub(1);
     }
 
     fn exchange(&mut self, stream: TcpStream) {
@@ -539,7 +567,10 @@
             }
             _ => self.commit(id, text),
         };
-        self.group.servers.lock().unwrap()[self.index].running -= 1;
+        let mut servers = self.group.servers.lock().unwrap();
+        let running = &mut servers[self.index].running;
+        *running = running.saturating_sub(1);
+        drop(servers);
         self.group.slots.notify_all();
         answer
     }
@@ -555,7 +586,8 @@
             while servers[self.index].running >= settings.slots {
                 servers = self.group.slots.wait(servers).unwrap();
             }
-            servers[self.index].waiting -= 1;
+            let waiting = &mut servers[self.index].waiting;
+            *waiting = waiting.saturating_sub(1);
         }
         servers[self.index].running += 1;
         true
