Close the listener before a planned stop ends the process

Cause: the stop looked once whether a session was open and ended 50 ms later, while callers were still accepted. A session was counted when its task first ran, the queue of the listener was reset, and a session was closed although its next request had arrived.

Change: DrainMachine closes the listener, then ends the process when nothing is left that was counted after that. Connections in the queue are taken first. A connection counts from its acceptance until the caller has what it was sent. Input at the operating system is looked for before a session is closed.

--- a/crates/mustardhinge-core/src/membership/drain_schedule.rs
+++ b/crates/mustardhinge-core/src/membership/drain_schedule.rs
@@ -9,6 +9,11 @@
 /// Time before the end of the grace period at which requests get their final answer, so that it is
 /// sent before the process is killed.
 const END_MARGIN: Duration = Duration::from_millis(400);
+/// Time for these answers to be sent; the process ends after it in any case.
+const FLUSH_DURATION: Duration = Duration::from_millis(200);
+/// How long the platform may send new callers to an instance that is not ready: it takes the instance
+/// out of rotation after two probes without success, one second apart.
+const ROTATION_DELAY: Duration = Duration::from_millis(2_200);
 
 /// The phases of a planned stop, and which requests it still takes.
 ///
@@ -73,6 +78,18 @@
         self.began_at + self.grace.saturating_sub(END_MARGIN)
     }
 
+    /// Returns until when the listener stays open even if the instance has no work.
+    #[must_use]
+    pub fn intake_until(&self) -> MonotonicTime {
+        self.began_at + ROTATION_DELAY
+    }
+
+    /// Returns when the process ends, whatever is left.
+    #[must_use]
+    pub fn ends_at(&self) -> MonotonicTime {
+        self.finishing_at() + FLUSH_DURATION
+    }
+
     /// Returns whether a request that may take up to `longest` can be taken at `now`.
     ///
     /// In the first half of the grace period, while callers move to other instances, all requests
--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod document;
 mod drain;
+mod drain_machine;
 mod drain_schedule;
 mod evacuation;
 mod failover;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -80,4 +80,5 @@
     LEADERSHIP_RESUMED = 6034, Info, "leadership renewed late";
     PROMOTION_DELAYED = 6035, Warn, "no successor known to have all commits";
     PROMOTION_CONTINUED = 6036, Info, "successor has all commits";
+    INTAKE_CLOSED = 6037, Info, "listener for callers closed";
 }
--- a/crates/mustardhinge-resident/src/gateway/origin_session.rs
+++ b/crates/mustardhinge-resident/src/gateway/origin_session.rs
@@ -77,8 +77,14 @@
 
     /// Records that `count` frames were written to the connection.
     pub(super) fn record_written(&self, count: usize) {
-        self.unsent_frames
-            .set(self.unsent_frames.get().saturating_sub(count));
+        let count = count.min(self.unsent_frames.get());
+        self.add_unsent(-(count as isize));
+    }
+
+    fn add_unsent(&self, change: isize) {
+        for frames in [&self.unsent_frames, &self.node.unsent_frames] {
+            frames.set(frames.get().saturating_add_signed(change));
+        }
     }
 
     /// Returns whether the origin no longer waits for the response to a statement.
@@ -100,14 +106,16 @@
         self.became_cancelled.notify_waiters();
         let pinned = self.pins.take().len();
         self.add_forwarded(-(pinned as isize));
+        self.record_written(self.unsent_frames.get());
         (pinned, self.running.borrow().len())
     }
 
     /// Queues a frame to the origin.
     pub(super) fn send(&self, frame: GatewayFrame) {
-        self.unsent_frames.set(self.unsent_frames.get() + 1);
         // If the connection is closed, the frame is dropped.
-        let _ = self.sender.send(frame);
+        if self.sender.send(frame).is_ok() && !self.is_closed.get() {
+            self.add_unsent(1);
+        }
     }
 
     fn add_forwarded(&self, change: isize) {
--- a/crates/mustardhinge-resident/src/node/node_process.rs
+++ b/crates/mustardhinge-resident/src/node/node_process.rs
@@ -2,14 +2,14 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use mustardhinge_core::membership::{DrainPhase, DrainSchedule};
+use mustardhinge_core::membership::{DrainAction, DrainMachine, DrainSchedule, IntakeState};
 use mustardhinge_core::primary_lease::{ClaimOrder, LeaderElection};
 use mustardhinge_process::event;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::{NodeSettings, NodeState};
+use super::{NodeSettings, NodeState, SessionGuard};
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::control::{
     ControlState, exchange_shares, follow_evacuations, follow_plan, follow_targets,
@@ -17,12 +17,14 @@
 };
 use crate::session::CallerSession;
 
-/// Time for the last answers to be sent before the process ends.
-const FLUSH_TIME: Duration = Duration::from_millis(150);
-/// Interval of the checks whether the last session has ended, and delay after a failed accept.
+/// Interval of the checks for remaining work while callers are accepted, and delay after a failed
+/// accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval of these checks at the end of a stop.
-const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval of these checks once no more callers are accepted.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of callers that are taken from the queue of the listener; the operating system's
+/// default length of this queue.
+const MAX_QUEUED_CALLERS: usize = 4_096;
 
 /// A running instance: its listeners and its control state.
 #[derive(Debug)]
@@ -98,53 +100,53 @@
     }
 
     /// Stops the instance as planned: resigns leadership, and ends sessions and transactions in the
-    /// phases of [`DrainSchedule`].
+    /// phases of [`DrainSchedule`]. [`DrainMachine`] decides when it is done.
     pub async fn stop(&self) {
         let node = &self.control.node;
         let began_at = node.clock.now();
         event::DRAIN_STARTED.log(format_args!("callers={}", node.open_sessions.get()));
         let grace = node.limits.get().stop_grace;
-        node.begin_drain(DrainSchedule::new(began_at, grace));
+        let mut schedule = DrainSchedule::new(began_at, grace);
+        node.begin_drain(schedule);
         node.leader_request_due.notify_one();
+        let mut machine = DrainMachine::default();
         let mut release = std::pin::pin!(release_leadership(&self.control, grace / 2));
-        let mut is_released = false;
+        let mut is_releasing = true;
         loop {
-            let phase = node.advance_drain(node.clock.now());
-            let is_idle = is_released && !self.has_work();
-            if phase == DrainPhase::Finishing || phase >= DrainPhase::Closing && is_idle {
-                break;
+            let now = node.clock.now();
+            schedule = node.advance_drain(now).unwrap_or(schedule);
+            if node.intake() == IntakeState::Closed {
+                machine.record_closed_intake();
             }
+            match machine.step(schedule, node.drain_work(is_releasing), now) {
+                DrainAction::End => break,
+                DrainAction::CloseIntake => node.set_intake(IntakeState::Closing),
+                DrainAction::Continue => {}
+            }
+            let interval = match machine.intake() {
+                IntakeState::Open => POLL_INTERVAL,
+                IntakeState::Closing | IntakeState::Closed => END_POLL_INTERVAL,
+            };
             tokio::select! {
-                () = &mut release, if !is_released => is_released = true,
-                () = sleep(POLL_INTERVAL) => {}
+                () = &mut release, if is_releasing => is_releasing = false,
+                () = sleep(interval) => {}
             }
         }
-        let finishing_at = node.clock.now();
-        while self.has_work() && node.clock.now().saturating_since(finishing_at) < FLUSH_TIME {
-            sleep(FLUSH_POLL_INTERVAL).await;
-        }
         event::PROCESS_STOPPING.log(format_args!(
-            "callers={} forwarded={}",
+            "callers={} forwarded={} unsent={}",
             node.open_sessions.get(),
-            node.forwarded_work.get()
+            node.forwarded_work.get(),
+            node.unsent_frames.get()
         ));
-        // The last responses are still being sent.
-        sleep(POLL_INTERVAL).await;
-    }
-
-    fn has_work(&self) -> bool {
-        let node = &self.control.node;
-        node.open_sessions.get() > 0 || node.forwarded_work.get() > 0
     }
 }
 
-/// Accepts callers until a planned stop refuses them.
+/// Accepts callers until a planned stop closes the listener.
 async fn accept_callers<W: SessionCodec>(node: Rc<NodeState>, listener: TcpListener) {
-    let mut drain = node.subscribe_drain();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = drain.wait_for(|phase| *phase >= DrainPhase::Refusing) => return,
+            () = node.wait_for_closed_intake() => break,
         };
         match accepted {
             Ok((stream, _)) => accept_caller::<W>(&node, stream),
@@ -154,6 +156,40 @@
             }
         }
     }
+    let queued = match accept_queued::<W>(&node, listener) {
+        Ok(queued) => queued,
+        Err(error) => {
+            event::CALLER_NOT_ACCEPTED.log(format_args!("error={:?}", error.to_string()));
+            0
+        }
+    };
+    node.set_intake(IntakeState::Closed);
+    event::INTAKE_CLOSED.log(format_args!(
+        "callers={} queued={queued}",
+        node.open_sessions.get()
+    ));
+}
+
+/// Accepts the callers that the operating system has connected, and closes the listener. Closing it
+/// alone would reset their connections. Returns their number.
+fn accept_queued<W: SessionCodec>(
+    node: &Rc<NodeState>,
+    listener: TcpListener,
+) -> std::io::Result<usize> {
+    let listener = listener.into_std()?;
+    let mut queued = 0;
+    while queued < MAX_QUEUED_CALLERS {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                accept_caller::<W>(node, TcpStream::from_std(stream)?);
+                queued += 1;
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(queued)
 }
 
 fn accept_caller<W: SessionCodec>(node: &Rc<NodeState>, stream: TcpStream) {
@@ -165,5 +201,10 @@
         log::debug!("caller disconnected during accept: {error}");
         return;
     }
-    spawn_local(CallerSession::<W>::new(Rc::clone(node), stream).serve());
+    let guard = SessionGuard::new(node);
+    let session = CallerSession::<W>::new(Rc::clone(node), stream);
+    spawn_local(async move {
+        session.serve().await;
+        drop(guard);
+    });
 }
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -8,7 +8,7 @@
 use mustardhinge_core::evacuation::EvacuatedZones;
 use mustardhinge_core::gateway::GatewayView;
 use mustardhinge_core::membership::{
-    ConfirmationTable, DrainPhase, DrainSchedule, ListChanges, StorePart,
+    ConfirmationTable, DrainPhase, DrainSchedule, IntakeState, ListChanges, StorePart,
 };
 use mustardhinge_core::overload::{FailureTable, OverloadControl, OverloadSwitch};
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
@@ -71,6 +71,8 @@
     pub open_sessions: Cell<usize>,
     /// Number of statements and transactions that this instance runs as a gateway for others.
     pub forwarded_work: Cell<usize>,
+    /// Number of messages to instances that forward statements here that are not sent yet.
+    pub unsent_frames: Cell<usize>,
     /// Random numbers for the placement of reads, seeded by the incarnation.
     pub placement_rng: RefCell<SmallRng>,
     /// The targets that fail a part of this instance's reads, under overload control.
@@ -102,8 +104,9 @@
     /// Index of this instance among all instances.
     index: Cell<Option<usize>>,
     last_leased_at: Cell<MonotonicTime>,
-    drain_phase: watch::Sender<DrainPhase>,
-    drain_schedule: Cell<Option<DrainSchedule>>,
+    pub(super) drain_phase: watch::Sender<DrainPhase>,
+    pub(super) drain_schedule: Cell<Option<DrainSchedule>>,
+    pub(super) intake: watch::Sender<IntakeState>,
     next_session_number: Cell<u64>,
 }
 
@@ -123,6 +126,7 @@
             evacuations: RefCell::default(),
             confirmations: RefCell::default(),
             forwarded_work: Cell::new(0),
+            unsent_frames: Cell::new(0),
             limits: Cell::new(settings.limits),
             settings,
             clock: BootClock,
@@ -154,6 +158,7 @@
             last_leased_at: Cell::default(),
             drain_phase: watch::Sender::new(DrainPhase::Serving),
             drain_schedule: Cell::new(None),
+            intake: watch::Sender::new(IntakeState::Open),
             next_session_number: Cell::new(1),
         }
     }
@@ -645,50 +650,4 @@
         self.next_session_number.set(session + 1);
         session
     }
-
-    /// Begins a planned stop.
-    pub fn begin_drain(&self, schedule: DrainSchedule) {
-        self.drain_schedule.set(Some(schedule));
-        self.set_drain_phase(DrainPhase::Announced);
-    }
-
-    /// Enters the phase of the planned stop that is due at `now`, and returns it. A grace period that
-    /// was shortened in the meantime applies at once.
-    pub fn advance_drain(&self, now: MonotonicTime) -> DrainPhase {
-        let Some(schedule) = self.drain_schedule.get() else {
-            return self.drain_phase();
-        };
-        let schedule = schedule.with_grace(self.limits.get().stop_grace);
-        self.drain_schedule.set(Some(schedule));
-        let phase = schedule.phase(now);
-        if phase > self.drain_phase() {
-            self.set_drain_phase(phase);
-        }
-        phase
-    }
-
-    /// Returns whether a request that may take up to `longest` can be answered before a planned stop
-    /// ends the process.
-    #[must_use]
-    pub fn may_take(&self, longest: Duration, now: MonotonicTime) -> bool {
-        let schedule = self.drain_schedule.get();
-        schedule.is_none_or(|schedule| schedule.may_take(longest, now))
-    }
-
-    /// Sets the phase of a planned stop.
-    pub fn set_drain_phase(&self, phase: DrainPhase) {
-        self.drain_phase.send_replace(phase);
-    }
-
-    /// Returns the phase of a planned stop.
-    #[must_use]
-    pub fn drain_phase(&self) -> DrainPhase {
-        *self.drain_phase.borrow()
-    }
-
-    /// Returns a receiver of the phases of a planned stop.
-    #[must_use]
-    pub fn subscribe_drain(&self) -> watch::Receiver<DrainPhase> {
-        self.drain_phase.subscribe()
-    }
 }
--- a/crates/mustardhinge-resident/src/session/caller_channel.rs
+++ b/crates/mustardhinge-resident/src/session/caller_channel.rs
@@ -1,8 +1,10 @@
 use std::marker::PhantomData;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use mustardhinge_core::prelude::{LogPosition, RefusalReason};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -15,6 +17,13 @@
 const BUFFER_BYTES: usize = 1_024;
 /// Timeout of sending a response, after which the session is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which input is discarded after the last message, so that the caller receives it.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of input bytes that are discarded then.
+const MAX_DISCARDED_BYTES: usize = 64 * 1_024;
+/// Time within which a caller that connects during a planned stop sends its first request; a slow
+/// round trip.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Period over which sessions are closed during a planned stop, in milliseconds, so that their
 /// callers don't all reconnect at once.
 const CLOSE_SPREAD_MS: u64 = 1_200;
@@ -25,7 +34,9 @@
     Message(CallerMessage),
     /// The open transaction exceeded its idle timeout, or must end for a planned stop.
     EndTransaction,
-    /// The session has ended.
+    /// The instance ends the session.
+    Closing,
+    /// The caller has ended the session.
     Closed,
 }
 
@@ -51,19 +62,29 @@
     number: u64,
     drain: watch::Receiver<DrainPhase>,
     close_at: Option<Instant>,
+    /// Until when the first request is awaited, if the caller connected during a planned stop and has
+    /// sent none.
+    first_request_until: Option<Instant>,
+    /// Whether the instance ends the session, so that the caller may still send or read.
+    lingers: bool,
     wire: PhantomData<W>,
 }
 
 impl<W: SessionCodec> CallerChannel<W> {
     /// Creates the channel of a new connection for the session `number`.
     pub(super) fn new(stream: TcpStream, number: u64, drain: watch::Receiver<DrainPhase>) -> Self {
+        let phase = *drain.borrow();
+        let is_draining = phase != DrainPhase::Serving;
+        let first_request_until = is_draining.then(|| Instant::now() + FIRST_REQUEST_TIMEOUT);
         Self {
             stream,
             input: BytesMut::with_capacity(BUFFER_BYTES),
             output: BytesMut::with_capacity(BUFFER_BYTES),
             number,
             drain,
-            close_at: None,
+            close_at: first_request_until.filter(|_| phase >= DrainPhase::Closing),
+            first_request_until,
+            lingers: false,
             wire: PhantomData,
         }
     }
@@ -73,7 +94,12 @@
         let idle_deadline = idle.timeout.map(|limit| Instant::now() + limit);
         loop {
             match W::read_caller(&mut self.input) {
-                Ok(Some(message)) => return SessionEvent::Message(message),
+                Ok(Some(message)) => {
+                    if matches!(message, CallerMessage::Statement { .. }) {
+                        self.first_request_until = None;
+                    }
+                    return SessionEvent::Message(message);
+                }
                 Ok(None) => {}
                 Err(fault) => return self.refuse_invalid(fault).await,
             }
@@ -82,6 +108,8 @@
                 (first, second) => first.or(second),
             };
             tokio::select! {
+                // A request that has arrived is served before the session is closed.
+                biased;
                 read = self.stream.read_buf(&mut self.input) => match read {
                     Ok(count) if count > 0 => {}
                     _ => return SessionEvent::Closed,
@@ -97,8 +125,8 @@
                         return SessionEvent::EndTransaction;
                     }
                     let may_close = !idle.in_transaction || self.is_refusing();
-                    if may_close && self.input.is_empty() {
-                        return SessionEvent::Closed;
+                    if may_close && !self.has_input() {
+                        return SessionEvent::Closing;
                     }
                     self.close_at = None;
                 }
@@ -109,23 +137,34 @@
     /// Applies the current phase of a planned stop. Returns whether open transactions must end.
     fn update_drain(&mut self) -> bool {
         let phase = *self.drain.borrow_and_update();
-        match phase {
-            DrainPhase::Serving | DrainPhase::Announced => false,
+        let now = Instant::now();
+        let close_at = match phase {
+            DrainPhase::Serving | DrainPhase::Announced => return false,
             DrainPhase::Closing => {
                 let close_delay = self.number.wrapping_mul(7_919) % CLOSE_SPREAD_MS;
-                self.close_at = Some(Instant::now() + Duration::from_millis(close_delay));
-                false
+                now + Duration::from_millis(close_delay)
             }
-            DrainPhase::Ending | DrainPhase::Refusing | DrainPhase::Finishing => {
-                self.close_at = Some(Instant::now());
-                true
-            }
-        }
+            DrainPhase::Ending | DrainPhase::Refusing | DrainPhase::Finishing => now,
+        };
+        let first_request_until = self.first_request_until;
+        let earliest = first_request_until.filter(|_| phase < DrainPhase::Finishing);
+        self.close_at = Some(earliest.map_or(close_at, |earliest| earliest.max(close_at)));
+        phase >= DrainPhase::Ending
     }
 
     /// Returns whether a planned stop closes the session now, as no request is pending.
     pub(super) fn is_closing(&self) -> bool {
-        *self.drain.borrow() >= DrainPhase::Closing && self.input.is_empty()
+        *self.drain.borrow() >= DrainPhase::Closing && !self.has_input()
+    }
+
+    /// Returns whether input is left, in the buffer or at the operating system.
+    ///
+    /// The operating system is asked directly, because the runtime notices input only between two
+    /// turns of its tasks, which take long on a busy instance.
+    fn has_input(&self) -> bool {
+        let mut first = [MaybeUninit::uninit()];
+        let mut peeked = || SockRef::from(&self.stream).peek(&mut first);
+        !self.input.is_empty() || peeked().is_ok_and(|count| count > 0)
     }
 
     /// Returns whether a planned stop refuses new requests.
@@ -145,8 +184,37 @@
         SessionEvent::Closed
     }
 
+    /// Marks the session as ended by the instance, so that its end is not a reset.
+    pub(super) fn mark_closing(&mut self) {
+        self.lingers = true;
+    }
+
+    /// Ends the connection.
+    ///
+    /// Closing a connection with unread input resets it, and the caller could lose the last response.
+    /// So the write side is shut down first, and input is discarded until the caller has closed the
+    /// connection too.
+    pub(super) async fn close(mut self) {
+        if !self.lingers || self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut rest = [0; BUFFER_BYTES];
+        let discard = async {
+            let mut discarded = 0;
+            while discarded < MAX_DISCARDED_BYTES {
+                match self.stream.read(&mut rest).await {
+                    Ok(count) if count > 0 => discarded += count,
+                    _ => return,
+                }
+            }
+        };
+        // The caller may not close the connection at all.
+        let _ = timeout(LINGER_TIMEOUT, discard).await;
+    }
+
     /// Sends a refusal as the last message of the session.
     pub(super) async fn close_with(&mut self, refusal: &SessionRefusal) {
+        self.mark_closing();
         W::write_refusal(&mut self.output, refusal);
         // A failure is ignored, because the connection is closed in any case.
         let _ = self.flush().await;
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -63,9 +63,6 @@
 
     /// Serves the caller until it disconnects or the instance stops.
     pub async fn serve(mut self) {
-        self.node
-            .open_sessions
-            .set(self.node.open_sessions.get() + 1);
         if self.start().await {
             self.serve_requests().await;
         }
@@ -75,9 +72,7 @@
             let request = self.new_request(Bytes::new(), Bytes::new(), access);
             roll_back::<W>(&self.node, &request, transaction).await;
         }
-        self.node
-            .open_sessions
-            .set(self.node.open_sessions.get().saturating_sub(1));
+        self.channel.close().await;
     }
 
     async fn start(&mut self) -> bool {
@@ -110,6 +105,7 @@
             let idle = self.idle_state();
             match self.channel.next_event(idle).await {
                 SessionEvent::Closed | SessionEvent::Message(CallerMessage::Bye) => return,
+                SessionEvent::Closing => return self.channel.mark_closing(),
                 SessionEvent::EndTransaction => self.end_transaction(),
                 SessionEvent::Message(CallerMessage::Start { .. }) => {
                     self.respond_refusal(&SessionRefusal::Malformed("session has started already"));
@@ -127,7 +123,7 @@
             }
             let may_close = self.transaction.is_none() || self.channel.is_refusing();
             if may_close && self.channel.is_closing() {
-                return;
+                return self.channel.mark_closing();
             }
         }
     }
