Keep the last commit of a session with its service

Cause: a session kept one position with its epoch, but without its service. A commit at the second service replaced the one at the first, and epochs and positions of two groups were compared.

--- a/crates/mustardhinge-core/tests/suite/main.rs
+++ b/crates/mustardhinge-core/tests/suite/main.rs
@@ -45,6 +45,7 @@
 mod retry_replay;
 mod routing;
 mod safety;
+mod session_commits;
 mod share_pool;
 mod spread;
 mod state_transfer;
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use mustardhinge_core::membership::DrainPhase;
 use mustardhinge_core::prelude::{CustomerId, RefusalReason};
+use mustardhinge_core::session::{CommitTable, SessionCommit};
 use mustardhinge_process::event;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -12,7 +13,7 @@
 
 use super::caller_channel::{CallerChannel, IdleState, SessionEvent};
 use super::rate_admission::{admit, release_unsent};
-use super::read_path::{LastCommit, run_read};
+use super::read_path::run_read;
 use super::refusal_log::{log_refusal, log_unauthorized};
 use super::response_log::log_response;
 use super::retry_spread::spread_retry;
@@ -41,7 +42,7 @@
     access: SessionAccess,
     values: SessionValues,
     transaction: Option<OpenTransaction>,
-    last_commit: LastCommit,
+    commits: CommitTable,
 }
 
 impl<W: SessionCodec> CallerSession<W> {
@@ -57,7 +58,7 @@
             access: SessionAccess::default(),
             values: SessionValues::new(number),
             transaction: None,
-            last_commit: None,
+            commits: CommitTable::default(),
         }
     }
 
@@ -319,11 +320,11 @@
             &self.node,
             request,
             &self.values,
-            self.last_commit,
+            &self.commits,
             transaction,
         )
         .await;
-        self.last_commit = commit.or(self.last_commit);
+        self.record_commit(commit);
         self.respond(request, response);
     }
 
@@ -379,17 +380,23 @@
                     &self.node,
                     request,
                     &self.values,
-                    self.last_commit,
+                    &self.commits,
                     transaction,
                 )
                 .await
             }
             None if request.writes => {
                 let (response, commit) = run_write::<W>(&self.node, request, &self.values).await;
-                self.last_commit = commit.or(self.last_commit);
+                self.record_commit(commit);
                 response
             }
-            None => run_read::<W>(&self.node, request, &self.values, self.last_commit).await,
+            None => run_read::<W>(&self.node, request, &self.values, &self.commits).await,
+        }
+    }
+
+    fn record_commit(&mut self, commit: Option<SessionCommit>) {
+        if let Some(commit) = commit {
+            self.commits.record(commit);
         }
     }
 
--- a/crates/mustardhinge-resident/src/session/read_path.rs
+++ b/crates/mustardhinge-resident/src/session/read_path.rs
@@ -4,6 +4,7 @@
 use mustardhinge_core::placement::ReadPlacement;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, RefusalReason, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
+use mustardhinge_core::session::CommitTable;
 use mustardhinge_process::event;
 
 use super::position_context::PositionContext;
@@ -33,9 +34,6 @@
 /// Retry delay that is suggested to the caller if all targets are full or unusable.
 pub(crate) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Position of a session's last commit, with the epoch in which it was made.
-pub(super) type LastCommit = Option<(GroupEpoch, LogPosition)>;
-
 /// Result of a read that failed at one target.
 #[derive(Debug)]
 struct ReadFailure {
@@ -79,7 +77,7 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-    last_commit: LastCommit,
+    commits: &CommitTable,
 ) -> StatementResponse {
     record_operation(node, request);
     let group = node.group(&request.route.service);
@@ -88,7 +86,7 @@
     let mut failed = None;
     let mut was_full = false;
     for attempt in 0..MAX_READ_ATTEMPTS {
-        let placement = match place_read::<W>(node, &group, request, last_commit, &tried).await {
+        let placement = match place_read::<W>(node, &group, request, commits, &tried).await {
             Ok(Some(placement)) => placement,
             Ok(None) if was_full && !request.wait_left(node.clock.now()).is_zero() => {
                 tried.clear();
@@ -142,7 +140,7 @@
     node: &Rc<NodeState>,
     group: &Rc<GroupState>,
     request: &SessionRequest,
-    last_commit: LastCommit,
+    commits: &CommitTable,
     tried: &[TargetId],
 ) -> Result<Option<Placement>, StatementResponse> {
     let max_staleness = match request.route.read_rule {
@@ -156,6 +154,9 @@
         return Ok(None);
     };
     let since = node.clock.now() - max_staleness;
+    let since = commits
+        .requirement(group.service(), group.epoch(), since)
+        .since;
     let Some(floor) = await_floor::<W>(node, group, since).await else {
         lease.release(node.clock.now());
         return Err(StatementResponse::not_run(
@@ -163,13 +164,11 @@
             FLOOR_RETRY_AFTER,
         ));
     };
-    let floor = match last_commit {
-        Some((epoch, commit)) if epoch == group.epoch() => floor.max(commit),
-        _ => floor,
-    };
+    // The epoch may have changed meanwhile.
+    let required = commits.requirement(group.service(), group.epoch(), since);
     Ok(Some(Placement {
         lease,
-        floor: Some(floor),
+        floor: required.position.max(Some(floor)),
         epoch: None,
         max_staleness: Some(max_staleness),
     }))
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -2,11 +2,12 @@
 
 use mustardhinge_core::prelude::RefusalReason;
 use mustardhinge_core::primary_lease::GroupEpoch;
+use mustardhinge_core::session::{CommitTable, SessionCommit};
 use mustardhinge_process::event;
 
 use super::position_context::PositionContext;
 use super::primary_wait::refuse_without_target;
-use super::read_path::{BUSY_RETRY_AFTER, LastCommit, Placement, place_at_primary, place_read};
+use super::read_path::{BUSY_RETRY_AFTER, Placement, place_at_primary, place_read};
 use super::retry_gate::{admit_retry, record_operation};
 use super::write_path::wait_before_retry;
 use super::{
@@ -44,11 +45,10 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-    last_commit: LastCommit,
+    commits: &CommitTable,
     transaction: &mut OpenTransaction,
 ) -> StatementResponse {
-    if let Err(response) = ensure_begun::<W>(node, request, values, last_commit, transaction).await
-    {
+    if let Err(response) = ensure_begun::<W>(node, request, values, commits, transaction).await {
         transaction.is_failed = true;
         return response;
     }
@@ -75,14 +75,13 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-    last_commit: LastCommit,
+    commits: &CommitTable,
     mut transaction: OpenTransaction,
-) -> (StatementResponse, LastCommit) {
+) -> (StatementResponse, Option<SessionCommit>) {
     if transaction.is_failed && transaction.lease.is_none() {
         return (StatementResponse::Refused(SessionRefusal::Aborted), None);
     }
-    if let Err(response) =
-        ensure_begun::<W>(node, request, values, last_commit, &mut transaction).await
+    if let Err(response) = ensure_begun::<W>(node, request, values, commits, &mut transaction).await
     {
         return (response, None);
     }
@@ -128,7 +127,13 @@
         return (StatementResponse::Refused(transaction.lost_refusal()), None);
     }
     let wrote = transaction.has_written && reply.fault.is_none();
-    let commit = transaction.epoch.zip(reply.position).filter(|_| wrote);
+    let committed = transaction.epoch.zip(reply.position).filter(|_| wrote);
+    let commit = committed.map(|(epoch, position)| SessionCommit {
+        service: group.service().clone(),
+        epoch,
+        position,
+        acknowledged_at: now,
+    });
     (StatementResponse::Reply(reply), commit)
 }
 
@@ -162,12 +167,12 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-    last_commit: LastCommit,
+    commits: &CommitTable,
     transaction: &mut OpenTransaction,
 ) -> Result<(), StatementResponse> {
     if transaction.lease.is_none() {
         let (lease, epoch) =
-            begin::<W>(node, request, values, last_commit, transaction.read_only).await?;
+            begin::<W>(node, request, values, commits, transaction.read_only).await?;
         transaction.lease = Some(lease);
         transaction.epoch = epoch;
     }
@@ -178,7 +183,7 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-    last_commit: LastCommit,
+    commits: &CommitTable,
     read_only: bool,
 ) -> Result<(TargetLease, Option<GroupEpoch>), StatementResponse> {
     request.begins.set(true);
@@ -192,7 +197,7 @@
         let placement = if at_primary {
             Some(place_at_primary::<W>(node, &group, request).await?)
         } else {
-            place_read::<W>(node, &group, request, last_commit, &tried).await?
+            place_read::<W>(node, &group, request, commits, &tried).await?
         };
         let Some(placement) = placement else {
             break;
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -2,12 +2,13 @@
 use std::time::Duration;
 
 use mustardhinge_core::prelude::RefusalReason;
+use mustardhinge_core::session::SessionCommit;
 use mustardhinge_process::event;
 use rand::RngExt;
 use tokio::time::sleep;
 
 use super::position_context::PositionContext;
-use super::read_path::{LastCommit, Placement, place_at_primary};
+use super::read_path::{Placement, place_at_primary};
 use super::retry_gate::{admit_retry, record_operation};
 use super::{
     EpochGuard, ExecutionError, SessionRequest, SessionValues, StatementExecution,
@@ -26,7 +27,7 @@
 /// Result of an attempt to run a write.
 enum WriteCompletion {
     /// The response is final; a committed write has a position.
-    Done(StatementResponse, LastCommit),
+    Done(StatementResponse, Option<SessionCommit>),
     /// The write has not run and may be retried; the response is used if no time remains.
     Retry(StatementResponse),
 }
@@ -38,7 +39,7 @@
     node: &Rc<NodeState>,
     request: &SessionRequest,
     values: &SessionValues,
-) -> (StatementResponse, LastCommit) {
+) -> (StatementResponse, Option<SessionCommit>) {
     record_operation(node, request);
     let group = node.group(&request.route.service);
     loop {
@@ -128,7 +129,12 @@
         Some(_) => WriteCompletion::Done(StatementResponse::Reply(reply), None),
         None => match epoch {
             Some(epoch) if node.is_lease_valid(group.service(), epoch, now) => {
-                let commit = reply.position.map(|position| (epoch, position));
+                let commit = reply.position.map(|position| SessionCommit {
+                    service: group.service().clone(),
+                    epoch,
+                    position,
+                    acknowledged_at: now,
+                });
                 WriteCompletion::Done(StatementResponse::Reply(reply), commit)
             }
             _ => WriteCompletion::Done(StatementResponse::Refused(SessionRefusal::Unknown), None),
