Keep the replicas that may have confirmed commits of an epoch

Cause: which servers may have commits was learned from the list when the change began.

Change: EpochMembers keeps each replica that was listed in the epoch. One that leaves the list remains a member until as many others as confirm a commit have received what the primary reports after the departure. The group's record names the members, so a new leader asks them too. An epoch with members is granted after its record is written.

--- a/crates/mustardhinge-core/src/primary_lease/group_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/group_leases.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use super::{
-    ChangeCause, FailureDetector, GroupEpoch, LeaseGrant, PrimaryEvidence, ServerStatus,
-    SuccessorSearch,
+    ChangeCause, ConfirmingReplicas, EpochMembers, FailureDetector, GroupEpoch, LeaseGrant,
+    PrimaryEvidence, ServerStatus, SuccessorSearch,
 };
 use crate::ids::{InstanceId, ServiceId, TargetId};
 use crate::units::{LeaderTerm, LogPosition, MonotonicTime};
@@ -49,6 +49,7 @@
     highest_position: LogPosition,
     detector: FailureDetector,
     search: SuccessorSearch,
+    members: EpochMembers,
 }
 
 impl GroupLeases {
@@ -66,6 +67,7 @@
             highest_position: LogPosition::default(),
             detector: FailureDetector::default(),
             search: SuccessorSearch::default(),
+            members: EpochMembers::default(),
         }
     }
 
@@ -87,13 +89,66 @@
         }
     }
 
-    /// Sets the primary that the recorded one replaces, if it is known.
+    /// Sets the primary that the recorded one replaces, if it is known, and the recorded members of its
+    /// epoch.
     #[must_use]
-    pub fn replacing(mut self, primary: Option<TargetId>) -> Self {
-        self.search = SuccessorSearch::new(primary);
+    pub fn replacing(
+        mut self,
+        primary: Option<TargetId>,
+        members: impl IntoIterator<Item = TargetId>,
+    ) -> Self {
+        self.search = SuccessorSearch::new(primary).with_members(members);
+        self
+    }
+
+    /// Sets the recorded members of the epoch.
+    #[must_use]
+    pub fn with_members(mut self, members: impl IntoIterator<Item = TargetId>) -> Self {
+        self.set_members(members);
         self
     }
 
+    /// Replaces the members of the epoch by those that are recorded.
+    pub fn set_members(&mut self, members: impl IntoIterator<Item = TargetId>) {
+        self.members = EpochMembers::new(members);
+    }
+
+    /// Returns the replicas that may have confirmed commits of the epoch.
+    #[must_use]
+    pub const fn members(&self) -> &EpochMembers {
+        &self.members
+    }
+
+    /// Records the servers that are listed at `now`. Returns the members that have left the list.
+    pub fn record_listed(&mut self, servers: &[TargetId], now: MonotonicTime) -> Vec<TargetId> {
+        if self.phase != GroupPhase::Serving {
+            return Vec::new();
+        }
+        self.members.record_listed(servers, &self.primary, now)
+    }
+
+    /// Records the status of servers that were asked at `asked_at` because a member is no longer
+    /// listed. Returns the departed members that are not needed any more.
+    pub fn record_member_statuses(
+        &mut self,
+        epoch: GroupEpoch,
+        statuses: &[ServerStatus],
+        confirming: ConfirmingReplicas,
+        asked_at: MonotonicTime,
+    ) -> Vec<TargetId> {
+        if self.phase != GroupPhase::Serving || epoch != self.epoch {
+            return Vec::new();
+        }
+        // Another server that believes to be primary doesn't report the positions of this epoch.
+        let is_known = |status: &&ServerStatus| {
+            !status.is_primary || status.target == self.primary && status.term >= self.term
+        };
+        let statuses: Vec<_> = statuses.iter().filter(is_known).cloned().collect();
+        let observed = self.highest_position;
+        self.members
+            .record_statuses(&statuses, observed, confirming, asked_at)
+    }
+
     /// Keeps the leases that this instance granted on the same epoch in an earlier leadership.
     ///
     /// The election doesn't cover them: a claimant relies on its own earlier rights to have ended.
@@ -175,7 +230,8 @@
     pub fn begin_stop(&mut self, cause: ChangeCause, now: MonotonicTime) {
         if self.phase == GroupPhase::Serving {
             self.phase = GroupPhase::Stopping { cause, since: now };
-            self.search = SuccessorSearch::new(Some(self.primary.clone()));
+            let members = self.members.iter().cloned();
+            self.search = SuccessorSearch::new(Some(self.primary.clone())).with_members(members);
         }
     }
 
@@ -238,8 +294,11 @@
         self.primary = primary;
         self.phase = GroupPhase::Serving;
         self.lease_expiry.clear();
+        // Positions of the previous epoch may have been rolled back.
+        self.highest_position = LogPosition::default();
         self.detector.clear();
         self.search = SuccessorSearch::default();
+        self.members = EpochMembers::default();
     }
 
     /// Returns the instances that hold a lease, sent a request recently and have not confirmed
--- a/crates/mustardhinge-core/src/primary_lease/successor_search.rs
+++ b/crates/mustardhinge-core/src/primary_lease/successor_search.rs
@@ -37,7 +37,7 @@
 pub struct SuccessorSearch {
     /// The primary that acknowledged the commits, if it is known.
     primary: Option<TargetId>,
-    /// All servers that were listed since the search began.
+    /// The members of the epoch, and all servers that were listed since the search began.
     members: BTreeSet<TargetId>,
     known: BTreeMap<TargetId, ServerStatus>,
 }
@@ -53,6 +53,19 @@
         }
     }
 
+    /// Adds the members of the primary's epoch, listed or not.
+    #[must_use]
+    pub fn with_members(mut self, members: impl IntoIterator<Item = TargetId>) -> Self {
+        self.members.extend(members);
+        self
+    }
+
+    /// Returns all servers that may have confirmed commits of the primary, in the order of their names.
+    pub fn members(&self) -> impl Iterator<Item = &TargetId> {
+        let primary = self.primary.as_ref();
+        self.members.iter().filter(move |id| Some(*id) != primary)
+    }
+
     /// Returns the primary that acknowledged the commits, if it is known.
     #[must_use]
     pub const fn primary(&self) -> Option<&TargetId> {
--- a/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/mod.rs
@@ -1,6 +1,7 @@
 //! Leases on primaries, and the election of the leader that replaces primaries.
 
 mod control_schedule;
+mod epoch_members;
 mod failure_detector;
 mod first_grants;
 mod group_leases;
--- a/crates/mustardhinge-process/src/event/catalogue.rs
+++ b/crates/mustardhinge-process/src/event/catalogue.rs
@@ -81,4 +81,6 @@
     PROMOTION_DELAYED = 6035, Warn, "no successor known to have all commits";
     PROMOTION_CONTINUED = 6036, Info, "successor has all commits";
     INTAKE_CLOSED = 6037, Info, "listener for callers closed";
+    MEMBER_DEPARTED = 6038, Warn, "replica that may have confirmed commits left the list";
+    MEMBER_COVERED = 6039, Info, "other replicas have all commits of a departed one";
 }
--- a/crates/mustardhinge-resident/src/control/control_state.rs
+++ b/crates/mustardhinge-resident/src/control/control_state.rs
@@ -72,6 +72,8 @@
     pub gateways_built: Cell<Option<(u64, MonotonicTime)>>,
     /// The groups for which a setup or a primary change is running.
     pub busy_groups: RefCell<HashSet<ServiceId>>,
+    /// The groups whose servers are being asked because a member is no longer listed.
+    pub queried_members: RefCell<HashSet<ServiceId>>,
     /// The leader's address according to another instance.
     pub leader_hint: Cell<Option<SocketAddr>>,
     /// The record of the newest leader that another instance has reported.
@@ -150,6 +152,7 @@
             gateways: RefCell::default(),
             gateways_built: Cell::new(None),
             busy_groups: RefCell::default(),
+            queried_members: RefCell::default(),
             leader_hint: Cell::new(None),
             reported_leader: RefCell::new(None),
             list_fetch_backoff: Cell::default(),
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -18,6 +18,7 @@
 use super::gateway_maintenance::{maintain_gateways, reset_gateways};
 use super::group_setup::set_up_group;
 use super::leadership_release::release_record;
+use super::member_record::maintain_members;
 use super::peer_exchange::{
     announce_leadership, notify_pending_voters, send_allowance_request, send_leader_hint,
     send_lease_request, send_stop_messages,
@@ -420,6 +421,8 @@
         if is_stopping {
             control.busy_groups.borrow_mut().insert(service);
             spawn_local(run_primary_change::<W, P>(Rc::clone(control), group));
+        } else {
+            maintain_members::<W, P>(control, &group, now);
         }
     }
 }
--- a/crates/mustardhinge-resident/src/control/group_record.rs
+++ b/crates/mustardhinge-resident/src/control/group_record.rs
@@ -27,6 +27,10 @@
     /// The primary that an unconfirmed one replaces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub replaced: Option<TargetId>,
+    /// The replicas that may have confirmed commits of the epoch, or of the replaced primary's if the
+    /// target is not confirmed. Empty if the primary acknowledges alone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<TargetId>,
 }
 
 impl GroupRecord {
--- a/crates/mustardhinge-resident/src/control/group_setup.rs
+++ b/crates/mustardhinge-resident/src/control/group_setup.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use super::member_record::listed_members;
 use super::record_restore::{current_era, set_up_restored};
 use super::{ControlState, GroupRecord};
 use crate::adapter::{
@@ -66,10 +67,11 @@
         let primary = record.primary.clone();
         let leases = if record.is_confirmed {
             GroupLeases::new(service.clone(), record.epoch, primary, record.term)
+                .with_members(record.members.clone())
         } else {
             let now = control.node.clock.now();
             GroupLeases::unconfirmed(service.clone(), record.epoch, primary, record.term, now)
-                .replacing(record.replaced.clone())
+                .replacing(record.replaced.clone(), record.members.clone())
         };
         control
             .records
@@ -83,12 +85,13 @@
         return false;
     };
     let epoch = GroupEpoch::new(1);
-    let record = NewGroupRecord::confirmed(epoch, primary, report.term);
+    let members = listed_members(control, group, primary);
+    let record = NewGroupRecord::confirmed(epoch, primary, report.term).members(&members);
     if !write_group_record(control, service, record).await {
         return false;
     }
     let leases = GroupLeases::new(service.clone(), epoch, primary.clone(), report.term);
-    control.begin_group(leases);
+    control.begin_group(leases.with_members(members));
     true
 }
 
@@ -150,6 +153,7 @@
     term: LeaderTerm,
     is_confirmed: bool,
     replaced: Option<&'a TargetId>,
+    members: &'a [TargetId],
 }
 
 impl<'a> NewGroupRecord<'a> {
@@ -165,6 +169,7 @@
             term,
             is_confirmed: true,
             replaced: None,
+            members: &[],
         }
     }
 
@@ -182,8 +187,15 @@
             term,
             is_confirmed: false,
             replaced,
+            members: &[],
         }
     }
+
+    /// Sets the replicas that may have confirmed commits.
+    pub(super) const fn members(mut self, members: &'a [TargetId]) -> Self {
+        self.members = members;
+        self
+    }
 }
 
 /// Writes a group's record. Returns whether the write is known to have succeeded.
@@ -203,6 +215,7 @@
         term: new.term,
         is_confirmed: new.is_confirmed,
         replaced: new.replaced.cloned(),
+        members: new.members.to_vec(),
         fence: control.node.election.borrow().highest_fence(),
         era,
     };
--- a/crates/mustardhinge-resident/src/control/mod.rs
+++ b/crates/mustardhinge-resident/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod leader_messages;
 mod leader_responses;
 mod leadership_release;
+mod member_record;
 mod newer_state;
 mod peer_exchange;
 mod peer_message;
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -11,6 +11,7 @@
 
 use super::ControlState;
 use super::group_setup::{NewGroupRecord, may_keep_primary, query_targets, write_group_record};
+use super::member_record::listed_members;
 use super::successor_wait::SuccessorWait;
 use crate::adapter::{
     PlatformClient, PromotionOutcome, PromotionRequest, ProxyStatement, ServerRole, SessionCodec,
@@ -174,7 +175,7 @@
     orders.record(&order.target, sent_at, outcome);
 }
 
-fn to_server_statuses(
+pub(super) fn to_server_statuses(
     group: &GroupState,
     statuses: &[(TargetId, StatusReport)],
     now: MonotonicTime,
@@ -266,13 +267,9 @@
     let Some((epoch, term)) = next_epoch(control, service) else {
         return true;
     };
-    let replaced = {
-        let group_leases = control.group_leases.borrow();
-        let leases = group_leases.get(service);
-        leases.and_then(|leases| leases.search().primary().cloned())
-    };
+    let (replaced, members) = replaced_members(control, service);
     let record = NewGroupRecord::planned(epoch, candidate, term.next(), replaced.as_ref());
-    if !write_group_record(control, service, record).await {
+    if !write_group_record(control, service, record.members(&members)).await {
         return false;
     }
     let began = control.node.clock.now();
@@ -298,16 +295,53 @@
             && report.role == ServerRole::Primary
         {
             demote::<W, P>(control, group, old, report.term);
-            start_epoch(control, group, epoch, candidate, report.term);
-            // If this write is lost, the next leader queries the target instead.
-            let record = NewGroupRecord::confirmed(epoch, candidate, report.term);
-            write_group_record(control, service, record).await;
-            return true;
+            return confirm_promotion(control, group, epoch, (candidate, report.term)).await;
         }
         sleep(PROMOTION_POLL_INTERVAL).await;
     }
 }
 
+/// Records a promoted target as confirmed and begins its epoch. Returns whether the epoch has begun.
+async fn confirm_promotion<P: PlatformClient>(
+    control: &Rc<ControlState<P>>,
+    group: &Rc<GroupState>,
+    epoch: GroupEpoch,
+    (target, term): (&TargetId, LeaderTerm),
+) -> bool {
+    let service = group.service();
+    let members = listed_members(control, group, target);
+    let record = NewGroupRecord::confirmed(epoch, target, term).members(&members);
+    if members.is_empty() {
+        start_epoch(control, group, epoch, (target, term), members.clone());
+        // If this write is lost, the next leader queries the target instead.
+        write_group_record(control, service, record).await;
+        return true;
+    }
+    // Commits of the epoch depend on its members, so they have to be recorded first.
+    if !write_group_record(control, service, record).await {
+        return false;
+    }
+    start_epoch(control, group, epoch, (target, term), members.clone());
+    true
+}
+
+/// Returns the primary that is replaced, if it is known, and the replicas that may have confirmed its
+/// commits, if any have to.
+fn replaced_members<P>(
+    control: &ControlState<P>,
+    service: &ServiceId,
+) -> (Option<TargetId>, Vec<TargetId>) {
+    let group_leases = control.group_leases.borrow();
+    let Some(leases) = group_leases.get(service) else {
+        return (None, Vec::new());
+    };
+    let search = leases.search();
+    let members = search.members().cloned();
+    let confirming = control.node.plan().confirming_replicas(service);
+    let members = members.filter(|_| !confirming.is_none()).collect();
+    (search.primary().cloned(), members)
+}
+
 /// Orders the promotion through the platform. Returns whether it may take effect; an order without
 /// a response may have been carried out.
 async fn order_promotion<P: PlatformClient>(
@@ -384,11 +418,12 @@
     let Some((epoch, _)) = next_epoch(control, group.service()) else {
         return true;
     };
-    let record = NewGroupRecord::confirmed(epoch, primary, term);
+    let members = listed_members(control, group, primary);
+    let record = NewGroupRecord::confirmed(epoch, primary, term).members(&members);
     if !write_group_record(control, group.service(), record).await {
         return false;
     }
-    start_epoch(control, group, epoch, primary, term);
+    start_epoch(control, group, epoch, (primary, term), members);
     true
 }
 
@@ -409,8 +444,8 @@
     control: &ControlState<P>,
     group: &GroupState,
     epoch: GroupEpoch,
-    primary: &TargetId,
-    term: LeaderTerm,
+    (primary, term): (&TargetId, LeaderTerm),
+    members: Vec<TargetId>,
 ) {
     let mut group_leases = control.group_leases.borrow_mut();
     if let Some(leases) = group_leases.get_mut(group.service()) {
@@ -421,6 +456,7 @@
             orders.record_promoted(primary);
         }
         leases.begin_epoch(epoch, primary.clone(), term);
+        leases.set_members(members);
     }
     event::PRIMARY_PROMOTED.log(format_args!(
         "service={} epoch={epoch} target={primary} term={term}",
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -95,6 +95,7 @@
         return false;
     }
     let reported = control.reported_epochs.borrow().get(service).cloned();
+    let members = copy.as_ref().map(|record| record.members.clone());
     let Some(known) = newest_known(copy, reported, &statuses) else {
         return false;
     };
@@ -103,7 +104,7 @@
     let now: MonotonicTime = control.node.clock.now();
     let known = primary.clone();
     let leases = GroupLeases::unconfirmed(service.clone(), epoch.max(floor), primary, term, now)
-        .replacing(Some(known));
+        .replacing(Some(known), members.unwrap_or_default());
     control.begin_group(leases);
     true
 }
@@ -187,8 +188,9 @@
         Some(copy) => control.records.borrow_mut().insert(service.clone(), copy),
         None => control.records.borrow_mut().remove(service),
     };
+    let members: Vec<_> = leases.members().iter().cloned().collect();
     let record = NewGroupRecord::confirmed(leases.epoch(), leases.primary(), leases.term());
-    write_group_record(control, service, record).await
+    write_group_record(control, service, record.members(&members)).await
 }
 
 /// Keeps a stored record that this leader has written itself, by a call whose response was lost.
--- a/crates/mustardhinge-resident/src/control/successor_wait.rs
+++ b/crates/mustardhinge-resident/src/control/successor_wait.rs
@@ -32,7 +32,9 @@
             Ok(choice) => choice,
             Err(check) => {
                 let now = control.node.clock.now();
-                self.since.get_or_insert(now);
+                let since = *self.since.get_or_insert(now);
+                let waited = now.saturating_since(since).as_secs_f64();
+                record_wait(service, waited);
                 if self.last.replace(check) != Some(check) {
                     metrics::counter!(
                         "resident_promotion_delays_total", "reason" => check.to_string()
@@ -52,6 +54,7 @@
     pub(super) fn end(&mut self, service: &ServiceId, now: MonotonicTime) {
         self.last = None;
         if let Some(since) = self.since.take() {
+            record_wait(service, 0.0);
             event::PROMOTION_CONTINUED.log(format_args!(
                 "service={service} waited_ms={}",
                 now.saturating_since(since).as_millis()
@@ -59,3 +62,9 @@
         }
     }
 }
+
+/// Sets the metric of how long the change of a group's primary has been waiting.
+fn record_wait(service: &ServiceId, seconds: f64) {
+    let service = service.as_str().to_owned();
+    metrics::gauge!("resident_promotion_wait_seconds", "service" => service).set(seconds);
+}
--- a/crates/mustardhinge-resident/src/group/group_state.rs
+++ b/crates/mustardhinge-resident/src/group/group_state.rs
@@ -5,6 +5,7 @@
 use mustardhinge_core::placement::PositionHistory;
 use mustardhinge_core::prelude::{LogPosition, MonotonicTime, ServiceId, TargetId};
 use mustardhinge_core::primary_lease::GroupEpoch;
+use mustardhinge_core::session::SessionCommit;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 
@@ -127,6 +128,22 @@
         self.history.borrow().covered_until(position, now)
     }
 
+    /// Returns a commit of this group that was acknowledged before `now`.
+    #[must_use]
+    pub fn session_commit(
+        &self,
+        epoch: GroupEpoch,
+        position: LogPosition,
+        now: MonotonicTime,
+    ) -> SessionCommit {
+        SessionCommit {
+            service: self.service.clone(),
+            epoch,
+            position,
+            acknowledged_at: now,
+        }
+    }
+
     /// Returns the latest position and the time up to which it covers all acknowledged writes.
     #[must_use]
     pub fn newest_position(&self) -> Option<(MonotonicTime, LogPosition)> {
--- a/crates/mustardhinge-resident/src/node/node_state.rs
+++ b/crates/mustardhinge-resident/src/node/node_state.rs
@@ -371,6 +371,13 @@
         self.listed_eras.borrow().get(target) != Some(&era)
     }
 
+    /// Returns whether the entry of a target was removed from the store, although the target is kept for
+    /// a while because it may be written again.
+    #[must_use]
+    pub fn was_removed(&self, target: &TargetHandle) -> bool {
+        !target.is_leaving() && self.departed.borrow().contains(&target.id())
+    }
+
     /// Returns a listed target.
     pub(super) fn find_target(&self, target: &TargetId) -> Option<Rc<TargetHandle>> {
         let service = self.target_services.borrow().get(target).cloned();
--- a/crates/mustardhinge-resident/src/session/transaction_path.rs
+++ b/crates/mustardhinge-resident/src/session/transaction_path.rs
@@ -128,12 +128,7 @@
     }
     let wrote = transaction.has_written && reply.fault.is_none();
     let committed = transaction.epoch.zip(reply.position).filter(|_| wrote);
-    let commit = committed.map(|(epoch, position)| SessionCommit {
-        service: group.service().clone(),
-        epoch,
-        position,
-        acknowledged_at: now,
-    });
+    let commit = committed.map(|(epoch, position)| group.session_commit(epoch, position, now));
     (StatementResponse::Reply(reply), commit)
 }
 
--- a/crates/mustardhinge-resident/src/session/write_path.rs
+++ b/crates/mustardhinge-resident/src/session/write_path.rs
@@ -129,12 +129,8 @@
         Some(_) => WriteCompletion::Done(StatementResponse::Reply(reply), None),
         None => match epoch {
             Some(epoch) if node.is_lease_valid(group.service(), epoch, now) => {
-                let commit = reply.position.map(|position| SessionCommit {
-                    service: group.service().clone(),
-                    epoch,
-                    position,
-                    acknowledged_at: now,
-                });
+                let position = reply.position;
+                let commit = position.map(|at| group.session_commit(epoch, at, now));
                 WriteCompletion::Done(StatementResponse::Reply(reply), commit)
             }
             _ => WriteCompletion::Done(StatementResponse::Refused(SessionRefusal::Unknown), None),
