Bind a new leader to the orders to promote of the one before

Cause: orders that may still take effect were known only to the leader that had sent them.

Change: a planned record binds the leader that reads it to its target for 7 s. A confirmed record says whether a repeated order may still take effect, and is written again when that is over.

--- a/crates/mustardhinge-core/src/primary_lease/promotion_orders.rs
+++ b/crates/mustardhinge-core/src/primary_lease/promotion_orders.rs
@@ -52,6 +52,8 @@
     first_sent_at: MonotonicTime,
     accepted_until: Option<MonotonicTime>,
     unanswered_until: Vec<MonotonicTime>,
+    /// Until when orders of an earlier leader may take effect. Their number isn't known.
+    inherited_until: Option<MonotonicTime>,
 }
 
 impl PromotionOrders {
@@ -73,6 +75,19 @@
         }
     }
 
+    /// Records that an earlier leader may have ordered the promotion of `target`, at `now` or before.
+    ///
+    /// Failure: a leader was lost after its order to promote. Its successor promoted another server at
+    /// once, and the first order took effect seconds later.
+    pub fn inherit(&mut self, target: &TargetId, now: MonotonicTime) {
+        if self.pending(now) != Some(target) {
+            *self = Self::default();
+            self.target = Some(target.clone());
+            self.first_sent_at = now;
+        }
+        self.inherited_until = Some(now + UNANSWERED_EFFECT_TIME);
+    }
+
     /// Records that `target` became primary, so that one of its orders has taken effect.
     ///
     /// Other orders without a response may still be executed and would make it primary again.
@@ -88,7 +103,8 @@
     /// Returns the target whose promotion may still take effect.
     #[must_use]
     pub fn pending(&self, now: MonotonicTime) -> Option<&TargetId> {
-        let mut all = self.accepted_until.iter().chain(&self.unanswered_until);
+        let known = self.accepted_until.iter().chain(&self.unanswered_until);
+        let mut all = known.chain(&self.inherited_until);
         let is_pending = all.any(|until| now < *until);
         self.target.as_ref().filter(|_| is_pending)
     }
--- a/crates/mustardhinge-core/tests/suite/primary_lease/promotion_orders.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/promotion_orders.rs
@@ -61,6 +61,38 @@
     );
 }
 
+/// Failure: the order of a lost leader took effect after its successor had promoted another server.
+#[test]
+fn an_order_of_an_earlier_leader_binds_its_successor() {
+    let mut orders = PromotionOrders::default();
+    orders.inherit(&target(1), at(1_000));
+    let servers = [status(1, false, 1), status(2, false, 1)];
+    assert_eq!(
+        restrict(&orders, &servers, 1_100),
+        SuccessorChoice::Promote(target(1))
+    );
+    assert_eq!(
+        restrict(&orders, &servers[1..], 7_900),
+        SuccessorChoice::Wait
+    );
+    assert_eq!(
+        restrict(&orders, &servers[1..], 8_100),
+        SuccessorChoice::Promote(target(2))
+    );
+}
+
+/// Failure: the successor's own order for the same target took effect, and those of the lost leader no
+/// longer counted.
+#[test]
+fn orders_of_an_earlier_leader_count_after_one_has_taken_effect() {
+    let mut orders = PromotionOrders::default();
+    orders.inherit(&target(1), at(1_000));
+    orders.record(&target(1), at(1_100), OrderOutcome::Accepted);
+    orders.record_promoted(&target(1));
+    assert_eq!(orders.pending(at(7_900)), Some(&target(1)));
+    assert_eq!(orders.pending(at(8_100)), None);
+}
+
 /// Guards against a wait of seconds for an order that never left the instance.
 #[test]
 fn an_order_that_was_not_executed_binds_nothing() {
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -18,12 +18,12 @@
 use super::gateway_maintenance::{maintain_gateways, reset_gateways};
 use super::group_setup::set_up_group;
 use super::leadership_release::release_record;
-use super::member_record::maintain_members;
 use super::peer_exchange::{
     announce_leadership, notify_pending_voters, send_allowance_request, send_leader_hint,
     send_lease_request, send_stop_messages,
 };
 use super::primary_change::run_primary_change;
+use super::record_maintenance::maintain_record;
 use super::record_restore::restore_records;
 use super::schedule::{control_schedule, has_unusable};
 use super::state_fetch::fetch_state;
@@ -422,7 +422,7 @@
             control.busy_groups.borrow_mut().insert(service);
             spawn_local(run_primary_change::<W, P>(Rc::clone(control), group));
         } else {
-            maintain_members::<W, P>(control, &group, now);
+            maintain_record::<W, P>(control, &group, now);
         }
     }
 }
--- a/crates/mustardhinge-resident/src/control/group_record.rs
+++ b/crates/mustardhinge-resident/src/control/group_record.rs
@@ -27,6 +27,10 @@
     /// The primary that an unconfirmed one replaces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub replaced: Option<TargetId>,
+    /// Whether a repeated order to promote the primary may still take effect. Orders for a target that is
+    /// not confirmed always may.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_order_pending: bool,
     /// The replicas that may have confirmed commits of the epoch, or of the replaced primary's if the
     /// target is not confirmed. Empty if the primary acknowledges alone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -34,6 +38,12 @@
 }
 
 impl GroupRecord {
+    /// Returns whether an order of the leader that wrote the record may still take effect.
+    #[must_use]
+    pub const fn may_have_orders(&self) -> bool {
+        !self.is_confirmed || self.is_order_pending
+    }
+
     /// Returns the name of a group's record.
     #[must_use]
     pub fn name_of(service: &ServiceId) -> String {
--- a/crates/mustardhinge-resident/src/control/group_setup.rs
+++ b/crates/mustardhinge-resident/src/control/group_setup.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use super::member_record::listed_members;
+use super::record_maintenance::listed_members;
 use super::record_restore::{current_era, set_up_restored};
 use super::{ControlState, GroupRecord};
 use crate::adapter::{
@@ -64,6 +64,7 @@
         return set_up_restored::<W, P>(control, group, copy).await;
     }
     if let Some((revision, record)) = stored {
+        inherit_orders(control, &record);
         let primary = record.primary.clone();
         let leases = if record.is_confirmed {
             GroupLeases::new(service.clone(), record.epoch, primary, record.term)
@@ -95,6 +96,17 @@
     true
 }
 
+/// Binds the next change to the target of a recorded order, which the leader before may have sent right
+/// before it was replaced.
+pub(super) fn inherit_orders<P>(control: &ControlState<P>, record: &GroupRecord) {
+    if record.may_have_orders() {
+        let now = control.node.clock.now();
+        let mut orders = control.promotion_orders.borrow_mut();
+        let orders = orders.entry(record.service.clone()).or_default();
+        orders.inherit(&record.primary, now);
+    }
+}
+
 /// Requests the roles and positions of all targets of a group, and omits targets that don't
 /// respond.
 ///
@@ -154,6 +166,7 @@
     is_confirmed: bool,
     replaced: Option<&'a TargetId>,
     members: &'a [TargetId],
+    is_order_pending: bool,
 }
 
 impl<'a> NewGroupRecord<'a> {
@@ -170,6 +183,7 @@
             is_confirmed: true,
             replaced: None,
             members: &[],
+            is_order_pending: false,
         }
     }
 
@@ -188,9 +202,16 @@
             is_confirmed: false,
             replaced,
             members: &[],
+            is_order_pending: false,
         }
     }
 
+    /// Sets whether a repeated order to promote the primary may still take effect.
+    pub(super) const fn order_pending(mut self, is_pending: bool) -> Self {
+        self.is_order_pending = is_pending;
+        self
+    }
+
     /// Sets the replicas that may have confirmed commits.
     pub(super) const fn members(mut self, members: &'a [TargetId]) -> Self {
         self.members = members;
@@ -216,6 +237,7 @@
         is_confirmed: new.is_confirmed,
         replaced: new.replaced.cloned(),
         members: new.members.to_vec(),
+        is_order_pending: new.is_order_pending,
         fence: control.node.election.borrow().highest_fence(),
         era,
     };
--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -11,7 +11,7 @@
 
 use super::ControlState;
 use super::group_setup::{NewGroupRecord, may_keep_primary, query_targets, write_group_record};
-use super::member_record::listed_members;
+use super::record_maintenance::listed_members;
 use super::successor_wait::SuccessorWait;
 use crate::adapter::{
     PlatformClient, PromotionOutcome, PromotionRequest, ProxyStatement, ServerRole, SessionCodec,
@@ -310,7 +310,9 @@
 ) -> bool {
     let service = group.service();
     let members = listed_members(control, group, target);
-    let record = NewGroupRecord::confirmed(epoch, target, term).members(&members);
+    let record = NewGroupRecord::confirmed(epoch, target, term)
+        .members(&members)
+        .order_pending(has_other_order(control, service, target));
     if members.is_empty() {
         start_epoch(control, group, epoch, (target, term), members.clone());
         // If this write is lost, the next leader queries the target instead.
@@ -325,6 +327,27 @@
     true
 }
 
+/// Returns whether an order to promote a target of a group may still take effect.
+pub(super) fn is_order_pending<P>(
+    control: &ControlState<P>,
+    service: &ServiceId,
+    now: MonotonicTime,
+) -> bool {
+    let orders = control.promotion_orders.borrow();
+    let orders = orders.get(service);
+    orders.is_some_and(|orders| orders.pending(now).is_some())
+}
+
+/// Returns whether an order may still take effect besides the one that made `promoted` the primary.
+fn has_other_order<P>(control: &ControlState<P>, service: &ServiceId, promoted: &TargetId) -> bool {
+    let now = control.node.clock.now();
+    let orders = control.promotion_orders.borrow().get(service).cloned();
+    orders.is_some_and(|mut orders| {
+        orders.record_promoted(promoted);
+        orders.pending(now).is_some()
+    })
+}
+
 /// Returns the primary that is replaced, if it is known, and the replicas that may have confirmed its
 /// commits, if any have to.
 fn replaced_members<P>(
@@ -419,7 +442,13 @@
         return true;
     };
     let members = listed_members(control, group, primary);
-    let record = NewGroupRecord::confirmed(epoch, primary, term).members(&members);
+    let record = NewGroupRecord::confirmed(epoch, primary, term)
+        .members(&members)
+        .order_pending(is_order_pending(
+            control,
+            group.service(),
+            control.node.clock.now(),
+        ));
     if !write_group_record(control, group.service(), record).await {
         return false;
     }
--- a/crates/mustardhinge-resident/src/control/member_record.rs
+++ b/crates/mustardhinge-resident/src/control/record_maintenance.rs
@@ -1,23 +1,24 @@
-//! The replicas that may have confirmed commits of a group's epoch, as the leader records them.
+//! What the leader records of a group that serves: the replicas that may have confirmed commits of its
+//! epoch, and whether an order to promote may still take effect.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use mustardhinge_core::prelude::{MonotonicTime, ServiceId, TargetId};
-use mustardhinge_core::primary_lease::{GroupEpoch, GroupLeases, GroupPhase};
+use mustardhinge_core::primary_lease::{GroupLeases, GroupPhase};
 use mustardhinge_process::event;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::ControlState;
 use super::group_setup::{NewGroupRecord, query_targets, write_group_record};
-use super::primary_change::to_server_statuses;
+use super::primary_change::{is_order_pending, to_server_statuses};
 use crate::adapter::{PlatformClient, SessionCodec};
 use crate::group::GroupState;
 
 /// Interval between status requests while a departed replica may have the only copy of a commit.
 const STATUS_INTERVAL: Duration = Duration::from_millis(400);
-/// Delay after a failed attempt to write the members.
+/// Delay after a failed attempt to write the record.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Returns the replicas that may confirm commits of `primary`, or none if it acknowledges alone.
@@ -36,18 +37,31 @@
     members
 }
 
-/// Follows the list of servers of a group that serves, and keeps the record of its members complete.
-///
-/// A service whose primary acknowledges alone has no members.
-pub(super) fn maintain_members<W: SessionCodec, P: PlatformClient>(
+/// Keeps the record of a group that serves complete: its members, and whether an order to promote may
+/// still take effect.
+pub(super) fn maintain_record<W: SessionCodec, P: PlatformClient>(
     control: &Rc<ControlState<P>>,
     group: &Rc<GroupState>,
     now: MonotonicTime,
 ) {
     let service = group.service();
-    if control.node.plan().confirming_replicas(service).is_none() {
-        return;
+    if !control.node.plan().confirming_replicas(service).is_none() {
+        follow_members::<W, P>(control, group, now);
     }
+    if !is_recorded(control, service, now)
+        && control.busy_groups.borrow_mut().insert(service.clone())
+    {
+        spawn_local(write_record(Rc::clone(control), service.clone()));
+    }
+}
+
+/// Follows the list of servers. Asks for their positions while a member is missing.
+fn follow_members<W: SessionCodec, P: PlatformClient>(
+    control: &Rc<ControlState<P>>,
+    group: &Rc<GroupState>,
+    now: MonotonicTime,
+) {
+    let service = group.service();
     let targets = group.targets().into_iter();
     let listed = targets.filter(|target| !control.node.was_removed(target));
     let servers: Vec<_> = listed.map(|target| target.id()).collect();
@@ -61,32 +75,26 @@
             leases.epoch()
         ));
     }
-    let (epoch, has_departed) = (leases.epoch(), leases.members().has_departed());
+    let has_departed = leases.members().has_departed();
     drop(group_leases);
     if has_departed && control.queried_members.borrow_mut().insert(service.clone()) {
         spawn_local(query_members::<W, P>(Rc::clone(control), Rc::clone(group)));
     }
-    if !is_recorded(control, service, epoch)
-        && control.busy_groups.borrow_mut().insert(service.clone())
-    {
-        spawn_local(write_members(Rc::clone(control), service.clone()));
-    }
 }
 
-/// Returns whether the group's record of `epoch` names its members, or is none of this epoch.
-fn is_recorded<P>(control: &ControlState<P>, service: &ServiceId, epoch: GroupEpoch) -> bool {
+/// Returns whether the group's record is up to date, or is none of the epoch that is served.
+fn is_recorded<P>(control: &ControlState<P>, service: &ServiceId, now: MonotonicTime) -> bool {
     let group_leases = control.group_leases.borrow();
-    let Some(leases) = group_leases.get(service) else {
+    let records = control.records.borrow();
+    let (Some(leases), Some((_, record))) = (group_leases.get(service), records.get(service))
+    else {
         return true;
     };
-    let records = control.records.borrow();
-    let record = records.get(service).map(|(_, record)| record);
-    record.is_none_or(|record| {
-        let is_current = record.epoch == epoch && record.is_confirmed;
-        !is_current
-            || leases.phase() != GroupPhase::Serving
-            || record.members.iter().eq(leases.members().iter())
-    })
+    let is_served = leases.phase() == GroupPhase::Serving
+        && record.epoch == leases.epoch()
+        && record.is_confirmed;
+    let has_expired_order = record.is_order_pending && !is_order_pending(control, service, now);
+    !is_served || !has_expired_order && record.members.iter().eq(leases.members().iter())
 }
 
 /// Asks the servers for their positions, and drops the departed members whose commits they have.
@@ -121,8 +129,8 @@
     control.wake.notify_one();
 }
 
-/// Writes the present members into the group's record, which is otherwise left as it is.
-async fn write_members<P: PlatformClient>(control: Rc<ControlState<P>>, service: ServiceId) {
+/// Writes the group's record again for the epoch that is served.
+async fn write_record<P: PlatformClient>(control: Rc<ControlState<P>>, service: ServiceId) {
     let current = {
         let group_leases = control.group_leases.borrow();
         group_leases.get(&service).map(|leases| {
@@ -131,8 +139,11 @@
         })
     };
     if let Some((grant, members)) = current {
-        let record = NewGroupRecord::confirmed(grant.epoch, &grant.primary, grant.term);
-        if !write_group_record(&control, &service, record.members(&members)).await {
+        let now = control.node.clock.now();
+        let record = NewGroupRecord::confirmed(grant.epoch, &grant.primary, grant.term)
+            .members(&members)
+            .order_pending(is_order_pending(&control, &service, now));
+        if !write_group_record(&control, &service, record).await {
             sleep(RETRY_DELAY).await;
         }
     }
--- a/crates/mustardhinge-resident/src/control/record_restore.rs
+++ b/crates/mustardhinge-resident/src/control/record_restore.rs
@@ -11,8 +11,10 @@
 use tokio::time::sleep;
 
 use super::group_setup::{
-    NewGroupRecord, find_primary, query_targets, read_group_record, write_group_record,
+    NewGroupRecord, find_primary, inherit_orders, query_targets, read_group_record,
+    write_group_record,
 };
+use super::primary_change::is_order_pending;
 use super::{ControlState, GroupRecord};
 use crate::adapter::{PlatformClient, SessionCodec, StatusReport};
 use crate::group::GroupState;
@@ -95,6 +97,9 @@
         return false;
     }
     let reported = control.reported_epochs.borrow().get(service).cloned();
+    if let Some(copy) = &copy {
+        inherit_orders(control, copy);
+    }
     let members = copy.as_ref().map(|record| record.members.clone());
     let Some(known) = newest_known(copy, reported, &statuses) else {
         return false;
@@ -190,7 +195,9 @@
     };
     let members: Vec<_> = leases.members().iter().cloned().collect();
     let record = NewGroupRecord::confirmed(leases.epoch(), leases.primary(), leases.term());
-    write_group_record(control, service, record.members(&members)).await
+    let is_order_pending = is_order_pending(control, service, now);
+    let record = record.members(&members).order_pending(is_order_pending);
+    write_group_record(control, service, record).await
 }
 
 /// Keeps a stored record that this leader has written itself, by a call whose response was lost.
