Begin a new epoch where instances have stopped the recorded one

Cause: instances never use an epoch again that they have stopped, and the next leader granted it again as recorded. It ignored their reports.

Change: such a report begins a change with the cause "abandoned", which keeps the primary in a new epoch if it can.

--- a/crates/mustardhinge-core/src/primary_lease/change_cause.rs
+++ b/crates/mustardhinge-core/src/primary_lease/change_cause.rs
@@ -12,6 +12,9 @@
     Leaving,
     /// A server other than the recorded primary is the primary.
     Displaced,
+    /// Instances have stopped using its epoch on the order of an earlier leader. It may be kept, in a new
+    /// epoch.
+    Abandoned,
 }
 
 impl fmt::Display for ChangeCause {
@@ -20,6 +23,7 @@
             Self::Unreachable => "unreachable",
             Self::Leaving => "leaving",
             Self::Displaced => "displaced",
+            Self::Abandoned => "abandoned",
         })
     }
 }
--- a/crates/mustardhinge-core/src/primary_lease/group_leases.rs
+++ b/crates/mustardhinge-core/src/primary_lease/group_leases.rs
@@ -50,6 +50,8 @@
     detector: FailureDetector,
     search: SuccessorSearch,
     members: EpochMembers,
+    /// Whether an instance has stopped using the epoch that is served.
+    is_abandoned: bool,
 }
 
 impl GroupLeases {
@@ -68,6 +70,7 @@
             detector: FailureDetector::default(),
             search: SuccessorSearch::default(),
             members: EpochMembers::default(),
+            is_abandoned: false,
         }
     }
 
@@ -220,12 +223,31 @@
     }
 
     /// Records that `instance` stopped using the primary of `epoch`.
+    ///
+    /// If the group serves, the leader before told the instance to stop, and the epoch is never used there
+    /// again.
     pub fn confirm_stopped(&mut self, instance: &InstanceId, epoch: GroupEpoch) {
-        if epoch == self.epoch && self.phase != GroupPhase::Serving {
+        if epoch != self.epoch {
+            return;
+        }
+        if self.phase == GroupPhase::Serving {
+            // The report may come from a process before the one that holds a lease now.
+            self.is_abandoned = true;
+        } else {
             self.lease_expiry.remove(instance);
         }
     }
 
+    /// Returns whether a new epoch is needed although the primary may be kept, because an instance has
+    /// stopped using the one that is served.
+    ///
+    /// Failure: a leader told the instances to stop using an epoch and was lost. Its successor granted the
+    /// recorded epoch again, which no instance used any more, so the service was refused for good.
+    #[must_use]
+    pub const fn is_abandoned(&self) -> bool {
+        self.is_abandoned
+    }
+
     /// Starts replacing the primary.
     pub fn begin_stop(&mut self, cause: ChangeCause, now: MonotonicTime) {
         if self.phase == GroupPhase::Serving {
@@ -299,6 +321,7 @@
         self.detector.clear();
         self.search = SuccessorSearch::default();
         self.members = EpochMembers::default();
+        self.is_abandoned = false;
     }
 
     /// Returns the instances that hold a lease, sent a request recently and have not confirmed
--- a/crates/mustardhinge-core/tests/suite/primary_lease/group_leases.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/group_leases.rs
@@ -97,3 +97,26 @@
     group.begin_epoch(epoch.next(), id("b"), LeaderTerm::new(2));
     assert!(group.grant(&instance, LEASE, at(20)).usable);
 }
+
+/// Failure: a new leader served an epoch that instances had stopped on the order of the one before. They
+/// never use it again, so their callers were refused for good.
+#[test]
+fn an_epoch_that_an_instance_has_stopped_is_abandoned() {
+    let mut group = group();
+    let instance: InstanceId = id("one");
+    group.grant(&instance, LEASE, at(0));
+    let epoch = group.epoch();
+    group.confirm_stopped(&instance, epoch.next());
+    assert!(!group.is_abandoned(), "another epoch");
+    group.confirm_stopped(&instance, epoch);
+    assert!(group.is_abandoned());
+    group.begin_stop(ChangeCause::Abandoned, at(100));
+    assert!(
+        !group.advance(at(150)),
+        "the report may be older than the lease"
+    );
+    group.confirm_stopped(&instance, epoch);
+    assert!(group.advance(at(200)));
+    group.begin_epoch(epoch.next(), id("a"), LeaderTerm::new(1));
+    assert!(!group.is_abandoned());
+}
--- a/crates/mustardhinge-resident/src/control/control_task.rs
+++ b/crates/mustardhinge-resident/src/control/control_task.rs
@@ -459,6 +459,9 @@
     if leases.is_failed(now) {
         return Some(ChangeCause::Unreachable);
     }
+    if leases.is_abandoned() {
+        return Some(ChangeCause::Abandoned);
+    }
     let group = control.node.group(service);
     let Some(target) = group.find(leases.primary()) else {
         return Some(ChangeCause::Leaving);
--- a/crates/mustardhinge-resident/src/control/group_setup.rs
+++ b/crates/mustardhinge-resident/src/control/group_setup.rs
@@ -314,7 +314,7 @@
 pub(super) const fn may_keep_primary(cause: ChangeCause, was_failing: bool) -> bool {
     match cause {
         ChangeCause::Leaving => false,
-        ChangeCause::Displaced => true,
+        ChangeCause::Displaced | ChangeCause::Abandoned => true,
         ChangeCause::Unreachable => was_failing,
     }
 }
