Let the third leader in a row replace primaries in time

Callers' requests reached a leaving primary for up to 11 s after its report when two leaders had lost power around its release (DRAIN).

Cause: a leader whose predecessor had not settled waited for the upper bound, although the predecessor had recorded when the rights of those before it end. A predecessor that was lost before its first renewal had no voters.

Change: the recorded time bounds the wait. A claim carries the voters of the record that it replaces until the first renewal, so that a majority of them ends the rights of both leaders.

Evidence: voters::the_third_leader_in_a_row_replaces_primaries_in_time found no leader that may replace within 6 s before, and passes.

--- a/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
+++ b/crates/mustardhinge-core/src/primary_lease/held_leadership.rs
@@ -14,8 +14,11 @@
     pub(super) renewed_at: MonotonicTime,
     /// When the rights of all earlier leaders have expired.
     pub(super) promote_from: MonotonicTime,
-    /// Whether the direct predecessor is the only earlier leader that may still have rights.
-    pub(super) has_one_predecessor: bool,
+    /// When the rights of the leaders before the direct predecessor have expired, if it is known.
+    pub(super) earlier_until: Option<MonotonicTime>,
+    /// When the rights of the leaders have expired that the predecessor's voters did not follow, if it is
+    /// known.
+    pub(super) unfollowed_until: Option<MonotonicTime>,
     /// The voters of the direct predecessor.
     pub(super) predecessor_voters: Vec<Voter>,
     /// The predecessor's voters that have seen this leader's fence.
@@ -42,20 +45,30 @@
         now: MonotonicTime,
     ) {
         record.settled = now >= promote_from;
-        // The time is stored in whole milliseconds and must not be rounded down.
-        let remaining = promote_from.saturating_since(now) + Duration::from_millis(1);
-        record.settles_in = (!record.settled).then_some(remaining);
+        record.settles_in = (!record.settled).then(|| Self::time_until(promote_from, now));
+        record.earlier_settle_in = None;
     }
 
-    /// Shortens the wait to `end`, the time by which the direct predecessor's rights expire.
+    /// Returns the time until `end` for a record, which stores whole milliseconds. It is not rounded
+    /// down.
+    pub(super) fn time_until(end: MonotonicTime, now: MonotonicTime) -> Duration {
+        end.saturating_since(now) + Duration::from_millis(1)
+    }
+
+    /// Shortens the wait to `end`, the time by which the direct predecessor's rights expire, or to the
+    /// end of the rights of the leaders before it, if that is later.
     pub(super) fn predecessor_ends(&mut self, end: MonotonicTime) {
-        if self.has_one_predecessor {
-            self.promote_from = self.promote_from.min(end);
+        self.shorten_wait(end, self.earlier_until);
+    }
+
+    fn shorten_wait(&mut self, end: MonotonicTime, others_until: Option<MonotonicTime>) {
+        if let Some(others_until) = others_until {
+            self.promote_from = self.promote_from.min(end.max(others_until));
         }
     }
 
-    /// Records that a voter no longer acknowledges the predecessor. Once a majority has moved,
-    /// the predecessor's rights expire by `end`.
+    /// Records that a voter no longer acknowledges the predecessor. Once a majority has moved, the rights
+    /// of the predecessor, and of earlier leaders with the same voters, expire by `end`.
     pub(super) fn voter_moved(
         &mut self,
         instance: &InstanceId,
@@ -66,14 +79,14 @@
             |voter: &Voter| voter.instance == *instance && voter.incarnation == incarnation;
         let is_new = self.predecessor_voters.iter().any(is_voter);
         if is_new && self.moved.insert(instance.clone()) && self.has_majority_moved() {
-            self.predecessor_ends(end);
+            self.shorten_wait(end, self.unfollowed_until);
         }
     }
 
     /// Returns the voters that may still acknowledge the predecessor, if a majority of moved
     /// voters can still shorten the wait.
     pub(super) fn awaited_voters(&self, now: MonotonicTime) -> Vec<Voter> {
-        if self.is_settled(now) || !self.has_one_predecessor || self.has_majority_moved() {
+        if self.is_settled(now) || self.unfollowed_until.is_none() || self.has_majority_moved() {
             return Vec::new();
         }
         let voters = self.predecessor_voters.iter();
--- a/crates/mustardhinge-core/src/primary_lease/leader_election.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election.rs
@@ -72,6 +72,7 @@
             settled: false,
             settles_in: None,
             voters: Vec::new(),
+            earlier_settle_in: None,
             era: StoreEra::default(),
         };
         Self {
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/election_steps.rs
@@ -5,7 +5,7 @@
 use super::LeaderElection;
 use crate::primary_lease::held_leadership::HeldLeadership;
 use crate::primary_lease::unreadable_record::UnreadableRecord;
-use crate::primary_lease::{ElectionStep, LeaderRecord, RecordRevision, StoreEra};
+use crate::primary_lease::{ElectionStep, LeaderRecord, ObservedRecord, RecordRevision, StoreEra};
 use crate::units::MonotonicTime;
 
 /// Minimum interval between reads of the record, and between claims, while the leader is
@@ -149,6 +149,7 @@
             // A successor relies on it if this instance ends before its first renewal.
             let promote_from = self.promote_from(observed, now);
             HeldLeadership::record_settling_at(&mut record, promote_from, now);
+            self.inherit_voters(&mut record, observed, now);
         }
         Some(ElectionStep::Write {
             record,
@@ -156,6 +157,24 @@
         })
     }
 
+    /// Sets the voters of a claim to those of the leader that it replaces, until the first renewal.
+    ///
+    /// They limit this leader as well, so a successor that a majority of them follows has to wait for
+    /// neither of the two.
+    fn inherit_voters(
+        &self,
+        record: &mut LeaderRecord,
+        observed: &ObservedRecord,
+        now: MonotonicTime,
+    ) {
+        record.voters.clone_from(&observed.record.voters);
+        let unfollowed_until = self
+            .unfollowed_expiry()
+            .filter(|_| !record.voters.is_empty());
+        record.earlier_settle_in =
+            unfollowed_until.map(|until| HeldLeadership::time_until(until, now));
+    }
+
     /// Returns the claim that replaces an object of another writer, after the same wait as for a
     /// record that its leader doesn't renew.
     fn unreadable_claim_step(
--- a/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_election/leadership_acquisition.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::LeaderElection;
+use super::{CLOCK_MARGIN, LeaderElection};
 use crate::primary_lease::held_leadership::HeldLeadership;
 use crate::primary_lease::{LeaderRecord, ObservedRecord, RecordRevision, StoreEra};
 use crate::units::MonotonicTime;
@@ -83,7 +83,8 @@
             revision,
             renewed_at: sent_at,
             promote_from,
-            has_one_predecessor: predecessor.is_none_or(|record| record.settled),
+            earlier_until: self.earlier_expiry(),
+            unfollowed_until: self.unfollowed_expiry(),
             predecessor_voters: predecessor.map_or_else(Vec::new, |record| record.voters.clone()),
             moved: BTreeSet::new(),
         }
@@ -110,12 +111,41 @@
             revision,
             renewed_at: sent_at,
             promote_from: lost_at + self.settings.renew_deadline + self.settings.lease,
-            has_one_predecessor: false,
+            earlier_until: None,
+            unfollowed_until: None,
             predecessor_voters: Vec::new(),
             moved: BTreeSet::new(),
         }
     }
 
+    /// Returns when the rights of the leaders before the one that a claim replaces have expired, if it is
+    /// known. That one recorded it, whether it goes on or not.
+    ///
+    /// Failure: two leaders were lost in turn. The third one waited for the first one as long as for a
+    /// leader of which nothing is known, and used a leaving primary meanwhile.
+    fn earlier_expiry(&self) -> Option<MonotonicTime> {
+        match &self.observed {
+            Some(observed) if !observed.record.settled => {
+                let settles_in = observed.record.settles_in?;
+                Some(observed.first_seen + settles_in + CLOCK_MARGIN)
+            }
+            _ => Some(MonotonicTime::default()),
+        }
+    }
+
+    /// Returns when the rights of the leaders have expired that the voters of the replaced record did not
+    /// follow, if it is known.
+    ///
+    /// A leader that was lost before its first renewal had the voters of the one before it.
+    pub(super) fn unfollowed_expiry(&self) -> Option<MonotonicTime> {
+        let observed = self.observed.as_ref();
+        let claim = observed.and_then(|observed| {
+            let settle_in = observed.record.earlier_settle_in?;
+            Some(observed.first_seen + settle_in + CLOCK_MARGIN)
+        });
+        claim.or_else(|| self.earlier_expiry())
+    }
+
     /// Returns when the rights of all earlier leaders have expired after a claim that replaces
     /// `observed`.
     pub(super) fn promote_from(
--- a/crates/mustardhinge-core/src/primary_lease/leader_record.rs
+++ b/crates/mustardhinge-core/src/primary_lease/leader_record.rs
@@ -35,6 +35,12 @@
     /// majority of them to keep granting leases; with an empty list it needs none.
     #[serde(default)]
     pub voters: Vec<Voter>,
+    /// In a claim, whose voters are those of the leader before: the time from the writing of the record
+    /// until the rights of the leaders have expired that these voters did not follow, if it is known; in
+    /// milliseconds.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub earlier_settle_in: Option<Duration>,
     /// The era of the store for which the record was written. In a later era it comes from an
     /// older copy and doesn't show who the last leader was.
     #[serde(default)]
--- a/crates/mustardhinge-core/tests/suite/primary_lease/voters.rs
+++ b/crates/mustardhinge-core/tests/suite/primary_lease/voters.rs
@@ -486,6 +486,32 @@
     }
 }
 
+/// Failure: two leaders were lost in turn. The third one waited for the first one as if nothing were known of
+/// it, 11 s, and used a leaving primary meanwhile.
+#[test]
+fn the_third_leader_in_a_row_replaces_primaries_in_time() {
+    for lost_at in (8_000..9_600).step_by(50) {
+        let mut world = World::new(4);
+        world.run(1_000, 5_000);
+        let first = world.leader(at(5_000)).unwrap();
+        world.nodes[first].frozen_until = at(100_000);
+        world.run(5_000, lost_at);
+        let is_leader = |index: &usize| {
+            let election = &world.nodes[*index].election;
+            *index != first && election.held_record().is_some()
+        };
+        let second = (0..COUNT).find(is_leader).unwrap();
+        world.nodes[second].frozen_until = at(100_000);
+        world.run(lost_at, lost_at + 6_000);
+        let now = at(lost_at + 6_000);
+        let next = world
+            .nodes
+            .iter()
+            .filter(|node| node.election.may_promote(now));
+        assert_eq!(next.count(), 1, "lost at {lost_at}");
+    }
+}
+
 /// No instance reaches the store: the leader must keep granting leases.
 #[test]
 fn an_outage_of_the_store_does_not_end_the_leases() {
--- a/crates/mustardhinge-resident/src/control/peer_exchange.rs
+++ b/crates/mustardhinge-resident/src/control/peer_exchange.rs
@@ -62,7 +62,7 @@
         PeerMessage::LeaseRequest(request) => {
             let address = request.address;
             if let Some(grant) = handle_lease_request(control, &request) {
-                control.send(&PeerMessage::Grant(grant), address);
+                control.send(&PeerMessage::Grant(Box::new(grant)), address);
             } else {
                 reply_with_leader(control, address);
             }
--- a/crates/mustardhinge-resident/src/control/peer_message.rs
+++ b/crates/mustardhinge-resident/src/control/peer_message.rs
@@ -25,7 +25,7 @@
     #[serde(rename = "Ask")]
     LeaseRequest(LeaseRequest),
     /// The leader's response to [`LeaseRequest`](Self::LeaseRequest).
-    Grant(GrantMessage),
+    Grant(Box<GrantMessage>),
     /// Requests more allowance after an instance has exhausted it.
     #[serde(rename = "AskSpending")]
     AllowanceRequest(AllowanceRequest),
