--- a/crates/mustardhinge-resident/src/adapter/caller_statement.rs
+++ b/crates/mustardhinge-resident/src/adapter/caller_statement.rs
@@ -41,3 +41,14 @@
     /// Any other statement.
     Unknown,
 }
+
+impl CallerStatement {
+    /// Returns whether the statement changes values or prepared statements of the session.
+    #[must_use]
+    pub const fn changes_session(&self) -> bool {
+        matches!(
+            self,
+            Self::SetValue { .. } | Self::Prepare { .. } | Self::Forget { .. }
+        )
+    }
+}
--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -177,6 +177,10 @@
             self.refuse_for_drain(&request);
             return;
         }
+        if self.is_failed() && statement.changes_session() {
+            self.respond_refusal(&SessionRefusal::Malformed("the transaction has failed"));
+            return;
+        }
         match statement {
             CallerStatement::Begin { read_only } => self.begin(read_only, request),
             CallerStatement::SetValue { name } => {
@@ -226,7 +230,7 @@
         match statement {
             CallerStatement::Commit | CallerStatement::Rollback => true,
             CallerStatement::Begin { .. } => self.transaction.is_some(),
-            _ if self.transaction.as_ref().is_some_and(|open| open.is_failed) => true,
+            _ if self.is_failed() => true,
             _ if self.transaction.is_none() && self.channel.is_refusing() => false,
             CallerStatement::Read | CallerStatement::Write | CallerStatement::Execute { .. } => {
                 let longest = request.route.statement_timeout;
@@ -329,11 +333,7 @@
     }
 
     async fn run(&mut self, request: &SessionRequest) {
-        if self
-            .transaction
-            .as_ref()
-            .is_some_and(|transaction| transaction.is_failed)
-        {
+        if self.is_failed() {
             let refusal = match &self.transaction {
                 Some(transaction) if transaction.lease.is_some() => {
                     SessionRefusal::Malformed("the transaction has failed")
@@ -453,10 +453,15 @@
         self.channel.write_refusal(refusal, state);
     }
 
+    /// Returns whether there is a transaction that has failed.
+    fn is_failed(&self) -> bool {
+        self.transaction.as_ref().is_some_and(|open| open.is_failed)
+    }
+
     fn transaction_state(&self) -> TransactionState {
         match &self.transaction {
             None => TransactionState::Idle,
-            Some(transaction) if transaction.is_failed => TransactionState::Failed,
+            Some(_) if self.is_failed() => TransactionState::Failed,
             Some(_) => TransactionState::Open,
         }
     }
