Count a transaction that begins with its COMMIT against the rate

Cause: the rate was asked by reads and writes alone, though a COMMIT begins the transaction at a target if nothing has.

--- a/crates/mustardhinge-resident/src/session/caller_session.rs
+++ b/crates/mustardhinge-resident/src/session/caller_session.rs
@@ -248,9 +248,7 @@
                 retry_after: Some(Duration::ZERO),
             },
         };
-        self.fail_transaction();
-        log_refusal(&self.node, request, &refusal);
-        self.respond_refusal(&refusal);
+        self.refuse(request, &refusal);
     }
 
     /// Runs a statement, but not beyond the end of a planned stop.
@@ -287,9 +285,7 @@
     fn finish(&mut self, request: &SessionRequest, unfinished: UnfinishedStatement) {
         let was_sent = request.last_attempt.borrow().is_some();
         let refusal = unfinished.refusal(was_sent);
-        self.fail_transaction();
-        log_refusal(&self.node, request, &refusal);
-        self.respond_refusal(&refusal);
+        self.refuse(request, &refusal);
     }
 
     fn begin(&mut self, read_only: bool, request: SessionRequest) {
@@ -320,6 +316,17 @@
             self.respond_refusal(&SessionRefusal::Malformed("no transaction is open"));
             return;
         };
+        // A commit that begins its transaction at a target counts against the rate.
+        let begins = transaction.lease.is_none() && !transaction.is_failed;
+        let admitted = if begins {
+            admit(&self.node, request).await
+        } else {
+            Ok(None)
+        };
+        let source = match admitted {
+            Ok(source) => source,
+            Err(refusal) => return self.refuse(request, &refusal),
+        };
         let (response, commit) = commit::<W>(
             &self.node,
             request,
@@ -329,9 +336,19 @@
         )
         .await;
         self.record_commit(commit);
+        if let Some(source) = source {
+            release_unsent(&self.node, request, source, &response);
+        }
         self.respond(request, response);
     }
 
+    /// Refuses a statement, and fails its transaction.
+    fn refuse(&mut self, request: &SessionRequest, refusal: &SessionRefusal) {
+        self.fail_transaction();
+        log_refusal(&self.node, request, refusal);
+        self.respond_refusal(refusal);
+    }
+
     async fn run(&mut self, request: &SessionRequest) {
         if self.is_failed() {
             let refusal = match &self.transaction {
@@ -356,12 +373,7 @@
         };
         let source = match admitted {
             Ok(source) => source,
-            Err(refusal) => {
-                self.fail_transaction();
-                log_refusal(&self.node, request, &refusal);
-                self.respond_refusal(&refusal);
-                return;
-            }
+            Err(refusal) => return self.refuse(request, &refusal),
         };
         let response = self.run_admitted(request).await;
         if let Some(source) = source {
