Look at each piece of an unfinished line once

Change: the codec says from the received piece whether a message can be there, for callers and for targets.

--- a/crates/mustardhinge-resident/src/adapter/session_codec.rs
+++ b/crates/mustardhinge-resident/src/adapter/session_codec.rs
@@ -22,6 +22,13 @@
     /// Returns an error if the message is too large or malformed.
     fn read_target(buffer: &mut BytesMut) -> Result<Option<TargetMessage>, CodecError>;
 
+    /// Returns whether a message has to be looked for again, in a buffer that had none before its last
+    /// `received` bytes were added.
+    ///
+    /// Failure: a message that arrived in many pieces was looked through from its start with each of
+    /// them, which took time by the square of its length.
+    fn may_have_message(buffer: &[u8], received: usize) -> bool;
+
     /// Writes that the session is ready for the next request.
     fn write_ready(out: &mut BytesMut, state: TransactionState, position: Option<LogPosition>);
 
--- a/crates/mustardhinge-resident/src/session/caller_channel.rs
+++ b/crates/mustardhinge-resident/src/session/caller_channel.rs
@@ -92,16 +92,14 @@
     /// Waits for the next event.
     pub(super) async fn next_event(&mut self, idle: IdleState) -> SessionEvent {
         let idle_deadline = idle.timeout.map(|limit| Instant::now() + limit);
+        let mut may_have_message = true;
         loop {
-            match W::read_caller(&mut self.input) {
-                Ok(Some(message)) => {
-                    if matches!(message, CallerMessage::Statement { .. }) {
-                        self.first_request_until = None;
-                    }
-                    return SessionEvent::Message(message);
+            if std::mem::take(&mut may_have_message) {
+                match W::read_caller(&mut self.input) {
+                    Ok(Some(message)) => return self.receive(message),
+                    Ok(None) => {}
+                    Err(fault) => return self.refuse_invalid(fault).await,
                 }
-                Ok(None) => {}
-                Err(fault) => return self.refuse_invalid(fault).await,
             }
             let wake_at = match (idle_deadline, self.close_at) {
                 (Some(first), Some(second)) => Some(first.min(second)),
@@ -111,7 +109,9 @@
                 // A request that has arrived is served before the session is closed.
                 biased;
                 read = self.stream.read_buf(&mut self.input) => match read {
-                    Ok(count) if count > 0 => {}
+                    Ok(count) if count > 0 => {
+                        may_have_message = W::may_have_message(&self.input, count);
+                    }
                     _ => return SessionEvent::Closed,
                 },
                 _ = self.drain.changed() => {
@@ -134,6 +134,13 @@
         }
     }
 
+    fn receive(&mut self, message: CallerMessage) -> SessionEvent {
+        if matches!(message, CallerMessage::Statement { .. }) {
+            self.first_request_until = None;
+        }
+        SessionEvent::Message(message)
+    }
+
     /// Applies the current phase of a planned stop. Returns whether open transactions must end.
     fn update_drain(&mut self) -> bool {
         let phase = *self.drain.borrow_and_update();
--- a/crates/mustardhinge-resident/src/target/target_connection.rs
+++ b/crates/mustardhinge-resident/src/target/target_connection.rs
@@ -149,13 +149,24 @@
         Ok(())
     }
 
+    /// Receives until the input may have a message. Returns whether it may; otherwise the target has
+    /// closed the connection.
+    async fn receive_more<W: SessionCodec>(&mut self) -> Result<bool, ConnectionError> {
+        loop {
+            let received = self.stream.read_buf(&mut self.input).await?;
+            if received == 0 || W::may_have_message(&self.input, received) {
+                return Ok(received > 0);
+            }
+        }
+    }
+
     async fn read_reply<W: SessionCodec>(&mut self) -> Result<TargetReply, ConnectionError> {
         let mut body = BytesMut::new();
         let mut first_row = Bytes::new();
         let mut fault = None;
         loop {
             let Some(message) = W::read_target(&mut self.input)? else {
-                if self.stream.read_buf(&mut self.input).await? > 0 {
+                if self.receive_more::<W>().await? {
                     continue;
                 }
                 return match fault {
