Close the listener of the entry before it ends

Callers who connected while the entry ended were reset without an answer.

Cause: the entry ended as soon as it found no caller, with an open listener.

Change: it then closes the listener, takes the callers of its queue, and ends when they have their answer.

Evidence: callers::no_caller_is_connected_when_a_planned_stop_is_over checks the order.

--- a/crates/mustardhinge-entry/src/process/entry_process.rs
+++ b/crates/mustardhinge-entry/src/process/entry_process.rs
@@ -6,6 +6,7 @@
 use mustardhinge_config::settings::EntrySettings;
 use mustardhinge_core::budget::ClientId;
 use mustardhinge_core::drain::{DrainCause, DrainState, DrainStep};
+use mustardhinge_core::membership::IntakeState;
 use mustardhinge_process::{ProcessClock, event};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -113,15 +114,25 @@
     /// Stops gracefully.
     ///
     /// Requests in progress are completed and callers are disconnected between
-    /// requests. The drain bound of the settings limits the time.
+    /// requests. When none is left, the listener is closed and callers that were
+    /// accepted meanwhile get their answer. The drain bound of the settings limits
+    /// the time.
     pub async fn stop(self) {
         let mut state = DrainState::new(self.drain_bound);
         state.start(DrainCause::StopSignal, self.shared.now());
         self.shared.set_draining(true);
         loop {
+            // The callers are counted after the listener was seen closed.
+            let intake = self.shared.intake();
             let callers = self.shared.callers();
             match state.step(callers, self.shared.now()) {
-                DrainStep::Exit => return,
+                DrainStep::Exit if intake == IntakeState::Closed => return,
+                DrainStep::Exit => {
+                    if intake == IntakeState::Open {
+                        self.shared.set_intake(IntakeState::Closing);
+                    }
+                    sleep(POLL_INTERVAL).await;
+                }
                 DrainStep::ExitAtBound => {
                     event::DRAIN_BOUND_REACHED.log(format_args!("callers={callers}"));
                     return;
--- a/crates/mustardhinge-entry/src/process/entry_shared.rs
+++ b/crates/mustardhinge-entry/src/process/entry_shared.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use mustardhinge_core::membership::IntakeState;
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::ProcessClock;
 use tokio::sync::watch;
@@ -26,6 +27,7 @@
     pub budgets: BudgetTable,
     control: watch::Receiver<Arc<ControlSnapshot>>,
     draining: watch::Sender<bool>,
+    intake: watch::Sender<IntakeState>,
     callers: AtomicUsize,
     unproven_since: Mutex<Option<MonotonicTime>>,
 }
@@ -44,6 +46,7 @@
             budgets,
             control,
             draining: watch::Sender::new(false),
+            intake: watch::Sender::new(IntakeState::Open),
             callers: AtomicUsize::new(0),
             unproven_since: Mutex::default(),
         }
@@ -84,6 +87,24 @@
         self.draining.subscribe()
     }
 
+    /// Returns whether callers are accepted.
+    #[must_use]
+    pub fn intake(&self) -> IntakeState {
+        *self.intake.borrow()
+    }
+
+    /// Sets whether callers are accepted.
+    pub fn set_intake(&self, state: IntakeState) {
+        self.intake.send_replace(state);
+    }
+
+    /// Waits until no more callers may be accepted.
+    pub async fn wait_for_closed_intake(&self) {
+        let mut intake = self.intake.subscribe();
+        // The sender is a part of this state, so the wait can't fail.
+        let _ = intake.wait_for(|state| *state != IntakeState::Open).await;
+    }
+
     /// Returns a receiver of control snapshots.
     #[must_use]
     pub fn watch_control(&self) -> watch::Receiver<Arc<ControlSnapshot>> {
--- a/crates/mustardhinge-entry/src/process/listener.rs
+++ b/crates/mustardhinge-entry/src/process/listener.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardhinge_core::membership::IntakeState;
 use mustardhinge_core::prelude::*;
 use mustardhinge_process::event;
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
@@ -37,12 +38,13 @@
 }
 
 impl CallerListener {
-    /// Accepts connections until the task is dropped. Dropping it also aborts the
-    /// tasks of the callers.
+    /// Accepts connections until a planned stop closes the listener, and serves them until
+    /// the task is dropped. Dropping it also aborts the tasks of the callers.
     pub(super) async fn run(self, listener: TcpListener) {
         let mut callers = JoinSet::new();
         loop {
             tokio::select! {
+                () = self.shared.wait_for_closed_intake() => break,
                 accepted = listener.accept() => match accepted {
                     Ok((tcp, _)) => self.spawn_session(tcp, &mut callers),
                     Err(error) => {
@@ -54,6 +56,33 @@
                 Some(_) = callers.join_next() => {}
             }
         }
+        if let Err(error) = self.accept_queued(listener, &mut callers) {
+            let cause = error.to_string();
+            event::CALLER_NOT_ACCEPTED.log(format_args!("error={cause:?}"));
+        }
+        self.shared.set_intake(IntakeState::Closed);
+        while callers.join_next().await.is_some() {}
+    }
+
+    /// Accepts the callers that the operating system has connected, and closes the
+    /// listener. Closing it alone would reset their connections.
+    fn accept_queued(
+        &self,
+        listener: TcpListener,
+        callers: &mut JoinSet<()>,
+    ) -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        for _ in 0..self.max_callers {
+            match listener.accept() {
+                Ok((tcp, _)) => {
+                    tcp.set_nonblocking(true)?;
+                    self.spawn_session(TcpStream::from_std(tcp)?, callers);
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 
     fn spawn_session(&self, tcp: TcpStream, callers: &mut JoinSet<()>) {
--- a/crates/mustardhinge-entry/tests/suite/callers.rs
+++ b/crates/mustardhinge-entry/tests/suite/callers.rs
@@ -6,6 +6,7 @@
 use super::cluster::{
     TEST_BOUND, caller, connect, detail, haulage, haulage_fleet, sqlstate, start,
 };
+use mustardhinge_core::membership::IntakeState;
 use mustardhinge_fleet::SmallFleet;
 
 #[tokio::test]
@@ -83,3 +84,30 @@
     let error = client.simple_query("SELECT 1").await.unwrap_err();
     assert!(error.is_closed() || detail(&error).contains("reason=instance_draining"));
 }
+
+/// Failure: the listener was open until the process ended, so a caller was connected whom nobody answered. A
+/// caller gets an answer, or its connection is refused before the stop is over.
+#[tokio::test]
+async fn no_caller_is_connected_when_a_planned_stop_is_over() {
+    let mut fleet = haulage_fleet().await;
+    let address = fleet.instances[0].address;
+    let entry = fleet.instances[0].entry.take().unwrap();
+    let shared = std::sync::Arc::clone(entry.shared());
+    // Holds the listener open, as no caller has left yet.
+    let waiting = connect(&caller(address)).await.unwrap();
+    let callers = async {
+        while !shared.is_draining() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let error = connect(&caller(address)).await.err().unwrap();
+        assert!(error.is_closed() || detail(&error).contains("reason=instance_draining"));
+        drop(waiting);
+    };
+    let stop = async {
+        entry.stop().await;
+        shared.intake()
+    };
+    let (intake, ()) = tokio::join!(stop, callers);
+    assert_eq!(intake, IntakeState::Closed);
+    assert!(TcpStream::connect(address).await.is_err());
+}
