Simplify how a promotion is confirmed

The members of the epoch were copied, and the service was looked up three times. No change in behaviour: confirming_replicas, lost_leaders and primary_change pass.

--- a/crates/mustardhinge-resident/src/control/primary_change.rs
+++ b/crates/mustardhinge-resident/src/control/primary_change.rs
@@ -314,17 +314,17 @@
         .members(&members)
         .order_pending(has_other_order(control, service, target));
     if members.is_empty() {
-        start_epoch(control, group, epoch, (target, term), members.clone());
+        start_epoch(control, group, epoch, (target, term), Vec::new());
         // If this write is lost, the next leader queries the target instead.
         write_group_record(control, service, record).await;
         return true;
     }
     // Commits of the epoch depend on its members, so they have to be recorded first.
-    if !write_group_record(control, service, record).await {
-        return false;
+    let is_recorded = write_group_record(control, service, record).await;
+    if is_recorded {
+        start_epoch(control, group, epoch, (target, term), members);
     }
-    start_epoch(control, group, epoch, (target, term), members.clone());
-    true
+    is_recorded
 }
 
 /// Returns whether an order to promote a target of a group may still take effect.
@@ -438,18 +438,16 @@
     primary: &TargetId,
     term: LeaderTerm,
 ) -> bool {
-    let Some((epoch, _)) = next_epoch(control, group.service()) else {
+    let service = group.service();
+    let Some((epoch, _)) = next_epoch(control, service) else {
         return true;
     };
+    let now = control.node.clock.now();
     let members = listed_members(control, group, primary);
     let record = NewGroupRecord::confirmed(epoch, primary, term)
         .members(&members)
-        .order_pending(is_order_pending(
-            control,
-            group.service(),
-            control.node.clock.now(),
-        ));
-    if !write_group_record(control, group.service(), record).await {
+        .order_pending(is_order_pending(control, service, now));
+    if !write_group_record(control, service, record).await {
         return false;
     }
     start_epoch(control, group, epoch, (primary, term), members);
